Forward HTTP/1.1 over plain sockets: heads with limits, bodies, kept connections

tiny_http and attohttpc can neither bound a head before parsing nor notice that a caller left, and they reuse no connection safely.

--- /dev/null
+++ b/crates/gentian-http/src/forward/body_framing.rs
@@ -0,0 +1,90 @@
+//! How the end of a body is found.
+
+use std::fmt;
+
+use super::HeaderList;
+
+/// How the end of a body is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// The body has this many bytes.
+    Length(u64),
+    /// The body comes in chunks.
+    Chunked,
+    /// The body ends with the connection.
+    UntilClose,
+}
+
+/// Why the framing of a message cannot be trusted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FramingError {
+    /// A length that is not a number, or two different lengths.
+    BadLength,
+    /// A transfer encoding other than `chunked`.
+    UnknownEncoding,
+    /// Both a length and a transfer encoding, as used to smuggle requests.
+    Ambiguous,
+}
+
+impl fmt::Display for FramingError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::BadLength => "the content length is malformed or given twice",
+            Self::UnknownEncoding => "only the transfer encoding 'chunked' is supported",
+            Self::Ambiguous => "both a content length and a transfer encoding are given",
+        })
+    }
+}
+
+impl std::error::Error for FramingError {}
+
+impl BodyFraming {
+    /// Returns the framing of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if peers could disagree on where the body ends.
+    pub fn of_request(headers: &HeaderList) -> Result<Self, FramingError> {
+        Ok(Self::of_headers(headers)?.unwrap_or(Self::Length(0)))
+    }
+
+    /// Returns the framing of an answer with `status`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if peers could disagree on where the body ends.
+    pub fn of_response(status: u16, headers: &HeaderList) -> Result<Self, FramingError> {
+        if status < 200 || status == 204 || status == 304 {
+            return Ok(Self::Length(0));
+        }
+        Ok(Self::of_headers(headers)?.unwrap_or(Self::UntilClose))
+    }
+
+    fn of_headers(headers: &HeaderList) -> Result<Option<Self>, FramingError> {
+        let length = read_length(headers)?;
+        let encodings: Vec<&[u8]> = headers.values("transfer-encoding").collect();
+        match (encodings.as_slice(), length) {
+            ([], length) => Ok(length.map(Self::Length)),
+            (_, Some(_)) => Err(FramingError::Ambiguous),
+            ([value], None) if value.trim_ascii().eq_ignore_ascii_case(b"chunked") => {
+                Ok(Some(Self::Chunked))
+            }
+            _ => Err(FramingError::UnknownEncoding),
+        }
+    }
+}
+
+fn read_length(headers: &HeaderList) -> Result<Option<u64>, FramingError> {
+    let mut length = None;
+    for value in headers.values("content-length") {
+        let value = value.trim_ascii();
+        let is_number = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
+        let text = std::str::from_utf8(value).ok().filter(|_| is_number);
+        let number = text.and_then(|text| text.parse().ok()).ok_or(FramingError::BadLength)?;
+        if length.is_some_and(|other| other != number) {
+            return Err(FramingError::BadLength);
+        }
+        length = Some(number);
+    }
+    Ok(length)
+}
--- /dev/null
+++ b/crates/gentian-http/src/forward/body_reader.rs
@@ -0,0 +1,146 @@
+//! Bodies from a connection.
+
+use std::fmt;
+use std::io;
+
+use gentian_core::MonoTime;
+
+use super::{BodyFraming, ChunkDecoder, WireStream};
+
+/// Why a body is incomplete.
+#[derive(Debug)]
+pub enum BodyError {
+    /// The connection ended before the body.
+    Cut,
+    /// The bytes do not keep to the framing.
+    Malformed,
+    /// The body exceeds the limit.
+    TooLarge,
+    /// The connection failed, or the time was up.
+    Failed(io::Error),
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Cut => f.write_str("the connection ended before the body"),
+            Self::Malformed => f.write_str("the body is malformed"),
+            Self::TooLarge => f.write_str("the body is too large"),
+            Self::Failed(error) => write!(f, "the body could not be read: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for BodyError {}
+
+/// What is known after some bytes of a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyStep {
+    /// More bytes are needed.
+    More,
+    /// The body is complete.
+    End,
+}
+
+#[derive(Debug)]
+enum ReaderState {
+    Length(u64),
+    Chunked(ChunkDecoder),
+    UntilClose,
+}
+
+/// Reads one body.
+#[derive(Debug)]
+pub struct BodyReader {
+    state: ReaderState,
+}
+
+impl BodyReader {
+    /// Creates a reader before the first byte of a body.
+    pub const fn new(framing: BodyFraming) -> Self {
+        let state = match framing {
+            BodyFraming::Length(length) => ReaderState::Length(length),
+            BodyFraming::Chunked => ReaderState::Chunked(ChunkDecoder::new()),
+            BodyFraming::UntilClose => ReaderState::UntilClose,
+        };
+        Self { state }
+    }
+
+    /// Appends what `stream` has buffered of the body to `output`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is malformed, or if the peer has ended its side too early.
+    pub fn take_buffered(
+        &mut self,
+        stream: &mut WireStream,
+        output: &mut Vec<u8>,
+    ) -> Result<BodyStep, BodyError> {
+        let input = stream.buffered();
+        let (used, is_done) = match &mut self.state {
+            ReaderState::Length(left) => {
+                let count = input.len().min(usize::try_from(*left).unwrap_or(usize::MAX));
+                output.extend_from_slice(&input[..count]);
+                *left -= count as u64;
+                (count, *left == 0)
+            }
+            ReaderState::Chunked(decoder) => {
+                let used = decoder.decode(input, output).map_err(|_| BodyError::Malformed)?;
+                (used, decoder.is_done())
+            }
+            ReaderState::UntilClose => {
+                output.extend_from_slice(input);
+                (input.len(), stream.is_ended())
+            }
+        };
+        stream.consume(used);
+        match is_done {
+            true => Ok(BodyStep::End),
+            false if stream.is_ended() => Err(BodyError::Cut),
+            false => Ok(BodyStep::More),
+        }
+    }
+}
+
+/// Reads the whole body of a request.
+///
+/// # Errors
+///
+/// Returns an error if the body is cut, malformed, has more than `limit` bytes or is not there at
+/// `deadline`.
+pub fn read_request_body(
+    stream: &mut WireStream,
+    framing: BodyFraming,
+    limit: usize,
+    deadline: MonoTime,
+) -> Result<Vec<u8>, BodyError> {
+    if matches!(framing, BodyFraming::Length(length) if length > limit as u64) {
+        return Err(BodyError::TooLarge);
+    }
+    read_response_body(stream, framing, limit, deadline)
+}
+
+/// Reads the whole body of an answer.
+///
+/// # Errors
+///
+/// As [`read_request_body`].
+pub fn read_response_body(
+    stream: &mut WireStream,
+    framing: BodyFraming,
+    limit: usize,
+    deadline: MonoTime,
+) -> Result<Vec<u8>, BodyError> {
+    let mut reader = BodyReader::new(framing);
+    let mut body = Vec::new();
+    loop {
+        let step = reader.take_buffered(stream, &mut body)?;
+        if body.len() > limit {
+            return Err(BodyError::TooLarge);
+        }
+        if step == BodyStep::End {
+            return Ok(body);
+        }
+        stream.fill(deadline).map_err(BodyError::Failed)?;
+    }
+}
--- /dev/null
+++ b/crates/gentian-http/src/forward/event_splitter.rs
@@ -0,0 +1,53 @@
+//! Boundaries of the events in an event stream.
+
+/// Gathers the bytes of an event stream and hands on whole events.
+#[derive(Clone, Debug, Default)]
+pub struct EventSplitter {
+    pending: Vec<u8>,
+    last_id: Option<u64>,
+}
+
+impl EventSplitter {
+    /// Creates a splitter before the first event.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes bytes in and returns the whole events among those that were not handed on yet.
+    pub fn take(&mut self, bytes: &[u8]) -> Vec<u8> {
+        self.pending.extend_from_slice(bytes);
+        let Some(end) = find_end(&self.pending) else { return Vec::new() };
+        let rest = self.pending.split_off(end);
+        let whole = std::mem::replace(&mut self.pending, rest);
+        self.last_id = find_last_id(&whole).or(self.last_id);
+        whole
+    }
+
+    /// Returns the bytes behind the last whole event, when the stream has ended.
+    pub fn finish(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.pending)
+    }
+
+    /// Forgets the bytes of an event that its sender did not finish.
+    pub fn drop_partial(&mut self) {
+        self.pending.clear();
+    }
+
+    /// Returns the id of the last whole event.
+    pub fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+}
+
+/// Returns the end of the last empty line.
+fn find_end(bytes: &[u8]) -> Option<usize> {
+    let plain = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|start| start + 2);
+    let crlf = bytes.windows(4).rposition(|quad| quad == b"\r\n\r\n").map(|start| start + 4);
+    plain.max(crlf)
+}
+
+fn find_last_id(bytes: &[u8]) -> Option<u64> {
+    let mut lines = bytes.rsplit(|byte| *byte == b'\n');
+    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(id).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/gentian-http/src/forward/mod.rs
@@ -0,0 +1,26 @@
+//! HTTP/1.1 over plain sockets, for requests that are forwarded as they are: heads with limits,
+//! bodies by length, in chunks or up to the end of the connection, and kept connections.
+
+mod body_framing;
+mod body_reader;
+mod chunk_decoder;
+mod connection_pool;
+mod event_splitter;
+mod header_list;
+mod request_head;
+mod response_head;
+mod wire_caller;
+mod wire_listener;
+mod wire_stream;
+
+pub use body_framing::{BodyFraming, FramingError};
+pub use body_reader::{BodyError, BodyReader, BodyStep, read_request_body, read_response_body};
+pub use chunk_decoder::{ChunkDecoder, ChunkError};
+pub use connection_pool::{ConnectionPool, PooledStream};
+pub use event_splitter::EventSplitter;
+pub use header_list::HeaderList;
+pub use request_head::{HeadError, RequestHead};
+pub use response_head::ResponseHead;
+pub use wire_caller::{CallLimits, WireCallError, WireCaller};
+pub use wire_listener::serve_connections;
+pub use wire_stream::{PeerWait, WireStream};
--- /dev/null
+++ b/crates/gentian-http/src/forward/request_head.rs
@@ -0,0 +1,95 @@
+//! Heads of requests.
+
+use std::fmt;
+
+use super::HeaderList;
+
+/// Header fields of one message at most.
+pub(super) const FIELD_LIMIT: usize = 100;
+
+/// Why a head is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeadError {
+    /// The bytes are not HTTP/1.
+    Malformed,
+    /// The head exceeds the limit of bytes or fields.
+    TooLarge,
+}
+
+impl fmt::Display for HeadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Malformed => "the head is not HTTP/1",
+            Self::TooLarge => "the head is too large",
+        })
+    }
+}
+
+impl std::error::Error for HeadError {}
+
+/// Head of a request as it arrived.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestHead {
+    /// The method.
+    pub method: String,
+    /// Path with the query.
+    pub target: String,
+    /// Whether the client speaks HTTP/1.1.
+    pub is_http11: bool,
+    /// Header fields.
+    pub headers: HeaderList,
+}
+
+impl RequestHead {
+    /// Parses the head at the start of `bytes`; returns it with its length, or `None` while it is
+    /// incomplete.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are no head, or one of more than `limit` bytes.
+    pub fn parse(bytes: &[u8], limit: usize) -> Result<Option<(Self, usize)>, HeadError> {
+        let mut fields = [httparse::EMPTY_HEADER; FIELD_LIMIT];
+        let mut request = httparse::Request::new(&mut fields);
+        let length = match request.parse(bytes) {
+            Ok(httparse::Status::Complete(length)) if length <= limit => length,
+            Ok(httparse::Status::Complete(_)) => return Err(HeadError::TooLarge),
+            Ok(httparse::Status::Partial) if bytes.len() < limit => return Ok(None),
+            Ok(httparse::Status::Partial) => return Err(HeadError::TooLarge),
+            Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooLarge),
+            Err(_) => return Err(HeadError::Malformed),
+        };
+        let (Some(method), Some(target)) = (request.method, request.path) else {
+            return Err(HeadError::Malformed);
+        };
+        let head = Self {
+            method: method.to_owned(),
+            target: target.to_owned(),
+            is_http11: request.version == Some(1),
+            headers: request.headers.iter().copied().collect(),
+        };
+        Ok(Some((head, length)))
+    }
+
+    /// Returns the path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or("")
+    }
+
+    /// Tells whether the client keeps the connection for another request.
+    pub fn keeps_connection(&self) -> bool {
+        self.is_http11 && !self.headers.has_token("connection", "close")
+    }
+
+    /// Tells whether the client waits for a go-ahead before it sends the body.
+    pub fn expects_continue(&self) -> bool {
+        self.is_http11 && self.headers.has_token("expect", "100-continue")
+    }
+
+    /// Returns the head as it stands on the wire.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let mut bytes = format!("{} {} HTTP/1.1\r\n", self.method, self.target).into_bytes();
+        self.headers.write_to(&mut bytes);
+        bytes.extend_from_slice(b"\r\n");
+        bytes
+    }
+}
--- /dev/null
+++ b/crates/gentian-http/src/forward/response_head.rs
@@ -0,0 +1,96 @@
+//! Heads of answers.
+
+use gentian_core::TimeSpan;
+
+use super::request_head::FIELD_LIMIT;
+use super::{HeadError, HeaderList};
+
+/// Largest head of an answer in bytes.
+const HEAD_LIMIT: usize = 64 * 1024;
+
+/// Head of an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// Status code.
+    pub status: u16,
+    /// Header fields.
+    pub headers: HeaderList,
+    /// Whether the server speaks HTTP/1.1.
+    pub is_http11: bool,
+}
+
+impl ResponseHead {
+    /// Creates a head without fields.
+    pub const fn new(status: u16) -> Self {
+        Self { status, headers: HeaderList::new(), is_http11: true }
+    }
+
+    /// Adds a field behind the others.
+    pub fn with_header(mut self, name: impl Into<String>, value: impl Into<Vec<u8>>) -> Self {
+        self.headers.push(name, value);
+        self
+    }
+
+    /// Parses the head at the start of `bytes`; returns it with its length, or `None` while it is
+    /// incomplete.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are no head, or too large a one.
+    pub fn parse(bytes: &[u8]) -> Result<Option<(Self, usize)>, HeadError> {
+        let mut fields = [httparse::EMPTY_HEADER; FIELD_LIMIT];
+        let mut response = httparse::Response::new(&mut fields);
+        let length = match response.parse(bytes) {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) if bytes.len() < HEAD_LIMIT => return Ok(None),
+            Ok(httparse::Status::Partial) => return Err(HeadError::TooLarge),
+            Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooLarge),
+            Err(_) => return Err(HeadError::Malformed),
+        };
+        let status = response.code.ok_or(HeadError::Malformed)?;
+        let headers = response.headers.iter().copied().collect();
+        Ok(Some((Self { status, headers, is_http11: response.version == Some(1) }, length)))
+    }
+
+    /// Tells whether the server keeps the connection for another request.
+    pub fn keeps_connection(&self) -> bool {
+        self.is_http11 && !self.headers.has_token("connection", "close")
+    }
+
+    /// Returns how long the server keeps an idle connection, if it says so.
+    pub fn keep_alive(&self) -> Option<TimeSpan> {
+        let text = self.headers.text("keep-alive")?;
+        let mut parts = text.split(',').filter_map(|part| part.trim().strip_prefix("timeout="));
+        parts.next()?.trim().parse().ok().map(TimeSpan::from_secs)
+    }
+
+    /// Returns the head as it stands on the wire.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let reason = reason_phrase(self.status);
+        let mut bytes = format!("HTTP/1.1 {} {reason}\r\n", self.status).into_bytes();
+        self.headers.write_to(&mut bytes);
+        bytes.extend_from_slice(b"\r\n");
+        bytes
+    }
+}
+
+fn reason_phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        202 => "Accepted",
+        204 => "No Content",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/crates/gentian-http/src/forward/wire_caller.rs
@@ -0,0 +1,110 @@
+//! Whole calls over kept connections.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use gentian_core::{MonoTime, TimeSpan};
+
+use super::{
+    BodyFraming, ConnectionPool, RequestHead, ResponseHead, WireStream, read_response_body,
+};
+use crate::ProcessClock;
+
+/// Largest answer in bytes.
+const ANSWER_LIMIT: usize = 64 << 20;
+
+/// Why a call has no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WireCallError {
+    /// Not a byte of the call was written.
+    NotSent(String),
+    /// The call may have been received.
+    Unknown(String),
+}
+
+impl fmt::Display for WireCallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(cause) => write!(f, "not sent: {cause}"),
+            Self::Unknown(cause) => write!(f, "no whole answer: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for WireCallError {}
+
+/// When a call is given up.
+#[derive(Clone, Copy, Debug)]
+pub struct CallLimits {
+    /// Longest wait for a connection.
+    pub connect: TimeSpan,
+    /// Longest wait for the whole answer, from when the call is written.
+    pub answer: TimeSpan,
+    /// Latest time at which the call may be written.
+    pub send_until: Option<MonoTime>,
+}
+
+/// Makes whole calls over kept connections.
+#[derive(Clone, Debug)]
+pub struct WireCaller {
+    connections: ConnectionPool,
+    clock: ProcessClock,
+}
+
+impl WireCaller {
+    /// Creates a caller over `connections`.
+    pub const fn new(connections: ConnectionPool, clock: ProcessClock) -> Self {
+        Self { connections, clock }
+    }
+
+    /// Calls the server at `address` and reads its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`WireCallError::NotSent`] only if not a byte was written.
+    pub fn call(
+        &self,
+        address: SocketAddr,
+        head: &RequestHead,
+        body: &[u8],
+        limits: CallLimits,
+    ) -> Result<(ResponseHead, Vec<u8>), WireCallError> {
+        let not_sent = |cause: &dyn fmt::Display| WireCallError::NotSent(cause.to_string());
+        let unknown = |cause: &dyn fmt::Display| WireCallError::Unknown(cause.to_string());
+        let pooled = self.connections.take(address, limits.connect);
+        let mut stream = pooled.map_err(|error| not_sent(&error))?.stream;
+        let now = self.clock.now();
+        if limits.send_until.is_some_and(|limit| now > limit) {
+            return Err(not_sent(&"the call is too old"));
+        }
+        let deadline = now + limits.answer;
+        let mut bytes = head.to_bytes();
+        bytes.extend_from_slice(body);
+        stream.write_all(&bytes, deadline).map_err(|error| unknown(&error))?;
+        let head = read_head(&mut stream, deadline)?;
+        let framing = BodyFraming::of_response(head.status, &head.headers);
+        let framing = framing.map_err(|error| unknown(&error))?;
+        let body = read_response_body(&mut stream, framing, ANSWER_LIMIT, deadline);
+        let body = body.map_err(|error| unknown(&error))?;
+        if head.keeps_connection() {
+            self.connections.keep(address, stream, head.keep_alive());
+        }
+        Ok((head, body))
+    }
+}
+
+fn read_head(stream: &mut WireStream, deadline: MonoTime) -> Result<ResponseHead, WireCallError> {
+    let unknown = |cause: &dyn fmt::Display| WireCallError::Unknown(cause.to_string());
+    loop {
+        let parsed = ResponseHead::parse(stream.buffered()).map_err(|error| unknown(&error))?;
+        if let Some((head, length)) = parsed {
+            stream.consume(length);
+            return Ok(head);
+        }
+        match stream.fill(deadline) {
+            Ok(0) => return Err(unknown(&"the connection ended before an answer")),
+            Ok(_) => {}
+            Err(error) => return Err(unknown(&error)),
+        }
+    }
+}
--- a/crates/gentian-http/src/http_front.rs
+++ b/crates/gentian-http/src/http_front.rs
@@ -145,7 +145,7 @@
     }
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.bind(&address.into())?;
--- a/crates/gentian-http/src/lib.rs
+++ b/crates/gentian-http/src/lib.rs
@@ -4,9 +4,11 @@
 mod admin_port;
 mod call_agent;
 mod event_stream;
+pub mod forward;
 mod http_front;
 mod http_reply;
 mod join_threads;
+mod process_clock;
 mod worker_pool;
 
 pub use admin_port::AdminPages;
@@ -15,4 +17,5 @@
 pub use http_front::{HttpFront, HttpRequest};
 pub use http_reply::HttpReply;
 pub use join_threads::join_threads;
+pub use process_clock::ProcessClock;
 pub use worker_pool::WorkerPool;
--- a/crates/gentian-http/src/process_clock.rs
+++ b/crates/gentian-http/src/process_clock.rs
@@ -1,27 +1,27 @@
 //! The clock of a process.
 
-use std::time::Instant;
-
 use gentian_core::{MonoTime, TimeSpan};
+use rustix::time::{ClockId, clock_gettime};
 
 /// Time of the origin, so that spans can be subtracted right after the start.
 const ORIGIN: MonoTime = MonoTime::from_millis(1_000_000_000);
 
-/// Monotonic clock of a process.
+/// Monotonic clock of a process; it also counts time in which the VM was suspended, so that leases
+/// and deadlines expire meanwhile.
 #[derive(Clone, Copy, Debug)]
 pub struct ProcessClock {
-    started: Instant,
+    started: TimeSpan,
 }
 
 impl ProcessClock {
     /// Starts the clock.
     pub fn new() -> Self {
-        Self { started: Instant::now() }
+        Self { started: boot_time() }
     }
 
     /// Returns the present time.
     pub fn now(&self) -> MonoTime {
-        ORIGIN + TimeSpan::from(self.started.elapsed())
+        ORIGIN + boot_time().saturating_sub(self.started)
     }
 }
 
@@ -30,3 +30,10 @@
         Self::new()
     }
 }
+
+fn boot_time() -> TimeSpan {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or(0);
+    TimeSpan::from_secs(seconds) + TimeSpan::from_micros(nanos / 1_000)
+}
