Decide for fleets whose upstreams register themselves: quota, routing, the hub, orders

One entry holds a lease, counts for all, and orders loads under one account of each engine's memory; each order names how many orders came before it, so that a late one is void.

--- a/crates/gentian-config/src/lib.rs
+++ b/crates/gentian-config/src/lib.rs
@@ -15,6 +15,7 @@
 mod reference_check;
 mod route_spec;
 mod section_reader;
+pub mod serving;
 mod upstream_spec;
 
 pub use adapter_spec::AdapterSpec;
--- /dev/null
+++ b/crates/gentian-config/src/serving/mod.rs
@@ -0,0 +1,18 @@
+//! The configuration of a serving fleet whose upstreams register themselves: routes to services,
+//! services with their model catalogues, and organisations with their rates.
+
+mod caller_limits;
+mod catalogue_model;
+mod engine_spec;
+mod organisation_share;
+mod service_spec;
+mod serving_config;
+mod serving_route;
+
+pub use caller_limits::CallerLimits;
+pub use catalogue_model::CatalogueModel;
+pub use engine_spec::EngineSpec;
+pub use organisation_share::{ChargeUnit, OrganisationShare};
+pub use service_spec::ServiceSpec;
+pub use serving_config::ServingConfig;
+pub use serving_route::{RepeatKind, ServiceWeight, ServingRoute};
--- a/crates/gentian-core/src/ids.rs
+++ b/crates/gentian-core/src/ids.rs
@@ -38,6 +38,11 @@
     RouteId,
     "route name"
 );
+name_newtype!(
+    /// Name of a service: a set of interchangeable upstreams that come and go.
+    ServiceId,
+    "service name"
+);
 name_newtype!(
     /// Name of an upstream: a model engine or a plain service.
     UpstreamId,
@@ -59,6 +64,11 @@
     FenceNumber,
     "fencing number"
 );
+number_newtype!(
+    /// A lease of the key-value service.
+    LeaseId,
+    "lease number"
+);
 number_newtype!(
     /// Position of a message in the sequence of its sender.
     SequenceNumber,
--- a/crates/gentian-core/src/lib.rs
+++ b/crates/gentian-core/src/lib.rs
@@ -16,9 +16,9 @@
 pub use event_code::{EVENT_CATALOGUE, EventCode, EventEntry};
 pub use fast_map::{FastMap, FastSet};
 pub use ids::{
-    AdapterId, BootId, ConfigVersion, DomainId, FenceNumber, InstanceId, KeyDigest, KeyId, ModelId,
-    OrderId, OrganisationId, PublicationId, RequestId, RouteId, SequenceNumber, ShardNumber,
-    UpstreamId, VmId,
+    AdapterId, BootId, ConfigVersion, DomainId, FenceNumber, InstanceId, KeyDigest, KeyId, LeaseId,
+    ModelId, OrderId, OrganisationId, PublicationId, RequestId, RouteId, SequenceNumber, ServiceId,
+    ShardNumber, UpstreamId, VmId,
 };
 pub use mono_time::MonoTime;
 pub use parse_error::ParseError;
--- /dev/null
+++ b/crates/gentian-core/src/peer/fleet_message.rs
@@ -0,0 +1,108 @@
+//! Messages between the entries of a serving fleet and its hub.
+
+use serde::{Deserialize, Serialize};
+
+use super::TargetId;
+use crate::{
+    FenceNumber, InstanceId, ModelId, OrganisationId, SequenceNumber, ServiceId, TimeSpan,
+    UpstreamId, VmId,
+};
+
+/// A message between an entry and the hub.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FleetMessage {
+    /// What an entry uses and needs.
+    Digest(EntryDigest),
+    /// What all entries together use, and what upstreams hold.
+    Tally(FleetTally),
+    /// A new hub.
+    Announce(HubAnnounce),
+}
+
+/// A process has become the hub.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HubAnnounce {
+    /// VM of the hub.
+    pub vm: VmId,
+    /// Fencing number of its lease; the highest one counts.
+    pub fence: FenceNumber,
+}
+
+/// What an entry uses and needs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EntryDigest {
+    /// VM of the entry.
+    pub vm: VmId,
+    /// Process of the entry.
+    pub instance: InstanceId,
+    /// Position of the digest in the sequence of the entry.
+    pub sequence: SequenceNumber,
+    /// Hub whose rows the entry knows, and up to which revision.
+    pub known: (InstanceId, SequenceNumber),
+    /// Tokens spent since the start of the process, by organisation.
+    pub spent: Vec<(OrganisationId, u64)>,
+    /// Work under way, by upstream.
+    pub work: Vec<(UpstreamId, UpstreamWork)>,
+    /// Targets that requests use or wait for.
+    pub demands: Vec<ServingDemand>,
+}
+
+/// Work of one or more entries at an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamWork {
+    /// Requests under way.
+    pub running: u32,
+    /// Prompt tokens of requests whose answer has not begun.
+    pub unread_tokens: u32,
+}
+
+/// Requests of one target at an entry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServingDemand {
+    /// Service of the requests.
+    pub service: ServiceId,
+    /// What they need loaded.
+    pub target: TargetId,
+    /// Requests since the start of the process.
+    pub arrived: u64,
+    /// Requests that wait for an upstream.
+    pub waiting: u32,
+    /// Time left to the most urgent waiting request.
+    pub slack: TimeSpan,
+    /// Requests that run, by upstream.
+    pub running: Vec<(UpstreamId, u32)>,
+}
+
+/// What all entries together use, and what upstreams hold.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FleetTally {
+    /// Process of the hub.
+    pub hub: InstanceId,
+    /// Fencing number under which the hub gives orders; zero without a lease.
+    pub fence: FenceNumber,
+    /// Digest that this answers.
+    pub sequence: SequenceNumber,
+    /// Entries that the hub hears, this one included.
+    pub heard: u32,
+    /// Tokens that the other entries spent since the hub began to count, by organisation.
+    pub spent: Vec<(OrganisationId, u64)>,
+    /// Work of the other entries, by upstream.
+    pub work: Vec<(UpstreamId, UpstreamWork)>,
+    /// Revision of the rows.
+    pub revision: SequenceNumber,
+    /// Rows that changed since the revision that the entry knows.
+    pub rows: Vec<HoldingRow>,
+}
+
+/// What an upstream holds, as far as the hub knows.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HoldingRow {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Start of the upstream that this is about, as its entry says it.
+    pub born: u64,
+    /// Models and adapters that requests can use.
+    pub loaded: Vec<TargetId>,
+    /// Model that is being loaded or unloaded.
+    pub changing: Option<ModelId>,
+}
--- a/crates/gentian-core/src/peer/mod.rs
+++ b/crates/gentian-core/src/peer/mod.rs
@@ -3,6 +3,7 @@
 
 mod config_answer;
 mod config_question;
+mod fleet_message;
 mod member_record;
 mod peer_message;
 mod placement_ask;
@@ -18,6 +19,9 @@
 
 pub use config_answer::ConfigAnswer;
 pub use config_question::ConfigQuestion;
+pub use fleet_message::{
+    EntryDigest, FleetMessage, FleetTally, HoldingRow, HubAnnounce, ServingDemand, UpstreamWork,
+};
 pub use member_record::{MemberRecord, MemberRole};
 pub use peer_message::PeerMessage;
 pub use placement_ask::{PlacementAsk, TargetDemand};
--- a/crates/gentian-decide/src/lib.rs
+++ b/crates/gentian-decide/src/lib.rs
@@ -5,7 +5,9 @@
 
 pub mod control;
 pub mod entry;
+pub mod orders;
 pub mod placement;
 pub mod request;
 pub mod seat;
+pub mod serving;
 pub mod share;
--- /dev/null
+++ b/crates/gentian-decide/src/orders/placement_choice.rs
@@ -0,0 +1,122 @@
+//! Where a model is best loaded, and what makes room for it.
+
+use gentian_config::serving::{CatalogueModel, EngineSpec};
+use gentian_core::{FastMap, ModelId, MonoTime, TimeSpan, UpstreamId};
+
+use super::order_lane::KnownState;
+use super::{LoadCeiling, OrderLane};
+
+/// Time that an unload before a load takes.
+const UNLOAD_TIME: TimeSpan = TimeSpan::from_millis(150);
+/// Delay by which the loss of a model that was just used counts.
+const EVICTION_DELAY: TimeSpan = TimeSpan::from_millis(800);
+/// Idle time after which the loss of a model counts half as much.
+const IDLE_HALF: TimeSpan = TimeSpan::from_secs(3);
+/// Time after its last use for which a model is not unloaded.
+const USE_GUARD: TimeSpan = TimeSpan::from_millis(500);
+
+/// Use of a model, with all its adapters, over all entries.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ModelUse {
+    /// Requests that wait.
+    pub(super) waiting: u32,
+    /// Requests that run, by upstream.
+    pub(super) running: FastMap<UpstreamId, u32>,
+    /// Requests a second.
+    pub(super) rate: f64,
+    /// When a request last came.
+    pub(super) last: MonoTime,
+    /// Engines that hold or load it.
+    pub(super) copies: usize,
+}
+
+/// A way to load a model on one engine.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct LoadOption {
+    /// The engine.
+    pub(super) upstream: UpstreamId,
+    /// Models to unload first, least useful first.
+    pub(super) victims: Vec<ModelId>,
+    /// Whether the weights come from the weight store.
+    pub(super) is_from_store: bool,
+    /// Expected delay in microseconds, with what the unloads cost others.
+    pub(super) cost: f64,
+}
+
+/// Returns how long `lane` takes to load `model`, and whether from the weight store.
+pub(super) fn load_time(known: &KnownState, model: &CatalogueModel) -> (TimeSpan, bool) {
+    if known.in_host.contains(&model.id) {
+        (model.host_load, false)
+    } else if known.on_disk.contains(&model.id) {
+        (model.disk_load, false)
+    } else {
+        (model.store_load, true)
+    }
+}
+
+/// Finds the way to load `model` on `lane`; `None` if no room can be made or the weight store bears
+/// no more loads.
+pub(super) fn find_option(
+    lane: &OrderLane,
+    upstream: &UpstreamId,
+    model: &CatalogueModel,
+    engine: &EngineSpec,
+    uses: &FastMap<ModelId, ModelUse>,
+    now: MonoTime,
+) -> Option<LoadOption> {
+    let known = lane.known()?;
+    let (time, is_from_store) = load_time(known, model);
+    let mut free = lane.free_memory(engine);
+    let mut cost = time.as_micros() as f64;
+    let mut victims = Vec::new();
+    let mut held: Vec<(f64, &ModelId)> = known
+        .loaded
+        .keys()
+        .filter(|held| is_evictable(held, upstream, uses, now))
+        .map(|held| (eviction_cost(uses.get(held), now), held))
+        .collect();
+    held.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
+    for (loss, victim) in held {
+        if free >= model.memory {
+            break;
+        }
+        // Adapters of the victim may free a little more; that is not counted on.
+        free = free + engine.models.get(victim)?.memory;
+        cost += loss + UNLOAD_TIME.as_micros() as f64;
+        victims.push(victim.clone());
+    }
+    let has_room = free >= model.memory;
+    has_room.then(|| LoadOption { upstream: upstream.clone(), victims, is_from_store, cost })
+}
+
+/// Tells whether the weight store bears the load of `option`.
+pub(super) fn is_bearable(
+    option: &LoadOption,
+    engine: &EngineSpec,
+    ceiling: &mut LoadCeiling,
+    window: TimeSpan,
+    now: MonoTime,
+) -> bool {
+    !option.is_from_store || ceiling.has_room(engine.store_loads_per_second, window, now)
+}
+
+fn is_evictable(
+    model: &ModelId,
+    upstream: &UpstreamId,
+    uses: &FastMap<ModelId, ModelUse>,
+    now: MonoTime,
+) -> bool {
+    uses.get(model).is_none_or(|usage| {
+        let is_idle = usage.waiting == 0 && now.since(usage.last) > USE_GUARD;
+        let is_spare = usage.copies > 1;
+        !usage.running.contains_key(upstream) && (is_idle || is_spare)
+    })
+}
+
+fn eviction_cost(usage: Option<&ModelUse>, now: MonoTime) -> f64 {
+    let Some(usage) = usage else { return 0.0 };
+    let halves = now.since(usage.last).as_secs_f64() / IDLE_HALF.as_secs_f64();
+    let copies = usage.copies.max(1) as f64;
+    let delay = EVICTION_DELAY.as_micros() as f64;
+    delay * (1.0 + usage.rate) * 0.5_f64.powf(halves) / (copies * copies)
+}
--- /dev/null
+++ b/crates/gentian-decide/src/serving/call_desk.rs
@@ -0,0 +1,312 @@
+//! The call desk of an entry: from an admitted request to its upstream.
+
+use std::sync::Arc;
+
+use gentian_config::serving::{ChargeUnit, ServingConfig};
+use gentian_core::peer::{ServingDemand, TargetId, UpstreamWork};
+use gentian_core::{FastMap, MonoTime, OrganisationId, RequestId, ServiceId, TimeSpan, UpstreamId};
+
+use super::{
+    AttemptEnd, FleetPart, PickOutcome, QuotaGate, QuotaOutcome, SendBudget, ServingBounds,
+    ServingCall, UpstreamPick, UpstreamTable,
+};
+use crate::request::{Refusal, RefusalCode};
+
+/// Part of the time between arrival and deadline after which a request that no upstream can take is
+/// refused, while its caller still has time to ask again.
+const HOLD_PART: f64 = 0.5;
+/// Entries assumed before the members are known.
+const UNKNOWN_FLEET: u32 = 16;
+/// Wait that a refusal for want of an upstream names.
+const OVERLOAD_WAIT: TimeSpan = TimeSpan::from_millis(500);
+/// Time after the last use of a target for which it stays in the digests.
+const DEMAND_MEMORY: TimeSpan = TimeSpan::from_secs(10);
+
+/// What happens to a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DeskDecision {
+    /// It is sent to this upstream.
+    Send(RequestId, UpstreamPick),
+    /// It is refused.
+    Refuse(RequestId, Refusal),
+}
+
+#[derive(Debug)]
+struct RunningCall {
+    call: ServingCall,
+    upstream: UpstreamId,
+    is_read: bool,
+}
+
+#[derive(Debug, Default)]
+struct TargetRecord {
+    arrived: u64,
+    last: MonoTime,
+}
+
+/// Decides when each request starts and where.
+#[derive(Debug)]
+pub struct CallDesk {
+    bounds: ServingBounds,
+    part: FleetPart,
+    quotas: FastMap<OrganisationId, QuotaGate>,
+    budgets: FastMap<ServiceId, SendBudget>,
+    waiting: Vec<ServingCall>,
+    running: FastMap<RequestId, RunningCall>,
+    targets: FastMap<(ServiceId, TargetId), TargetRecord>,
+}
+
+impl CallDesk {
+    /// Creates a desk without requests.
+    pub fn new(bounds: ServingBounds) -> Self {
+        Self {
+            bounds,
+            part: FleetPart::alone(UNKNOWN_FLEET),
+            quotas: FastMap::default(),
+            budgets: FastMap::default(),
+            waiting: Vec::new(),
+            running: FastMap::default(),
+            targets: FastMap::default(),
+        }
+    }
+
+    /// Takes a configuration over.
+    pub fn update(&mut self, config: &Arc<ServingConfig>, now: MonoTime) {
+        for (id, share) in &config.organisations {
+            let part = self.part;
+            let gate = self.quotas.entry(id.clone()).or_insert_with(|| QuotaGate::new(part, now));
+            let slack = match share.unit {
+                ChargeUnit::Tokens { .. } => self.bounds.quota_slack,
+                ChargeUnit::Requests => Default::default(),
+            };
+            gate.update(share.spec.rate.get() as f64, share.spec.burst, slack, now);
+        }
+    }
+
+    /// Takes over which entries share one count with this one.
+    pub fn note_part(&mut self, part: FleetPart, now: MonoTime) {
+        self.part = part;
+        self.quotas.values_mut().for_each(|gate| gate.note_part(part, now));
+    }
+
+    /// Takes in what other entries spent.
+    pub fn note_others(&mut self, organisation: &OrganisationId, tokens: u64, now: MonoTime) {
+        if let Some(gate) = self.quotas.get_mut(organisation) {
+            gate.note_others(tokens, now);
+        }
+    }
+
+    /// Returns the tokens spent at this entry, by organisation.
+    pub fn spent(&self) -> Vec<(OrganisationId, u64)> {
+        let spent = self.quotas.iter().map(|(id, gate)| (id.clone(), gate.spent()));
+        spent.filter(|(_, tokens)| *tokens > 0).collect()
+    }
+
+    /// Takes a request in: a new one is charged, one that comes back takes a second send.
+    pub fn admit(&mut self, mut call: ServingCall, now: MonoTime) -> Result<(), Refusal> {
+        let budget = self.budgets.entry(call.service.clone()).or_default();
+        if call.tried.is_empty() {
+            budget.note_request(now);
+            self.note_target(&call, now);
+        } else if !budget.take_repeat(&self.bounds, self.part.all, now) {
+            return Err(self.refuse_repeat(&call));
+        }
+        self.charge(&mut call, now)?;
+        let place = self.waiting.partition_point(|other| rank_of(other) <= rank_of(&call));
+        self.waiting.insert(place, call);
+        Ok(())
+    }
+
+    /// Decides which requests start and which are refused now.
+    pub fn decide(&mut self, table: &mut UpstreamTable, now: MonoTime) -> Vec<DeskDecision> {
+        let mut decisions = Vec::new();
+        for call in std::mem::take(&mut self.waiting) {
+            match table.pick(&call, now) {
+                PickOutcome::Send(pick) => {
+                    table.note_start(&pick.upstream, call.prompt_tokens, now);
+                    decisions.push(DeskDecision::Send(call.id, pick.clone()));
+                    let running = RunningCall { upstream: pick.upstream, is_read: false, call };
+                    self.running.insert(running.call.id, running);
+                }
+                outcome if now >= hold_limit(&call) => {
+                    decisions
+                        .push(DeskDecision::Refuse(call.id, self.refuse_held(&call, &outcome)));
+                }
+                _ => self.waiting.push(call),
+            }
+        }
+        decisions
+    }
+
+    /// Notes that the answer of a request has begun.
+    pub fn note_answer(&mut self, id: RequestId, table: &mut UpstreamTable) {
+        if let Some(running) = self.running.get_mut(&id)
+            && !std::mem::replace(&mut running.is_read, true)
+        {
+            table.note_answer(&running.upstream, running.call.prompt_tokens);
+        }
+    }
+
+    /// Takes the end of an attempt in; returns the call and its upstream.
+    pub fn end_attempt(
+        &mut self,
+        id: RequestId,
+        end: AttemptEnd,
+        table: &mut UpstreamTable,
+        now: MonoTime,
+    ) {
+        self.note_answer(id, table);
+        let Some(RunningCall { call, upstream, .. }) = self.running.remove(&id) else { return };
+        table.note_end(&upstream, end, now);
+        let is_unrun = matches!(end, AttemptEnd::Rejected | AttemptEnd::Unreachable);
+        if is_unrun && call.runs == 0 {
+            self.refund(&call);
+        }
+    }
+
+    /// Forgets a request for whose start nobody waits any more.
+    pub fn cancel(&mut self, id: RequestId, table: &mut UpstreamTable, now: MonoTime) {
+        if let Some(place) = self.waiting.iter().position(|call| call.id == id) {
+            let call = self.waiting.remove(place);
+            self.refund(&call);
+        }
+        self.end_attempt(id, AttemptEnd::Abandoned, table, now);
+    }
+
+    /// Returns when a waiting request has to be looked at again without any event.
+    pub fn due(&self) -> Option<MonoTime> {
+        self.waiting.iter().map(hold_limit).min()
+    }
+
+    /// Tells whether requests wait for an upstream.
+    pub fn is_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    /// Returns the number of requests under way.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the work under way by upstream.
+    pub fn work(&self) -> Vec<(UpstreamId, UpstreamWork)> {
+        let mut work: FastMap<UpstreamId, UpstreamWork> = FastMap::default();
+        for running in self.running.values() {
+            let sum = work.entry(running.upstream.clone()).or_default();
+            sum.running += 1;
+            if !running.is_read {
+                sum.unread_tokens += running.call.prompt_tokens;
+            }
+        }
+        work.into_iter().collect()
+    }
+
+    /// Returns what requests use or wait for.
+    pub fn demands(&mut self, now: MonoTime) -> Vec<ServingDemand> {
+        let in_use: Vec<(ServiceId, TargetId)> = self
+            .running
+            .values()
+            .map(|running| &running.call)
+            .chain(&self.waiting)
+            .filter_map(target_key)
+            .collect();
+        self.targets
+            .retain(|key, record| now.since(record.last) < DEMAND_MEMORY || in_use.contains(key));
+        let demands = self.targets.iter().map(|(key, record)| self.demand(key, record, now));
+        demands.collect()
+    }
+
+    fn demand(
+        &self,
+        key: &(ServiceId, TargetId),
+        record: &TargetRecord,
+        now: MonoTime,
+    ) -> ServingDemand {
+        let is_asked = |call: &ServingCall| target_key(call).as_ref() == Some(key);
+        let waiting: Vec<&ServingCall> =
+            self.waiting.iter().filter(|call| is_asked(call)).collect();
+        let slack = waiting.iter().map(|call| hold_limit(call).since(now)).min();
+        let mut running: FastMap<UpstreamId, u32> = FastMap::default();
+        for run in self.running.values().filter(|run| is_asked(&run.call)) {
+            *running.entry(run.upstream.clone()).or_default() += 1;
+        }
+        ServingDemand {
+            service: key.0.clone(),
+            target: key.1.clone(),
+            arrived: record.arrived,
+            waiting: u32::try_from(waiting.len()).unwrap_or(u32::MAX),
+            slack: slack.unwrap_or(TimeSpan::ZERO),
+            running: running.into_iter().collect(),
+        }
+    }
+
+    fn note_target(&mut self, call: &ServingCall, now: MonoTime) {
+        if let Some(key) = target_key(call) {
+            let record = self.targets.entry(key).or_default();
+            record.arrived += 1;
+            record.last = now;
+        }
+    }
+
+    fn charge(&mut self, call: &mut ServingCall, now: MonoTime) -> Result<(), Refusal> {
+        let Some(share) = call.organisation.as_ref().filter(|_| !call.is_charged) else {
+            return Ok(());
+        };
+        let id = share.spec.id.clone();
+        let part = self.part;
+        let gate = self.quotas.entry(id).or_insert_with(|| QuotaGate::new(part, now));
+        match gate.charge(call.cost, now) {
+            QuotaOutcome::Charged => {
+                call.is_charged = true;
+                Ok(())
+            }
+            QuotaOutcome::Exceeded(wait) => {
+                let message = "the organisation's tokens are used up";
+                Err(Refusal::new(RefusalCode::RateLimited, message).with_retry_after(wait))
+            }
+        }
+    }
+
+    fn refund(&mut self, call: &ServingCall) {
+        let share = call.organisation.as_ref().filter(|_| call.is_charged);
+        if let Some(gate) = share.and_then(|share| self.quotas.get_mut(&share.spec.id)) {
+            gate.refund(call.cost);
+        }
+    }
+
+    fn refuse_held(&mut self, call: &ServingCall, outcome: &PickOutcome) -> Refusal {
+        if call.runs == 0 {
+            self.refund(call);
+        }
+        let message = match outcome {
+            PickOutcome::NotHeld => "no upstream could load the model in time",
+            PickOutcome::Cold => "the upstreams have just started and bear no more",
+            PickOutcome::Send(_) | PickOutcome::NoUpstream => "no upstream takes work",
+        };
+        self.refuse(call, message)
+    }
+
+    fn refuse_repeat(&self, call: &ServingCall) -> Refusal {
+        self.refuse(call, "the upstream did not serve the request and the retry budget is used up")
+    }
+
+    fn refuse(&self, call: &ServingCall, message: &str) -> Refusal {
+        match call.runs {
+            0 => Refusal::new(RefusalCode::Overloaded, message).with_retry_after(OVERLOAD_WAIT),
+            _ => Refusal::new(RefusalCode::UpstreamFailed, message).with_unknown_run(),
+        }
+    }
+}
+
+fn target_key(call: &ServingCall) -> Option<(ServiceId, TargetId)> {
+    Some((call.service.clone(), call.target.clone()?))
+}
+
+fn rank_of(call: &ServingCall) -> u8 {
+    call.organisation.as_ref().and_then(|share| share.rank).unwrap_or(call.route.rank)
+}
+
+fn hold_limit(call: &ServingCall) -> MonoTime {
+    let span = call.deadline.since(call.received).as_micros() as f64 * HOLD_PART;
+    call.received + TimeSpan::from_micros(span as u64)
+}
--- /dev/null
+++ b/crates/gentian-decide/src/serving/upstream_entry.rs
@@ -0,0 +1,60 @@
+//! What an upstream says of itself in its registration.
+
+use std::net::SocketAddr;
+
+use gentian_core::{AdapterId, DomainId, ModelId, ServiceId, SlotCount, TimeSpan, UpstreamId};
+
+/// Whether an upstream takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpstreamState {
+    /// It takes work.
+    Ready,
+    /// It leaves, and takes no new work; it is gone after `remaining` if that is known.
+    Draining {
+        /// Time until the upstream is gone.
+        remaining: Option<TimeSpan>,
+    },
+}
+
+/// Registration of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamEntry {
+    /// Name of the upstream.
+    pub id: UpstreamId,
+    /// Start of the upstream, in Unix milliseconds of its own clock; only compared for equality.
+    pub born: u64,
+    /// Service that it belongs to.
+    pub service: ServiceId,
+    /// Address for requests and orders.
+    pub address: SocketAddr,
+    /// Failure domain in which it stands.
+    pub domain: DomainId,
+    /// Whether it takes work.
+    pub state: UpstreamState,
+    /// Requests that it runs at the same time.
+    pub slots: SlotCount,
+    /// Time for which it still bears little.
+    pub cold: TimeSpan,
+    /// What it holds; `None` for a plain service.
+    pub holdings: Option<EngineHoldings>,
+}
+
+/// Models that an engine holds, in each tier.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EngineHoldings {
+    /// Loaded models.
+    pub loaded: Vec<HeldModel>,
+    /// Models whose weights lie in host memory.
+    pub in_host: Vec<ModelId>,
+    /// Models whose weights lie on disk.
+    pub on_disk: Vec<ModelId>,
+}
+
+/// A loaded model with its adapters.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldModel {
+    /// The model.
+    pub id: ModelId,
+    /// Its loaded adapters.
+    pub adapters: Vec<AdapterId>,
+}
--- /dev/null
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -0,0 +1,243 @@
+//! The upstreams that an entry knows, and the choice among them.
+
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use gentian_config::serving::{ServiceSpec, ServingConfig};
+use gentian_core::peer::{HoldingRow, UpstreamWork};
+use gentian_core::{DomainId, FastMap, FastSet, InstanceId, MonoTime, UpstreamId};
+use rustc_hash::FxHasher;
+
+use super::{AttemptEnd, ServingBounds, ServingCall, UpstreamEntry, UpstreamRow};
+
+/// Weights of the choice, in prompt tokens that would delay a request as much.
+const RUNNING_WEIGHT: f64 = 60.0;
+const OTHER_DOMAIN_WEIGHT: f64 = 40.0;
+const FAILURE_WEIGHT: f64 = 20_000.0;
+const TRIED_WEIGHT: f64 = 1e9;
+/// Weight of a full set of slots at a plain service.
+const FULL_WEIGHT: f64 = 2_000.0;
+
+/// The upstream that was chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamPick {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// Outcome of a choice.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PickOutcome {
+    /// This upstream takes the request.
+    Send(UpstreamPick),
+    /// No usable upstream holds what the request needs.
+    NotHeld,
+    /// The upstreams that hold it are cold and have got all that they bear.
+    Cold,
+    /// No upstream of the service is usable.
+    NoUpstream,
+}
+
+/// The upstreams that an entry knows.
+#[derive(Debug)]
+pub struct UpstreamTable {
+    domain: DomainId,
+    bounds: ServingBounds,
+    config: Arc<ServingConfig>,
+    rows: FastMap<UpstreamId, UpstreamRow>,
+    drained: FastSet<DomainId>,
+    rank: (u32, u32),
+    hub: Option<InstanceId>,
+}
+
+impl UpstreamTable {
+    /// Creates a table without upstreams for an entry in `domain`.
+    pub fn new(domain: DomainId, bounds: ServingBounds) -> Self {
+        Self {
+            domain,
+            bounds,
+            config: Arc::default(),
+            rows: FastMap::default(),
+            drained: FastSet::default(),
+            rank: (0, 1),
+            hub: None,
+        }
+    }
+
+    /// Takes a configuration over.
+    pub fn update(&mut self, config: Arc<ServingConfig>) {
+        self.config = config;
+    }
+
+    /// Takes over which failure domains get no work.
+    pub fn note_drained(&mut self, drained: FastSet<DomainId>) {
+        self.drained = drained;
+    }
+
+    /// Takes over which one of the entries this is, by the order of their names.
+    pub fn note_rank(&mut self, rank: u32, entries: u32) {
+        self.rank = (rank, entries);
+    }
+
+    /// Takes the whole list of registrations over; returns the addresses in use.
+    pub fn take_entries(&mut self, entries: Vec<UpstreamEntry>, now: MonoTime) {
+        let listed: FastSet<UpstreamId> = entries.iter().map(|entry| entry.id.clone()).collect();
+        self.rows.retain(|id, row| listed.contains(id) || row.own.running > 0);
+        for (id, row) in &mut self.rows {
+            if !listed.contains(id) {
+                row.entry.state = super::UpstreamState::Draining { remaining: None };
+            }
+        }
+        for entry in entries {
+            match self.rows.get_mut(&entry.id) {
+                Some(row) if row.entry.born == entry.born => row.update(entry, now),
+                _ => {
+                    self.rows.insert(entry.id.clone(), UpstreamRow::new(entry, now));
+                }
+            }
+        }
+    }
+
+    /// Takes rows of the hub in; those of another hub replace all.
+    pub fn take_holdings(&mut self, hub: InstanceId, rows: Vec<HoldingRow>) {
+        if self.hub != Some(hub) {
+            self.forget_holdings();
+            self.hub = Some(hub);
+        }
+        for holding in rows {
+            if let Some(row) = self.rows.get_mut(&holding.upstream)
+                && row.entry.born == holding.born
+            {
+                row.holding = Some(holding);
+            }
+        }
+    }
+
+    /// Forgets the rows of a hub that is silent.
+    pub fn forget_holdings(&mut self) {
+        self.hub = None;
+        self.rows.values_mut().for_each(|row| row.holding = None);
+    }
+
+    /// Takes in what the other entries do.
+    pub fn take_others(&mut self, work: &[(UpstreamId, UpstreamWork)]) {
+        self.rows.values_mut().for_each(|row| row.others = UpstreamWork::default());
+        for (id, work) in work {
+            if let Some(row) = self.rows.get_mut(id) {
+                row.others = *work;
+            }
+        }
+    }
+
+    /// Returns the rows.
+    pub fn rows(&self) -> impl Iterator<Item = &UpstreamRow> {
+        self.rows.values()
+    }
+
+    /// Tells whether an upstream takes new work.
+    pub fn is_open(&self, row: &UpstreamRow, now: MonoTime) -> bool {
+        row.is_usable(now) && !self.drained.contains(&row.entry.domain)
+    }
+
+    /// Chooses the upstream that delays `call` least.
+    pub fn pick(&mut self, call: &ServingCall, now: MonoTime) -> PickOutcome {
+        let service = self.config.services.get(&call.service).cloned();
+        let rows = self.rows.values().filter(|row| row.entry.service == call.service);
+        let open: Vec<&UpstreamRow> = rows.filter(|row| self.is_open(row, now)).collect();
+        if open.is_empty() {
+            return PickOutcome::NoUpstream;
+        }
+        let holds =
+            |row: &&&UpstreamRow| call.target.as_ref().is_none_or(|target| row.holds(target));
+        let mut ranked: Vec<(f64, UpstreamId)> = open
+            .iter()
+            .filter(holds)
+            .map(|row| (self.delay_of(row, call, now), row.entry.id.clone()))
+            .collect();
+        if ranked.is_empty() {
+            return PickOutcome::NotHeld;
+        }
+        ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, id) in ranked {
+            if let Some(pick) = self.take_room(&id, service.as_deref(), now) {
+                return PickOutcome::Send(pick);
+            }
+        }
+        PickOutcome::Cold
+    }
+
+    /// Notes that a request was sent.
+    pub fn note_start(&mut self, id: &UpstreamId, tokens: u32, now: MonoTime) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.own.running += 1;
+            row.own.unread_tokens += tokens;
+            if row.is_cold(now) {
+                row.cold_gate.note_sent(now);
+            }
+        }
+    }
+
+    /// Notes that an answer has begun, so that its prompt was read.
+    pub fn note_answer(&mut self, id: &UpstreamId, tokens: u32) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.own.unread_tokens = row.own.unread_tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Notes that an attempt ended.
+    pub fn note_end(&mut self, id: &UpstreamId, end: AttemptEnd, now: MonoTime) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.own.running = row.own.running.saturating_sub(1);
+            row.note_end(end, now);
+        }
+    }
+
+    fn take_room(
+        &mut self,
+        id: &UpstreamId,
+        service: Option<&ServiceSpec>,
+        now: MonoTime,
+    ) -> Option<UpstreamPick> {
+        let (bounds, rank) = (self.bounds, self.rank);
+        let row = self.rows.get_mut(id)?;
+        let cold_rate = service.map_or(0.0, |service| service.cold_rate);
+        if cold_rate > 0.0 && row.is_cold(now) {
+            let seed = hash_of(&row.entry.id) as u32;
+            if !row.cold_gate.has_room(&bounds, cold_rate, rank, seed, now) {
+                return None;
+            }
+        }
+        Some(UpstreamPick { upstream: id.clone(), address: row.entry.address })
+    }
+
+    fn delay_of(&self, row: &UpstreamRow, call: &ServingCall, now: MonoTime) -> f64 {
+        let work = row.work();
+        let mut delay = row.failure_share(now) * FAILURE_WEIGHT;
+        if row.entry.domain != self.domain {
+            delay += OTHER_DOMAIN_WEIGHT;
+        }
+        if call.tried.contains(&row.entry.id) {
+            delay += TRIED_WEIGHT;
+        }
+        if call.target.is_none() {
+            let slots = row.entry.slots.get().max(1) as f64;
+            return delay + f64::from(work.running) / slots * FULL_WEIGHT;
+        }
+        delay += f64::from(work.unread_tokens) + f64::from(work.running) * RUNNING_WEIGHT;
+        if let Some((tokens, digest)) = call.shared_prefix {
+            // Every entry prefers the same upstream for the same prefix, which then holds its cache.
+            let preference = hash_of(&(digest, &row.entry.id)) as f64 / u64::MAX as f64;
+            delay += f64::from(tokens) * preference;
+        }
+        delay
+    }
+}
+
+fn hash_of(value: &impl Hash) -> u64 {
+    let mut hasher = FxHasher::default();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
