--- /dev/null
+++ b/crates/gentian-gateway/src/control/config_controller.rs
@@ -0,0 +1,73 @@
+//! Controller: the configuration in force, and the failure domains that are taken out.
+
+use std::sync::Arc;
+
+use gentian_core::{EventCode, FastSet, MonoTime};
+use gentian_process::StoredValue;
+
+use super::{ControlEvent, ControlState, FrontView, StoreChange};
+
+/// Follows the records of the operators.
+pub(super) fn follow_config(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
+    let ControlEvent::Store(StoreChange::Operator { values, is_whole }) = event else { return };
+    let config_key = state.dialect.records.config_key.clone();
+    for value in values.iter().filter(|value| value.key == config_key) {
+        take_config(state, value, now);
+    }
+    take_drained(state, values, *is_whole);
+}
+
+fn take_config(state: &mut ControlState, value: &StoredValue, now: MonoTime) {
+    let Some(bytes) = &value.value else { return };
+    let config = match (state.dialect.read_config)(&value.key, bytes) {
+        Ok(config) => config,
+        Err(error) => {
+            let code = EventCode::CONFIG_DAMAGED;
+            log::error!("{code} revision={} cause={error:#}", value.revision);
+            return;
+        }
+    };
+    // A version never goes back, whatever an old read says.
+    if config.version <= state.config.version {
+        return;
+    }
+    for fault in config.find_faults() {
+        log::warn!("{} version={} fault={fault:?}", EventCode::CONFIG_DAMAGED, config.version);
+    }
+    log::info!(
+        "{} version={} revision={} routes={} services={} organisations={}",
+        EventCode::CONFIG_IN_FORCE,
+        config.version,
+        value.revision,
+        config.routes.len(),
+        config.services.len(),
+        config.organisations.len()
+    );
+    state.metrics.config_version.set(i64::try_from(config.version.get()).unwrap_or(i64::MAX));
+    state.config = Arc::new(config);
+    state.table.update(Arc::clone(&state.config));
+    state.desk.update(&state.config, now);
+    if let Some(hub) = &mut state.hub {
+        hub.planner.update(Arc::clone(&state.config));
+    }
+    let has_upstreams = state.view.load().has_upstreams;
+    let config = Some(Arc::clone(&state.config));
+    state.view.store(Arc::new(FrontView { config, has_upstreams }));
+}
+
+fn take_drained(state: &mut ControlState, values: &[StoredValue], is_whole: bool) {
+    let mut drained = if is_whole { FastSet::default() } else { state.drained.clone() };
+    for value in values {
+        let Some(domain) = (state.dialect.read_drained)(&value.key) else { continue };
+        match value.value {
+            Some(_) => drained.insert(domain),
+            None => drained.remove(&domain),
+        };
+    }
+    if drained != state.drained {
+        let names: Vec<String> = drained.iter().map(ToString::to_string).collect();
+        log::info!("{} domains={}", EventCode::DOMAINS_DRAINED, names.join(","));
+        state.drained = drained.clone();
+        state.table.note_drained(drained);
+    }
+}
--- /dev/null
+++ b/crates/gentian-gateway/src/control/control_thread.rs
@@ -0,0 +1,41 @@
+//! The loop of the control thread.
+
+use std::time::Duration;
+
+use flume::{Receiver, RecvTimeoutError};
+use gentian_core::{MonoTime, TimeSpan};
+use gentian_http::ProcessClock;
+
+use super::gateway_controllers::gateway_controllers;
+use super::{ControlEvent, ControlState};
+
+/// Longest wait without an event.
+const IDLE_WAIT: TimeSpan = TimeSpan::from_millis(100);
+/// Shortest wait, so that a due time that has passed does not make the thread spin.
+const SHORTEST_WAIT: TimeSpan = TimeSpan::from_millis(1);
+
+/// Shows each event to each controller until the process stops.
+pub(crate) fn run_control(
+    mut state: ControlState,
+    events: Receiver<ControlEvent>,
+    clock: ProcessClock,
+) {
+    let controllers = gateway_controllers();
+    log::debug!("controllers: {}", controllers.names().collect::<Vec<_>>().join(", "));
+    loop {
+        let now = clock.now();
+        let wait = next_due(&state, now).since(now).clamp(SHORTEST_WAIT, IDLE_WAIT);
+        let event = match events.recv_timeout(Duration::from(wait)) {
+            Ok(ControlEvent::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+            Ok(event) => event,
+            Err(RecvTimeoutError::Timeout) => ControlEvent::Tick,
+        };
+        controllers.step(&mut state, &event, clock.now());
+    }
+}
+
+fn next_due(state: &ControlState, now: MonoTime) -> MonoTime {
+    let planner = state.hub.as_ref().and_then(|hub| hub.planner.due(now));
+    let dues = [state.desk.due(), planner, Some(state.link.due(&state.desk))];
+    dues.into_iter().flatten().min().unwrap_or(now + IDLE_WAIT)
+}
--- /dev/null
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -0,0 +1,154 @@
+//! Controllers: the entries of the fleet, the exchange with the hub, and the work of the hub.
+
+use gentian_core::peer::{EntryDigest, FleetMessage, HubAnnounce};
+use gentian_core::{EventCode, FenceNumber, MonoTime, VmId};
+use gentian_decide::orders::EngineCall;
+
+use super::{ControlEvent, ControlState, StoreChange};
+use crate::io::{OwnRecord, read_own_record};
+
+/// Follows the records of the entries and of the holder of the lease.
+pub(super) fn follow_members(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
+    let ControlEvent::Store(StoreChange::Own(values)) = event else { return };
+    let prefix = state.dialect.records.own_prefix.clone();
+    let mut holder = None;
+    let mut members = gentian_core::FastMap::default();
+    for value in values {
+        match read_own_record(&prefix, value) {
+            Some(OwnRecord::Member(vm, address)) => {
+                members.insert(vm, address);
+            }
+            Some(OwnRecord::Holder(record)) => {
+                holder = Some((record.vm, FenceNumber::new(value.revision.get())));
+            }
+            Some(OwnRecord::Past) => {}
+            None => log::warn!("record {} is malformed and passed over", value.key),
+        }
+    }
+    if members.len() != state.members.len() {
+        let mut names: Vec<&VmId> = members.keys().collect();
+        names.sort();
+        let rank = names.iter().position(|vm| **vm == state.vm).unwrap_or(0);
+        let rank = u32::try_from(rank).unwrap_or(0);
+        log::info!("{} entries={} rank={rank}", EventCode::MEMBERS_CHANGED, names.len());
+        state.table.note_rank(rank, u32::try_from(names.len()).unwrap_or(u32::MAX));
+    }
+    state.members = members;
+    state.is_vacant = holder.is_none();
+    if let Some((vm, fence)) = holder {
+        note_hub(state, vm, fence);
+    }
+    if !state.link.is_linked() {
+        let part = gentian_decide::serving::FleetPart::alone(state.fleet_size());
+        state.desk.note_part(part, now);
+    }
+}
+
+/// Takes datagrams in.
+pub(super) fn take_messages(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
+    let ControlEvent::Peer(message) = event else { return };
+    match message {
+        FleetMessage::Announce(HubAnnounce { vm, fence }) => note_hub(state, vm.clone(), *fence),
+        FleetMessage::Digest(digest) => take_digest(state, digest.clone(), now),
+        FleetMessage::Tally(tally) => {
+            let all = state.fleet_size();
+            state.link.take_tally(tally.clone(), all, &mut state.desk, &mut state.table, now);
+        }
+    }
+}
+
+/// Asks the hub when that is due.
+pub(super) fn ask_hub(state: &mut ControlState, _event: &ControlEvent, now: MonoTime) {
+    let all = state.fleet_size();
+    if state.link.check_silence(all, &mut state.desk, &mut state.table, now) {
+        log::warn!("{} entries={all}", EventCode::HUB_SILENT);
+    }
+    let Some((vm, _)) = state.known_hub.clone() else { return };
+    let Some(digest) = state.link.make_digest(&mut state.desk, now) else { return };
+    if vm == state.vm {
+        take_digest(state, digest, now);
+    } else if let Some(address) = state.members.get(&vm) {
+        state.socket.send(&FleetMessage::Digest(digest), *address);
+    }
+}
+
+/// Does the work of the hub.
+pub(super) fn run_hub(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
+    let Some(hub) = &mut state.hub else { return };
+    match event {
+        ControlEvent::Order(order, reply) => {
+            if *reply == gentian_decide::orders::OrderReply::Fenced {
+                log::warn!("{} fence={}", EventCode::SEAT_FENCED, order.fence);
+                state.lease.retire(order.fence);
+            }
+            hub.planner.take_reply(order, *reply, now);
+        }
+        ControlEvent::Report(upstream, report) => {
+            hub.planner.take_report(upstream, report.clone(), now);
+        }
+        _ => {}
+    }
+    let uses = hub.hub.target_uses(now);
+    let fence = state.lease.acting_fence(now);
+    let calls = hub.planner.decide(&uses, &state.table, fence, now);
+    let is_changed = hub.hub.take_rows(hub.planner.rows(now));
+    for call in calls {
+        log_call(&call);
+        state.engines.start(call);
+    }
+    if is_changed {
+        push_tallies(state, now);
+    }
+}
+
+/// Tells the entries whose requests wait at once what has changed.
+fn push_tallies(state: &mut ControlState, now: MonoTime) {
+    let Some(hub) = &state.hub else { return };
+    for vm in hub.hub.waiting_vms(now) {
+        answer_digest(state, &vm, now);
+    }
+}
+
+fn take_digest(state: &mut ControlState, digest: EntryDigest, now: MonoTime) {
+    let Some(hub) = &mut state.hub else { return };
+    let vm = digest.vm.clone();
+    if hub.hub.take_digest(digest, now) {
+        answer_digest(state, &vm, now);
+    }
+}
+
+fn answer_digest(state: &mut ControlState, vm: &VmId, now: MonoTime) {
+    let Some(hub) = &mut state.hub else { return };
+    let Some(tally) = hub.hub.make_tally(vm, hub.fence, now) else { return };
+    if *vm == state.vm {
+        let all = state.fleet_size();
+        state.link.take_tally(tally, all, &mut state.desk, &mut state.table, now);
+    } else if let Some(address) = state.members.get(vm) {
+        state.socket.send(&FleetMessage::Tally(tally), *address);
+    }
+}
+
+fn note_hub(state: &mut ControlState, vm: VmId, fence: FenceNumber) {
+    if state.known_hub.as_ref().is_some_and(|(_, known)| *known >= fence) {
+        return;
+    }
+    log::info!("{} hub={vm} fence={fence}", EventCode::HUB_KNOWN);
+    if vm != state.vm && state.hub.take().is_some() {
+        log::info!("{} vm={} successor={vm}", EventCode::SEAT_LOST, state.vm);
+    }
+    state.known_hub = Some((vm, fence));
+}
+
+fn log_call(call: &EngineCall) {
+    if let EngineCall::Order(order) = call {
+        log::info!(
+            "{} upstream={} action={} target={} expected={} fence={}",
+            EventCode::ORDER_SENT,
+            order.upstream,
+            order.action,
+            order.target,
+            order.expected,
+            order.fence
+        );
+    }
+}
--- /dev/null
+++ b/crates/gentian-gateway/src/control/mod.rs
@@ -0,0 +1,15 @@
+//! The control thread: all state, and the controllers that keep it.
+
+mod call_controller;
+mod config_controller;
+mod control_event;
+mod control_state;
+mod control_thread;
+mod gateway_controllers;
+mod hub_controller;
+mod lease_controller;
+mod upstream_controller;
+
+pub(crate) use control_event::{CallAssignment, ControlEvent, StoreChange};
+pub(crate) use control_state::{ControlParts, ControlState, FrontView};
+pub(crate) use control_thread::run_control;
--- /dev/null
+++ b/crates/gentian-gateway/src/control/upstream_controller.rs
@@ -0,0 +1,62 @@
+//! Controller: the upstreams that have registered.
+
+use std::sync::Arc;
+
+use gentian_core::{EventCode, FastSet, MonoTime, UpstreamId};
+use gentian_decide::serving::{UpstreamEntry, UpstreamState};
+
+use super::{ControlEvent, ControlState, FrontView, StoreChange};
+
+/// Follows the registrations of upstreams.
+pub(super) fn follow_upstreams(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
+    let ControlEvent::Store(StoreChange::Upstreams(values)) = event else { return };
+    let mut entries = Vec::new();
+    for value in values {
+        let Some(bytes) = &value.value else { continue };
+        match (state.dialect.read_upstream)(&value.key, bytes) {
+            Ok(entry) => entries.push(entry),
+            Err(error) => {
+                log::debug!("registration {} passed over: {error:#}", value.key);
+            }
+        }
+    }
+    log_changes(state, &entries);
+    let has_upstreams = !entries.is_empty();
+    state.table.take_entries(entries, now);
+    if let Some(hub) = &mut state.hub {
+        hub.planner.sync(&state.table, now);
+        let planner = &hub.planner;
+        hub.hub.retain_rows(|id| planner.has_lane(id));
+    }
+    let view = state.view.load();
+    if has_upstreams && !view.has_upstreams {
+        let config = view.config.clone();
+        state.view.store(Arc::new(FrontView { config, has_upstreams }));
+    }
+}
+
+fn log_changes(state: &ControlState, entries: &[UpstreamEntry]) {
+    let listed: FastSet<&UpstreamId> = entries.iter().map(|entry| &entry.id).collect();
+    for row in state.table.rows().filter(|row| !listed.contains(&row.entry.id)) {
+        if row.entry.state == UpstreamState::Ready {
+            log::info!("{} upstream={} cause=unlisted", EventCode::UPSTREAM_LOST, row.entry.id);
+        }
+    }
+    for entry in entries {
+        let known = state.table.rows().find(|row| row.entry.id == entry.id);
+        if known.is_some_and(|row| row.entry.born == entry.born && row.entry.state == entry.state) {
+            continue;
+        }
+        log::info!(
+            "{} upstream={} service={} address={} domain={} state={:?} born={} cold={}",
+            EventCode::UPSTREAM_SEEN,
+            entry.id,
+            entry.service,
+            entry.address,
+            entry.domain,
+            entry.state,
+            entry.born,
+            entry.cold
+        );
+    }
+}
--- /dev/null
+++ b/crates/gentian-gateway/src/front/client_session.rs
@@ -0,0 +1,213 @@
+//! The requests on one connection of a caller.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use gentian_config::serving::CallerLimits;
+use gentian_core::{EventCode, MonoTime, RequestId, TimeSpan};
+use gentian_decide::request::{FilterChain, FilterOutcome, Refusal};
+use gentian_http::forward::{
+    BodyError, BodyFraming, HeadError, RequestHead, ResponseHead, WireStream, read_request_body,
+};
+use gentian_process::{refusal_body, refusal_status};
+
+use crate::chain::{CallContext, CallHandles};
+
+/// Time between two looks at whether the process stops, on an idle connection.
+const STOP_CHECK: TimeSpan = TimeSpan::from_millis(1_000);
+/// Time to read what crosses the close of a connection.
+const LINGER: TimeSpan = TimeSpan::from_millis(500);
+/// Longest time to write a refusal.
+const WRITE_LIMIT: TimeSpan = TimeSpan::from_secs(2);
+
+/// What the sessions of callers share.
+pub(crate) struct ClientFront {
+    /// What filters reach.
+    pub(crate) handles: CallHandles,
+    /// The filters.
+    pub(crate) chain: FilterChain<CallContext>,
+    /// Number of the next request.
+    pub(crate) next_id: AtomicU64,
+    /// Set once the process was asked to stop.
+    pub(crate) stopping: Arc<AtomicBool>,
+    /// Set once idle connections are closed.
+    pub(crate) closing: Arc<AtomicBool>,
+}
+
+/// What reading the next request ended with.
+enum NextRequest {
+    Request(RequestHead, Vec<u8>, MonoTime),
+    /// The connection is closed without an answer.
+    Close,
+    /// A request that cannot be read is answered with this status, and the connection closed.
+    Unreadable(u16),
+}
+
+/// Serves the requests on `stream` until either side closes it.
+pub(crate) fn serve_client(front: &ClientFront, mut stream: WireStream) {
+    loop {
+        match read_request(front, &mut stream) {
+            NextRequest::Request(head, body, received) => {
+                match answer_request(front, stream, head, body, received) {
+                    Some(open) => stream = open,
+                    None => return,
+                }
+            }
+            NextRequest::Close => {
+                stream.close_gently(LINGER);
+                return;
+            }
+            NextRequest::Unreadable(status) => {
+                log::info!("{} request=- status={status}", EventCode::REQUEST_REFUSED);
+                let head = ResponseHead::new(status)
+                    .with_header("Content-Length", "0")
+                    .with_header("Connection", "close");
+                let deadline = front.handles.clock.now() + WRITE_LIMIT;
+                if let Err(error) = stream.write_all(&head.to_bytes(), deadline) {
+                    log::debug!("refusal not delivered: {error}");
+                }
+                stream.close_gently(LINGER);
+                return;
+            }
+        }
+    }
+}
+
+fn limits(front: &ClientFront) -> CallerLimits {
+    front.handles.view.load().config.as_ref().map(|config| config.limits).unwrap_or_default()
+}
+
+fn read_request(front: &ClientFront, stream: &mut WireStream) -> NextRequest {
+    if !wait_request(front, stream) {
+        return NextRequest::Close;
+    }
+    let limits = limits(front);
+    let received = front.handles.clock.now();
+    let deadline = received + limits.request_time;
+    let head = loop {
+        match RequestHead::parse(stream.buffered(), limits.head_bytes) {
+            Ok(Some((head, length))) => {
+                stream.consume(length);
+                break head;
+            }
+            Ok(None) => match stream.fill(deadline) {
+                Ok(0) => return NextRequest::Close,
+                Ok(_) => {}
+                Err(error) if error.kind() == std::io::ErrorKind::TimedOut => {
+                    return NextRequest::Unreadable(408);
+                }
+                Err(_) => return NextRequest::Close,
+            },
+            Err(HeadError::TooLarge) => return NextRequest::Unreadable(431),
+            Err(HeadError::Malformed) => return NextRequest::Unreadable(400),
+        }
+    };
+    let Ok(framing) = BodyFraming::of_request(&head.headers) else {
+        return NextRequest::Unreadable(400);
+    };
+    if head.expects_continue() && framing != BodyFraming::Length(0) {
+        let go_ahead = b"HTTP/1.1 100 Continue\r\n\r\n";
+        if stream.write_all(go_ahead, deadline).is_err() {
+            return NextRequest::Close;
+        }
+    }
+    match read_request_body(stream, framing, limits.body_bytes, deadline) {
+        Ok(body) => NextRequest::Request(head, body, received),
+        Err(BodyError::TooLarge) => NextRequest::Unreadable(413),
+        Err(BodyError::Malformed) => NextRequest::Unreadable(400),
+        Err(BodyError::Failed(error)) if error.kind() == std::io::ErrorKind::TimedOut => {
+            NextRequest::Unreadable(408)
+        }
+        Err(BodyError::Cut | BodyError::Failed(_)) => NextRequest::Close,
+    }
+}
+
+/// Waits for the first byte of a request; `false` if the connection is to be closed.
+fn wait_request(front: &ClientFront, stream: &mut WireStream) -> bool {
+    let clock = front.handles.clock;
+    let idle_until = clock.now() + limits(front).idle_time;
+    while stream.buffered().is_empty() {
+        let now = clock.now();
+        if now >= idle_until || front.closing.load(Ordering::Acquire) {
+            return false;
+        }
+        match stream.fill(idle_until.min(now + STOP_CHECK)) {
+            Ok(0) => return false,
+            Ok(_) => {}
+            Err(error) if error.kind() == std::io::ErrorKind::TimedOut => {}
+            Err(_) => return false,
+        }
+    }
+    true
+}
+
+/// Runs the chain for a request; returns the connection if it is kept.
+fn answer_request(
+    front: &ClientFront,
+    stream: WireStream,
+    head: RequestHead,
+    body: Vec<u8>,
+    received: MonoTime,
+) -> Option<WireStream> {
+    let handles = &front.handles;
+    let id = RequestId::new(front.next_id.fetch_add(1, Ordering::Relaxed));
+    let marks = (handles.dialect.read_request)(&head);
+    let mut call = CallContext::new(id, head, marks, stream, received).with_body(body);
+    call.closes |= front.stopping.load(Ordering::Acquire);
+    handles.metrics.open.inc();
+    let outcome = front.chain.run(&mut call, || handles.clock.now());
+    handles.metrics.open.dec();
+    count_outcome(front, &call, &outcome);
+    if let FilterOutcome::Refuse(refusal) = outcome {
+        send_refusal(front, &mut call, &refusal);
+    }
+    match (call.is_broken, call.closes) {
+        (true, _) => None,
+        (false, true) => {
+            call.client.close_gently(LINGER);
+            None
+        }
+        (false, false) => Some(call.client),
+    }
+}
+
+fn count_outcome(front: &ClientFront, call: &CallContext, outcome: &FilterOutcome) {
+    let route = call.route.as_ref().map_or("-", |route| route.id.as_str());
+    let outcome = match outcome {
+        FilterOutcome::Refuse(refusal) => refusal.code.to_string(),
+        FilterOutcome::Answered | FilterOutcome::Continue => "answered".to_owned(),
+    };
+    front.handles.metrics.requests.with_label_values(&[route, outcome.as_str()]).inc();
+}
+
+fn send_refusal(front: &ClientFront, call: &mut CallContext, refusal: &Refusal) {
+    let clock = front.handles.clock;
+    let status = refusal_status(refusal.code);
+    log::info!(
+        "{} request={} route={} status={status} code={} run={} config={} after={} cause={:?}",
+        EventCode::REQUEST_REFUSED,
+        call.marks.label,
+        call.route.as_ref().map_or("-", |route| route.id.as_str()),
+        refusal.code,
+        refusal.run,
+        call.config.version,
+        clock.now().since(call.received),
+        refusal.message
+    );
+    let body = refusal_body(&call.marks.label, refusal);
+    let mut head = ResponseHead::new(status)
+        .with_header("Content-Type", "application/json")
+        .with_header("Content-Length", body.len().to_string());
+    if let Some(wait) = refusal.retry_after {
+        head.headers.push("Retry-After", format!("{:.3}", wait.as_secs_f64()));
+    }
+    if call.closes {
+        head.headers.push("Connection", "close");
+    }
+    let mut bytes = head.to_bytes();
+    bytes.extend_from_slice(&body);
+    if let Err(error) = call.client.write_all(&bytes, clock.now() + WRITE_LIMIT) {
+        log::debug!("refusal not delivered: {error}");
+        call.is_broken = true;
+    }
+}
--- /dev/null
+++ b/crates/gentian-gateway/src/front/mod.rs
@@ -0,0 +1,7 @@
+//! The ports of a gateway.
+
+mod client_session;
+mod readiness_port;
+
+pub(crate) use client_session::{ClientFront, serve_client};
+pub(crate) use readiness_port::serve_readiness;
--- /dev/null
+++ b/crates/gentian-gateway/src/gateway_metrics.rs
@@ -0,0 +1,83 @@
+//! Metrics of a gateway.
+
+use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+const BUCKETS: [f64; 12] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.6, 1.0, 2.5, 5.0, 20.0];
+
+/// Metrics of a gateway, named by the conventions of Prometheus.
+#[derive(Clone)]
+pub(crate) struct GatewayMetrics {
+    registry: Registry,
+    /// Requests by route and outcome.
+    pub(crate) requests: IntCounterVec,
+    /// Attempts by how they ended.
+    pub(crate) attempts: IntCounterVec,
+    /// Orders to engines by action and answer.
+    pub(crate) orders: IntCounterVec,
+    /// Calls of the key-value service by kind and result.
+    pub(crate) store_calls: IntCounterVec,
+    /// Time from the arrival of a request to the first byte of its answer.
+    pub(crate) first_byte: Histogram,
+    /// Requests that are open.
+    pub(crate) open: IntGauge,
+    /// Version of the configuration in force.
+    pub(crate) config_version: IntGauge,
+}
+
+impl GatewayMetrics {
+    /// Creates and registers the metrics.
+    pub(crate) fn new() -> eyre::Result<Self> {
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            IntCounterVec::new(Opts::new(name, help), labels)
+        };
+        let first_byte = HistogramOpts::new(
+            "gentian_gateway_first_byte_seconds",
+            "Time from the arrival of a request to the first byte of its answer.",
+        );
+        let metrics = Self {
+            registry: Registry::new(),
+            requests: counter(
+                "gentian_gateway_requests_total",
+                "Requests by route and outcome.",
+                &["route", "outcome"],
+            )?,
+            attempts: counter(
+                "gentian_gateway_attempts_total",
+                "Attempts by how they ended.",
+                &["end"],
+            )?,
+            orders: counter(
+                "gentian_gateway_orders_total",
+                "Orders to engines by action and answer.",
+                &["action", "reply"],
+            )?,
+            store_calls: counter(
+                "gentian_gateway_store_calls_total",
+                "Calls of the key-value service by kind and result.",
+                &["call", "result"],
+            )?,
+            first_byte: Histogram::with_opts(first_byte.buckets(BUCKETS.to_vec()))?,
+            open: IntGauge::new("gentian_gateway_open_requests", "Requests that are open.")?,
+            config_version: IntGauge::new(
+                "gentian_gateway_config_version",
+                "Configuration version in force.",
+            )?,
+        };
+        metrics.registry.register(Box::new(metrics.requests.clone()))?;
+        metrics.registry.register(Box::new(metrics.attempts.clone()))?;
+        metrics.registry.register(Box::new(metrics.orders.clone()))?;
+        metrics.registry.register(Box::new(metrics.store_calls.clone()))?;
+        metrics.registry.register(Box::new(metrics.first_byte.clone()))?;
+        metrics.registry.register(Box::new(metrics.open.clone()))?;
+        metrics.registry.register(Box::new(metrics.config_version.clone()))?;
+        Ok(metrics)
+    }
+
+    /// Returns all metrics as Prometheus text.
+    pub(crate) fn text(&self) -> String {
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_else(|error| {
+            log::error!("metrics not encoded: {error}");
+            String::new()
+        })
+    }
+}
--- /dev/null
+++ b/crates/gentian-gateway/src/io/lease_worker.rs
@@ -0,0 +1,82 @@
+//! The thread that makes lease calls.
+
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use flume::{Receiver, Sender};
+use gentian_core::LeaseId;
+use gentian_decide::orders::{HolderRecord, LeaseReply, LeaseTask};
+use gentian_http::ProcessClock;
+use gentian_process::{KeyValueService, LeaseCalls, ServiceError};
+
+use super::own_records::{find_holder, had_holder, take_holder};
+use crate::control::ControlEvent;
+use crate::gateway_metrics::GatewayMetrics;
+
+/// What the thread needs for its calls.
+pub(crate) struct LeaseWorker {
+    /// The service.
+    pub(crate) service: Arc<KeyValueService>,
+    /// Calls for leases.
+    pub(crate) leases: LeaseCalls,
+    /// Prefix of the system's own records.
+    pub(crate) prefix: String,
+    /// Record of this process as the holder.
+    pub(crate) record: HolderRecord,
+    /// Metrics.
+    pub(crate) metrics: GatewayMetrics,
+}
+
+/// Makes the calls of `tasks` one after the other until the channel is closed.
+///
+/// # Errors
+///
+/// Returns an error if the thread cannot be started.
+pub(crate) fn start_lease_worker(
+    worker: LeaseWorker,
+    tasks: Receiver<LeaseTask>,
+    events: Sender<ControlEvent>,
+    clock: ProcessClock,
+) -> eyre::Result<JoinHandle<()>> {
+    let work = move || {
+        while let Ok(task) = tasks.recv() {
+            let sent = clock.now();
+            let reply = worker.run(task);
+            if events.send(ControlEvent::Lease(reply, sent)).is_err() {
+                return;
+            }
+        }
+    };
+    Ok(std::thread::Builder::new().name("lease".into()).spawn(work)?)
+}
+
+impl LeaseWorker {
+    fn run(&self, task: LeaseTask) -> LeaseReply {
+        let reply = match task {
+            LeaseTask::Grant(life) => self.leases.grant(life).map(LeaseReply::Granted),
+            LeaseTask::Take(lease) => self.take(lease),
+            LeaseTask::Renew(lease) => self.leases.renew(lease).map(reply_of),
+            LeaseTask::End(lease) => self.leases.end(lease).map(reply_of),
+        };
+        let label = if reply.is_ok() { "answered" } else { "failed" };
+        self.metrics.store_calls.with_label_values(&["lease", label]).inc();
+        reply.unwrap_or_else(|error| {
+            log::debug!("lease call {task:?} without answer: {error}");
+            LeaseReply::Unknown
+        })
+    }
+
+    fn take(&self, lease: LeaseId) -> Result<LeaseReply, ServiceError> {
+        let had_holder = had_holder(&self.service, &self.prefix)?;
+        let taken = match take_holder(&self.service, &self.prefix, &self.record, lease) {
+            Ok(revision) => revision,
+            // The answer may be lost and the record written: its content tells.
+            Err(_) => find_holder(&self.service, &self.prefix, &self.record)?,
+        };
+        Ok(taken.map_or(LeaseReply::Lost, |revision| LeaseReply::Taken(revision, had_holder)))
+    }
+}
+
+fn reply_of(is_there: bool) -> LeaseReply {
+    if is_there { LeaseReply::Renewed } else { LeaseReply::Lost }
+}
--- /dev/null
+++ b/crates/gentian-gateway/src/io/own_records.rs
@@ -0,0 +1,109 @@
+//! Records of the system itself in the key-value service.
+
+use std::net::SocketAddr;
+
+use gentian_core::{LeaseId, SequenceNumber, TimeSpan, VmId};
+use gentian_decide::orders::HolderRecord;
+use gentian_process::{KeyValueService, ServiceError, StoredValue, ValueChange, WriteCondition};
+use gentian_wire::{decode_record, encode_record};
+use serde::Serialize;
+
+const MEMBER_DIR: &str = "entries/";
+const HOLDER_KEY: &str = "holder";
+/// Life of an entry's record after it was last written.
+const MEMBER_LIFE: TimeSpan = TimeSpan::from_secs(600);
+const PAST_KEY: &str = "past-holder";
+
+/// A record of the system itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum OwnRecord {
+    /// An entry with its datagram port.
+    Member(VmId, SocketAddr),
+    /// The holder of the lease; gone when the lease ends.
+    Holder(HolderRecord),
+    /// The last holder, whether its lease has ended or not.
+    Past,
+}
+
+/// Decodes a record below `prefix`; `None` if it is malformed.
+pub(crate) fn read_own_record(prefix: &str, record: &StoredValue) -> Option<OwnRecord> {
+    let name = record.key.strip_prefix(prefix)?;
+    let bytes = record.value.as_ref()?;
+    match name {
+        HOLDER_KEY => decode_record(bytes).ok().map(OwnRecord::Holder),
+        PAST_KEY => Some(OwnRecord::Past),
+        _ => {
+            let vm = name.strip_prefix(MEMBER_DIR)?.parse().ok()?;
+            Some(OwnRecord::Member(vm, decode_record(bytes).ok()?))
+        }
+    }
+}
+
+/// Writes the record of an entry.
+///
+/// # Errors
+///
+/// Returns an error if the service gives no answer.
+pub(crate) fn write_member(
+    service: &KeyValueService,
+    prefix: &str,
+    vm: &VmId,
+    address: SocketAddr,
+) -> Result<(), ServiceError> {
+    let value = encode(&address)?;
+    let key = format!("{prefix}{MEMBER_DIR}{vm}");
+    service.write(&[], &[ValueChange::Put { key, value, life: Some(MEMBER_LIFE) }])?;
+    Ok(())
+}
+
+/// Returns whether there was a holder before.
+///
+/// # Errors
+///
+/// Returns an error if the service gives no answer.
+pub(super) fn had_holder(service: &KeyValueService, prefix: &str) -> Result<bool, ServiceError> {
+    Ok(service.read(&format!("{prefix}{PAST_KEY}"))?.is_some())
+}
+
+/// Writes `record` as the holder under `lease`, if there is no holder; returns the revision.
+///
+/// # Errors
+///
+/// Returns an error if the service gives no answer; the record may then be written.
+pub(super) fn take_holder(
+    service: &KeyValueService,
+    prefix: &str,
+    record: &HolderRecord,
+    lease: LeaseId,
+) -> Result<Option<SequenceNumber>, ServiceError> {
+    let (holder, past) = (format!("{prefix}{HOLDER_KEY}"), format!("{prefix}{PAST_KEY}"));
+    let value = encode(record)?;
+    let condition = WriteCondition { key: holder.clone(), revision: Default::default() };
+    let changes = [
+        ValueChange::PutLeased { key: holder, value: value.clone(), lease },
+        ValueChange::put(past, value),
+    ];
+    service.write(&[condition], &changes)
+}
+
+/// Returns the revision of the holder's record if it is `record`.
+///
+/// # Errors
+///
+/// Returns an error if the service gives no answer.
+pub(super) fn find_holder(
+    service: &KeyValueService,
+    prefix: &str,
+    record: &HolderRecord,
+) -> Result<Option<SequenceNumber>, ServiceError> {
+    let found = service.read(&format!("{prefix}{HOLDER_KEY}"))?;
+    let is_own = |value: &StoredValue| {
+        let bytes = value.value.as_deref().unwrap_or_default();
+        decode_record::<HolderRecord>(bytes).is_ok_and(|other| other == *record)
+    };
+    Ok(found.filter(is_own).map(|value| value.revision))
+}
+
+fn encode(value: &impl Serialize) -> Result<Vec<u8>, ServiceError> {
+    encode_record(value).map_err(|error| ServiceError::NotSent(error.to_string()))
+}
--- /dev/null
+++ b/crates/gentian-gateway/src/io/record_follower.rs
@@ -0,0 +1,197 @@
+//! Threads that follow records of the key-value service.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use flume::Sender;
+use gentian_core::{EventCode, SequenceNumber, TimeSpan, VmId};
+use gentian_http::ProcessClock;
+use gentian_process::{KeyValueService, ServiceError};
+
+use super::write_member;
+use crate::control::{ControlEvent, StoreChange};
+use crate::gateway_metrics::GatewayMetrics;
+
+/// Time between two reads of the registrations of upstreams.
+const UPSTREAM_EVERY: Duration = Duration::from_millis(400);
+/// Time between two reads of the system's own records.
+const OWN_EVERY: Duration = Duration::from_millis(700);
+/// Pause after a failed call.
+const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+/// Time between two writes of this entry's record, well within its life.
+const MEMBER_EVERY: TimeSpan = TimeSpan::from_secs(240);
+
+/// What the threads that follow records share.
+#[derive(Clone)]
+pub(crate) struct RecordFollower {
+    /// The service.
+    pub(crate) service: Arc<KeyValueService>,
+    /// The control thread.
+    pub(crate) events: Sender<ControlEvent>,
+    /// Set when the threads are to end.
+    pub(crate) ended: Arc<AtomicBool>,
+    /// Metrics.
+    pub(crate) metrics: GatewayMetrics,
+}
+
+/// Whether the service answers one thread's calls; logs each change.
+struct ContactLog {
+    call: &'static str,
+    is_lost: bool,
+}
+
+impl RecordFollower {
+    fn is_ended(&self) -> bool {
+        self.ended.load(Ordering::Acquire)
+    }
+
+    fn send(&self, change: StoreChange) {
+        if self.events.send(ControlEvent::Store(change)).is_err() {
+            log::debug!("the control thread has ended");
+        }
+    }
+
+    fn spawn(
+        self,
+        name: &str,
+        work: impl FnOnce(Self) + Send + 'static,
+    ) -> eyre::Result<JoinHandle<()>> {
+        Ok(std::thread::Builder::new().name(name.to_owned()).spawn(move || work(self))?)
+    }
+}
+
+impl ContactLog {
+    const fn new(call: &'static str) -> Self {
+        Self { call, is_lost: false }
+    }
+
+    fn note<T>(&mut self, metrics: &GatewayMetrics, result: Result<T, ServiceError>) -> Option<T> {
+        let label = if result.is_ok() { "answered" } else { "failed" };
+        metrics.store_calls.with_label_values(&[self.call, label]).inc();
+        match result {
+            Ok(value) => {
+                if std::mem::take(&mut self.is_lost) {
+                    log::info!("{} call={}", EventCode::PLATFORM_BACK, self.call);
+                }
+                Some(value)
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut self.is_lost, true) {
+                    log::warn!("{} call={} cause={error}", EventCode::PLATFORM_LOST, self.call);
+                }
+                None
+            }
+        }
+    }
+}
+
+/// Follows the records of the operators: reads them all, then watches for changes; reads them all
+/// again whenever a watch fails, since changes may be missing then.
+///
+/// # Errors
+///
+/// Returns an error if the thread cannot be started.
+pub(crate) fn start_operator_watch(
+    follower: RecordFollower,
+    prefix: String,
+) -> eyre::Result<JoinHandle<()>> {
+    follower.spawn("operators", move |follower| {
+        let mut contact = ContactLog::new("watch");
+        let mut known: Option<SequenceNumber> = None;
+        while !follower.is_ended() {
+            let step = match known {
+                None => read_operators(&follower, &prefix),
+                Some(revision) => watch_operators(&follower, &prefix, revision),
+            };
+            known = contact.note(&follower.metrics, step);
+            if known.is_none() {
+                std::thread::sleep(FAILURE_PAUSE);
+            }
+        }
+    })
+}
+
+fn read_operators(follower: &RecordFollower, prefix: &str) -> Result<SequenceNumber, ServiceError> {
+    let (values, revision) = follower.service.read_prefix(prefix)?;
+    follower.send(StoreChange::Operator { values, is_whole: true });
+    Ok(revision)
+}
+
+fn watch_operators(
+    follower: &RecordFollower,
+    prefix: &str,
+    mut revision: SequenceNumber,
+) -> Result<SequenceNumber, ServiceError> {
+    follower.service.watch(prefix, revision, &mut |batch| {
+        revision = revision.max(batch.revision);
+        if !batch.changes.is_empty() {
+            follower.send(StoreChange::Operator { values: batch.changes, is_whole: false });
+        }
+        !follower.is_ended()
+    })?;
+    Ok(revision)
+}
+
+/// Reads the registrations of upstreams at a steady pace, by reads that may be a little old: each
+/// upstream writes again at every heartbeat, so a watch would cost a call for each.
+///
+/// # Errors
+///
+/// Returns an error if the thread cannot be started.
+pub(crate) fn start_upstream_reader(
+    follower: RecordFollower,
+    prefix: String,
+) -> eyre::Result<JoinHandle<()>> {
+    follower.spawn("upstreams", move |follower| {
+        let mut contact = ContactLog::new("read-upstreams");
+        let mut newest = SequenceNumber::default();
+        while !follower.is_ended() {
+            let read = follower.service.read_stale(&prefix);
+            if let Some((values, revision)) = contact.note(&follower.metrics, read)
+                && revision >= newest
+            {
+                newest = revision;
+                follower.send(StoreChange::Upstreams(values));
+            }
+            std::thread::sleep(UPSTREAM_EVERY);
+        }
+    })
+}
+
+/// Writes this entry's record and reads the system's own records at a steady pace.
+///
+/// # Errors
+///
+/// Returns an error if the thread cannot be started.
+pub(crate) fn start_own_reader(
+    follower: RecordFollower,
+    prefix: String,
+    vm: VmId,
+    address: SocketAddr,
+    clock: ProcessClock,
+) -> eyre::Result<JoinHandle<()>> {
+    follower.spawn("own-records", move |follower| {
+        let mut write_contact = ContactLog::new("write-member");
+        let mut read_contact = ContactLog::new("read-own");
+        let mut written = None;
+        let mut newest = SequenceNumber::default();
+        while !follower.is_ended() {
+            let now = clock.now();
+            if written.is_none_or(|time| now.since(time) > MEMBER_EVERY) {
+                let write = write_member(&follower.service, &prefix, &vm, address);
+                written = write_contact.note(&follower.metrics, write).map(|()| now).or(written);
+            }
+            let read = follower.service.read_stale(&prefix);
+            if let Some((values, revision)) = read_contact.note(&follower.metrics, read)
+                && revision >= newest
+            {
+                newest = revision;
+                follower.send(StoreChange::Own(values));
+            }
+            std::thread::sleep(OWN_EVERY);
+        }
+    })
+}
