--- a/crates/gentian-controller/src/control/control_event.rs
+++ b/crates/gentian-controller/src/control/control_event.rs
@@ -7,7 +7,7 @@
 use gentian_core::{MonoTime, OrderId, UpstreamId};
 use gentian_decide::placement::{EngineReport, OrderEnd};
 use gentian_decide::seat::{StoredSeat, WriteOutcome};
-use gentian_platform::{StateChange, VmRoster};
+use gentian_process::{StateChange, VmRoster};
 
 /// An event of the control thread.
 #[derive(Clone, Debug)]
--- a/crates/gentian-controller/src/control/control_state.rs
+++ b/crates/gentian-controller/src/control/control_state.rs
@@ -8,7 +8,7 @@
 use gentian_decide::placement::PlacementPlanner;
 use gentian_decide::seat::{ElectorCandidate, SeatKeeper};
 use gentian_decide::share::ShareHolder;
-use gentian_platform::{PeerSocket, VmRoster};
+use gentian_process::{PeerSocket, VmRoster};
 
 use super::StatusPage;
 use crate::io::IoThreads;
--- a/crates/gentian-controller/src/control/control_thread.rs
+++ b/crates/gentian-controller/src/control/control_thread.rs
@@ -5,7 +5,7 @@
 use flume::{Receiver, RecvTimeoutError};
 use gentian_core::{EventCode, MonoTime, TimeSpan};
 use gentian_decide::control::{ControllerSet, StateController};
-use gentian_platform::ProcessClock;
+use gentian_process::ProcessClock;
 use serde_json::json;
 
 use super::{
--- a/crates/gentian-controller/src/control/member_controller.rs
+++ b/crates/gentian-controller/src/control/member_controller.rs
@@ -4,7 +4,7 @@
 
 use gentian_core::peer::{ConfigAnswer, MemberRole, PeerMessage};
 use gentian_core::{EventCode, FastSet, MonoTime, UpstreamId};
-use gentian_platform::StateChange;
+use gentian_process::StateChange;
 
 use super::seat_controller::hand_over;
 use super::{ControlEvent, ControlState};
--- a/crates/gentian-controller/src/controller_process.rs
+++ b/crates/gentian-controller/src/controller_process.rs
@@ -8,7 +8,7 @@
 use gentian_core::peer::{MemberRole, SeatElector};
 use gentian_core::{EventCode, InstanceId};
 use gentian_http::{AdminPages, join_threads};
-use gentian_platform::{
+use gentian_process::{
     PeerSocket, ProcessClock, SeatStore, StateFollower, StopSignal, connect_etcd, read_settings,
     start_member,
 };
--- a/crates/gentian-controller/src/io/io_threads.rs
+++ b/crates/gentian-controller/src/io/io_threads.rs
@@ -10,7 +10,7 @@
 use gentian_decide::placement::{OrderEnd, PlacementOrder};
 use gentian_decide::seat::WriteOutcome;
 use gentian_http::WorkerPool;
-use gentian_platform::{ProcessClock, SeatStore};
+use gentian_process::{ProcessClock, SeatStore};
 
 use super::engine_calls;
 use crate::control::{ControlEvent, pass_on};
--- a/crates/gentian-controller/src/io/vm_watcher.rs
+++ b/crates/gentian-controller/src/io/vm_watcher.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use gentian_core::EventCode;
-use gentian_platform::{VmRoster, read_vm_list};
+use gentian_process::{VmRoster, read_vm_list};
 
 const READ_EVERY: Duration = Duration::from_millis(500);
 
--- a/crates/gentian-ctl/src/commands/publish.rs
+++ b/crates/gentian-ctl/src/commands/publish.rs
@@ -8,7 +8,7 @@
 use eyre::WrapErr;
 use gentian_config::format_faults;
 use gentian_core::{ConfigVersion, PublicationId};
-use gentian_platform::{ConfigStore, PublishError, connect_etcd};
+use gentian_process::{ConfigStore, PublishError, connect_etcd};
 
 use super::ExitStatus;
 
--- a/crates/gentian-ctl/src/commands/show.rs
+++ b/crates/gentian-ctl/src/commands/show.rs
@@ -5,7 +5,7 @@
 
 use argh::FromArgs;
 use gentian_config::join_chunks;
-use gentian_platform::{ConfigStore, StoredConfig, connect_etcd};
+use gentian_process::{ConfigStore, StoredConfig, connect_etcd};
 
 use super::ExitStatus;
 
--- a/crates/gentian-entry/src/chain/call_context.rs
+++ b/crates/gentian-entry/src/chain/call_context.rs
@@ -8,7 +8,7 @@
 use gentian_core::{RequestId, TokenCount, UpstreamId};
 use gentian_decide::request::RequestState;
 use gentian_http::HttpRequest;
-use gentian_platform::ProcessClock;
+use gentian_process::ProcessClock;
 
 use super::IntentStore;
 use super::intent_store::IntentTicket;
--- a/crates/gentian-entry/src/chain/intent_store.rs
+++ b/crates/gentian-entry/src/chain/intent_store.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use gentian_core::{RequestId, SequenceNumber, TimeSpan};
-use gentian_platform::{KeyValueService, RecordKeys, ServiceError, ValueChange, WriteCondition};
+use gentian_process::{KeyValueService, RecordKeys, ServiceError, ValueChange, WriteCondition};
 use gentian_wire::{decode_record, encode_record};
 use serde::{Deserialize, Serialize};
 
--- a/crates/gentian-entry/src/control/control_event.rs
+++ b/crates/gentian-entry/src/control/control_event.rs
@@ -7,7 +7,7 @@
 use gentian_core::{RequestId, UpstreamId};
 use gentian_decide::entry::{CallEnd, WaitingCall};
 use gentian_decide::request::Refusal;
-use gentian_platform::StateChange;
+use gentian_process::StateChange;
 
 /// What the control thread answers to a traffic thread.
 #[derive(Clone, Debug)]
--- a/crates/gentian-entry/src/control/control_state.rs
+++ b/crates/gentian-entry/src/control/control_state.rs
@@ -9,7 +9,7 @@
 use gentian_core::peer::SeatId;
 use gentian_core::{ConfigVersion, FastMap, FenceNumber, InstanceId, MonoTime, RequestId};
 use gentian_decide::entry::{ConfigWatch, RequestDispatcher};
-use gentian_platform::PeerSocket;
+use gentian_process::PeerSocket;
 
 use super::CallAssignment;
 use crate::entry_metrics::EntryMetrics;
--- a/crates/gentian-entry/src/control/control_thread.rs
+++ b/crates/gentian-entry/src/control/control_thread.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use flume::{Receiver, RecvTimeoutError};
-use gentian_platform::ProcessClock;
+use gentian_process::ProcessClock;
 
 use super::controllers::entry_controllers;
 use super::{ControlEvent, ControlState};
--- a/crates/gentian-entry/src/control/controllers.rs
+++ b/crates/gentian-entry/src/control/controllers.rs
@@ -6,7 +6,7 @@
 use gentian_core::{EventCode, MonoTime};
 use gentian_decide::control::{ControllerSet, StateController};
 use gentian_decide::entry::{CallDecision, CallEnd, ConfigFreshness};
-use gentian_platform::StateChange;
+use gentian_process::StateChange;
 
 use super::control_state::KnownHolder;
 use super::{CallAssignment, ConfigSnapshot, ControlEvent, ControlState};
--- a/crates/gentian-entry/src/entry_process.rs
+++ b/crates/gentian-entry/src/entry_process.rs
@@ -9,7 +9,7 @@
 use gentian_core::peer::MemberRole;
 use gentian_core::{EventCode, InstanceId};
 use gentian_http::{HttpFront, join_threads};
-use gentian_platform::{
+use gentian_process::{
     PeerSocket, ProcessClock, StateFollower, StopSignal, connect_etcd, read_settings, start_member,
 };
 
--- a/crates/gentian-entry/src/front/admin_pages.rs
+++ b/crates/gentian-entry/src/front/admin_pages.rs
@@ -6,7 +6,7 @@
 use arc_swap::ArcSwap;
 use gentian_core::{InstanceId, VmId};
 use gentian_http::AdminPages;
-use gentian_platform::PeerSocket;
+use gentian_process::PeerSocket;
 use prometheus::TextEncoder;
 use serde_json::json;
 
--- a/crates/gentian-process/src/etcd_gateway.rs
+++ b/crates/gentian-process/src/etcd_gateway.rs
@@ -74,6 +74,11 @@
             let (key, value) = (encode(key.as_bytes()), Some(encode(value)));
             Ok(RequestOp { request_put: Some(PutRequest { key, value, lease }), ..empty })
         }
+        ValueChange::PutLeased { key, value, lease } => {
+            let (key, value) = (encode(key.as_bytes()), Some(encode(value)));
+            let lease = Some(lease.to_string());
+            Ok(RequestOp { request_put: Some(PutRequest { key, value, lease }), ..empty })
+        }
         ValueChange::Delete { key } => {
             let request = DeleteRequest { key: encode(key.as_bytes()) };
             Ok(RequestOp { request_delete_range: Some(request), ..empty })
--- a/crates/gentian-process/src/key_value_service.rs
+++ b/crates/gentian-process/src/key_value_service.rs
@@ -3,7 +3,7 @@
 
 use std::fmt;
 
-use gentian_core::{SequenceNumber, TimeSpan};
+use gentian_core::{LeaseId, SequenceNumber, TimeSpan};
 
 /// A stored value with the revision of its last change.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -37,6 +37,15 @@
         /// Time after which the service deletes the record; rounded up to seconds.
         life: Option<TimeSpan>,
     },
+    /// Writes a value that goes with a lease.
+    PutLeased {
+        /// Name of the record.
+        key: String,
+        /// The value.
+        value: Vec<u8>,
+        /// The lease.
+        lease: LeaseId,
+    },
     /// Deletes a record.
     Delete {
         /// Name of the record.
@@ -91,12 +100,62 @@
 type WatchFn =
     Box<dyn Fn(&str, SequenceNumber, TakeBatch<'_>) -> Result<(), ServiceError> + Send + Sync>;
 
+type GrantFn = Box<dyn Fn(TimeSpan) -> Result<LeaseId, ServiceError> + Send + Sync>;
+type LeaseFn = Box<dyn Fn(LeaseId) -> Result<bool, ServiceError> + Send + Sync>;
+
+/// Calls for leases of the key-value service.
+pub struct LeaseCalls {
+    grant: GrantFn,
+    renew: LeaseFn,
+    end: LeaseFn,
+}
+
+impl LeaseCalls {
+    /// Creates the calls: make a lease with a life, renew it, end it; the last two say whether the
+    /// lease was still there.
+    pub fn new(
+        grant: impl Fn(TimeSpan) -> Result<LeaseId, ServiceError> + Send + Sync + 'static,
+        renew: impl Fn(LeaseId) -> Result<bool, ServiceError> + Send + Sync + 'static,
+        end: impl Fn(LeaseId) -> Result<bool, ServiceError> + Send + Sync + 'static,
+    ) -> Self {
+        Self { grant: Box::new(grant), renew: Box::new(renew), end: Box::new(end) }
+    }
+
+    /// Makes a lease that lives for `life` after its last renewal.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service gives no answer; an unused lease may then exist.
+    pub fn grant(&self, life: TimeSpan) -> Result<LeaseId, ServiceError> {
+        (self.grant)(life)
+    }
+
+    /// Renews a lease; `false` if it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service gives no answer; the lease may then be renewed.
+    pub fn renew(&self, lease: LeaseId) -> Result<bool, ServiceError> {
+        (self.renew)(lease)
+    }
+
+    /// Ends a lease and removes its records; `false` if it had ended before.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service gives no answer; the lease may then have ended.
+    pub fn end(&self, lease: LeaseId) -> Result<bool, ServiceError> {
+        (self.end)(lease)
+    }
+}
+
 /// Calls of the key-value service.
 pub struct KeyValueService {
     read: ReadFn,
     read_prefix: ReadFn,
     write: WriteFn,
     watch: WatchFn,
+    read_stale: Option<ReadFn>,
 }
 
 impl KeyValueService {
@@ -116,9 +175,18 @@
             read_prefix: Box::new(read_prefix),
             write: Box::new(write),
             watch: Box::new(watch),
+            read_stale: None,
         }
     }
 
+    /// Adds a cheaper read of a prefix whose result may be seconds old.
+    pub fn with_stale_reads(
+        self,
+        read_stale: impl Fn(&str) -> ReadResult + Send + Sync + 'static,
+    ) -> Self {
+        Self { read_stale: Some(Box::new(read_stale)), ..self }
+    }
+
     /// Reads one record.
     ///
     /// # Errors
@@ -137,6 +205,16 @@
         (self.read_prefix)(prefix)
     }
 
+    /// Reads every record below `prefix`, as they were up to some seconds ago if the service has a
+    /// cheaper read for that.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service gives no answer.
+    pub fn read_stale(&self, prefix: &str) -> ReadResult {
+        self.read_stale.as_ref().unwrap_or(&self.read_prefix)(prefix)
+    }
+
     /// Writes all changes together if every condition holds; returns the new revision, or `None`
     /// if a condition does not hold.
     ///
--- a/crates/gentian-process/src/log_setup.rs
+++ b/crates/gentian-process/src/log_setup.rs
@@ -3,21 +3,24 @@
 use std::io::{self, Write};
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use env_logger::Env;
 use env_logger::fmt::Formatter;
+use env_logger::{Env, Target};
 use gentian_core::EventCode;
 use log::{Level, Record};
 
+use crate::log_writer::LogWriter;
 use crate::{GateOutcome, LogGate, ProcessClock};
 
 /// Lines of level `info` and below that a process writes in a second.
 const LINE_LIMIT: u64 = 2_000;
 
-/// Starts the logs of a process: one line per event on standard error, at level `info` unless
-/// `RUST_LOG` says otherwise. Beyond a limit per second lines are dropped, and their number said.
+/// Starts the logs of a process: one line per event on standard output, at level `info` unless
+/// `RUST_LOG` says otherwise. Beyond a limit per second lines are dropped, and their number said; a
+/// reader that does not keep up never blocks the process.
 pub fn start_logs(process: &'static str) {
     let (gate, clock) = (LogGate::new(LINE_LIMIT), ProcessClock::new());
     let mut builder = env_logger::Builder::from_env(Env::default().default_filter_or("info"));
+    builder.target(Target::Pipe(Box::new(LogWriter::start())));
     builder.format(move |output, record| {
         if record.level() <= Level::Warn {
             return write_line(output, process, record);
--- a/crates/gentian-process/src/peer_socket.rs
+++ b/crates/gentian-process/src/peer_socket.rs
@@ -8,8 +8,9 @@
 
 use eyre::WrapErr;
 use gentian_core::EventCode;
-use gentian_core::peer::PeerMessage;
 use gentian_wire::{ClusterKey, DATAGRAM_LIMIT, open_datagram, seal_datagram};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 /// Longest wait for a datagram before the stop mark is looked at.
 const RECEIVE_WAIT: Duration = Duration::from_millis(200);
@@ -48,7 +49,7 @@
     }
 
     /// Sends a message; a datagram that cannot be sent counts as lost.
-    pub fn send(&self, message: &PeerMessage, address: SocketAddr) {
+    pub fn send(&self, message: &impl Serialize, address: SocketAddr) {
         match seal_datagram(message, &self.key) {
             Ok(bytes) => {
                 let length = u64::try_from(bytes.len()).unwrap_or(0);
@@ -66,10 +67,10 @@
     /// # Errors
     ///
     /// Returns an error if the thread cannot be started.
-    pub fn receive(
+    pub fn receive<M: DeserializeOwned>(
         &self,
         stop: Arc<AtomicBool>,
-        take: impl Fn(PeerMessage, SocketAddr) + Send + 'static,
+        take: impl Fn(M, SocketAddr) + Send + 'static,
     ) -> eyre::Result<JoinHandle<()>> {
         let peer = self.clone();
         let work = move || {
--- /dev/null
+++ b/crates/gentian-process/src/refusal_text.rs
@@ -0,0 +1,42 @@
+//! Refusals as HTTP statuses and bodies, the same at every front end.
+
+use gentian_decide::request::{Refusal, RefusalCode, RunState};
+use gentian_wire::generated::completion::{ErrorAnswer, ErrorDetail, ErrorDetailRun};
+
+/// Returns the status of a refusal.
+pub fn refusal_status(code: RefusalCode) -> u16 {
+    match code {
+        RefusalCode::BadRequest | RefusalCode::ExceedsBurst => 400,
+        RefusalCode::InvalidKey => 401,
+        RefusalCode::Forbidden => 403,
+        RefusalCode::NotFound => 404,
+        RefusalCode::WrongMethod => 405,
+        RefusalCode::OutcomeUnknown => 409,
+        RefusalCode::TooLarge => 413,
+        RefusalCode::KeyReused => 422,
+        RefusalCode::RateLimited => 429,
+        RefusalCode::UpstreamFailed => 502,
+        RefusalCode::Overloaded | RefusalCode::ConfigStale | RefusalCode::RecordUnavailable => 503,
+        RefusalCode::DeadlineExceeded => 504,
+    }
+}
+
+/// Returns the JSON body that tells the caller of request `id` of a refusal.
+pub fn refusal_body(id: &str, refusal: &Refusal) -> Vec<u8> {
+    let run = match refusal.run {
+        RunState::No => ErrorDetailRun::No,
+        RunState::Unknown => ErrorDetailRun::Unknown,
+    };
+    let code = refusal.code.to_string();
+    let error = ErrorDetail {
+        message: refusal.message.clone(),
+        type_: code.clone(),
+        code,
+        request_id: Some(id.to_owned()),
+        run: Some(run),
+    };
+    serde_json::to_vec(&ErrorAnswer { error }).unwrap_or_else(|error| {
+        log::error!("refusal not encoded: {error}");
+        Vec::new()
+    })
+}
--- a/crates/gentian-process/src/stop_signal.rs
+++ b/crates/gentian-process/src/stop_signal.rs
@@ -5,6 +5,7 @@
 use std::thread::JoinHandle;
 
 use eyre::WrapErr;
+use flume::Receiver;
 use gentian_http::join_threads;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::{Handle, Signals};
@@ -12,6 +13,7 @@
 /// Set once the process was asked to stop by SIGTERM or SIGINT.
 pub struct StopSignal {
     mark: Arc<AtomicBool>,
+    asked: Receiver<()>,
     handle: Handle,
     thread: JoinHandle<()>,
 }
@@ -26,15 +28,19 @@
         let mut signals =
             Signals::new([SIGTERM, SIGINT]).wrap_err("cannot catch SIGTERM and SIGINT")?;
         let mark = Arc::new(AtomicBool::new(false));
+        let (ask, asked) = flume::bounded(1);
         let (shared, handle) = (Arc::clone(&mark), signals.handle());
         let thread = std::thread::Builder::new().name("signals".into()).spawn(move || {
             for _ in signals.forever() {
                 if !shared.swap(true, Ordering::AcqRel) {
                     on_stop();
+                    if ask.try_send(()).is_err() {
+                        log::debug!("nobody waits for the stop signal");
+                    }
                 }
             }
         })?;
-        Ok(Self { mark, handle, thread })
+        Ok(Self { mark, asked, handle, thread })
     }
 
     /// Returns the mark that is set when the process was asked to stop.
@@ -42,6 +48,13 @@
         Arc::clone(&self.mark)
     }
 
+    /// Waits until the process is asked to stop.
+    pub fn wait(&self) {
+        if self.asked.recv().is_err() {
+            log::error!("the signal thread has ended");
+        }
+    }
+
     /// Ends the thread that waits for signals.
     pub fn join(self) {
         self.handle.close();
--- a/crates/gentian-process/tests/log_gate.rs
+++ b/crates/gentian-process/tests/log_gate.rs
@@ -1,7 +1,7 @@
 //! A flood of log lines is bounded, and the number of dropped lines is said.
 
 use gentian_core::{MonoTime, TimeSpan};
-use gentian_platform::{GateOutcome, LogGate};
+use gentian_process::{GateOutcome, LogGate};
 
 #[test]
 fn lines_beyond_the_limit_are_counted() {
--- a/crates/gentian-process/tests/settings.rs
+++ b/crates/gentian-process/tests/settings.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use gentian_platform::read_settings;
+use gentian_process::read_settings;
 
 const GOOD: &str = "\
 [process]
--- a/crates/gentian-process/tests/state_follower.rs
+++ b/crates/gentian-process/tests/state_follower.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use gentian_core::SequenceNumber;
-use gentian_platform::{KeyValueService, ProcessClock, ServiceError, StateFollower, WatchBatch};
+use gentian_process::{KeyValueService, ProcessClock, ServiceError, StateFollower, WatchBatch};
 
 const READ_REVISION: SequenceNumber = SequenceNumber::new(3);
 const NEWEST_REVISION: SequenceNumber = SequenceNumber::new(5);
--- a/crates/gentian-standin/src/main.rs
+++ b/crates/gentian-standin/src/main.rs
@@ -29,7 +29,7 @@
 }
 
 fn main() -> eyre::Result<()> {
-    gentian_platform::start_logs("gentian-standin");
+    gentian_process::start_logs("gentian-standin");
     let arguments: Arguments = argh::from_env();
     match arguments.command {
         StandinCommand::KeyValue(command) => commands::run_key_value(command),
--- a/crates/gentian-standin/src/shared/standin_port.rs
+++ b/crates/gentian-standin/src/shared/standin_port.rs
@@ -7,7 +7,7 @@
 
 use gentian_core::EventCode;
 use gentian_http::{HttpFront, HttpReply, HttpRequest};
-use gentian_platform::StopSignal;
+use gentian_process::StopSignal;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
--- a/crates/gentian-wire/src/datagram.rs
+++ b/crates/gentian-wire/src/datagram.rs
@@ -2,7 +2,8 @@
 
 use std::fmt;
 
-use gentian_core::peer::PeerMessage;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use crate::ClusterKey;
 
@@ -39,7 +40,7 @@
 /// # Errors
 ///
 /// Returns [`DatagramError::TooLarge`] if the result would exceed [`DATAGRAM_LIMIT`].
-pub fn seal_datagram(message: &PeerMessage, key: &ClusterKey) -> Result<Vec<u8>, DatagramError> {
+pub fn seal_datagram(message: &impl Serialize, key: &ClusterKey) -> Result<Vec<u8>, DatagramError> {
     let tag = vec![0; TAG_BYTES];
     let mut bytes = postcard::to_extend(message, tag).map_err(|_| DatagramError::Malformed)?;
     if bytes.len() > DATAGRAM_LIMIT {
@@ -55,7 +56,10 @@
 /// # Errors
 ///
 /// Returns [`DatagramError::WrongTag`] or [`DatagramError::Malformed`].
-pub fn open_datagram(bytes: &[u8], key: &ClusterKey) -> Result<PeerMessage, DatagramError> {
+pub fn open_datagram<M: DeserializeOwned>(
+    bytes: &[u8],
+    key: &ClusterKey,
+) -> Result<M, DatagramError> {
     let (tag, body) = bytes.split_first_chunk::<TAG_BYTES>().ok_or(DatagramError::Malformed)?;
     if blake3::keyed_hash(key.bytes(), body) != *tag {
         return Err(DatagramError::WrongTag);
