--- a/crates/gentian-decide/src/orders/fleet_planner.rs
+++ b/crates/gentian-decide/src/orders/fleet_planner.rs
@@ -212,9 +212,8 @@
             return if is_coming { None } else { self.load_model(&target.model) };
         }
         target.adapter.as_ref()?;
-        let is_there = self.lanes().any(|(_, lane)| {
-            lane.usable(self.now).contains(target) || lane.loading() == Some(target)
-        });
+        let is_there =
+            self.lanes().any(|(_, lane)| lane.has(target) || lane.loading() == Some(target));
         if is_there {
             return None;
         }
--- a/crates/gentian-decide/src/orders/order_lane.rs
+++ b/crates/gentian-decide/src/orders/order_lane.rs
@@ -127,6 +127,14 @@
         usable
     }
 
+    /// Tells whether the engine holds `target`, or has accepted it.
+    pub(super) fn has(&self, target: &TargetId) -> bool {
+        let adapters = self.known.as_ref().and_then(|known| known.loaded.get(&target.model));
+        adapters.is_some_and(|adapters| {
+            target.adapter.as_ref().is_none_or(|adapter| adapters.contains(adapter))
+        })
+    }
+
     /// Returns when an adapter that was just accepted can be used, or the next call is due.
     pub fn due(&self, now: MonoTime) -> Option<MonoTime> {
         let settled = self.settling.iter().map(|(_, time)| *time).filter(|time| *time > now).min();
--- a/crates/gentian-decide/src/serving/call_desk.rs
+++ b/crates/gentian-decide/src/serving/call_desk.rs
@@ -2,13 +2,13 @@
 
 use std::sync::Arc;
 
-use gentian_config::serving::{ChargeUnit, ServingConfig};
+use gentian_config::serving::ServingConfig;
 use gentian_core::peer::{ServingDemand, TargetId, UpstreamWork};
 use gentian_core::{FastMap, MonoTime, OrganisationId, RequestId, ServiceId, TimeSpan, UpstreamId};
 
 use super::{
-    AttemptEnd, FleetPart, PickOutcome, QuotaGate, QuotaOutcome, SendBudget, ServingBounds,
-    ServingCall, UpstreamPick, UpstreamTable,
+    AttemptEnd, FleetPart, PickOutcome, QuotaGate, QuotaLimit, QuotaOutcome, SendBudget,
+    ServingBounds, ServingCall, UpstreamPick, UpstreamTable,
 };
 use crate::request::{Refusal, RefusalCode};
 
@@ -75,11 +75,7 @@
         for (id, share) in &config.organisations {
             let part = self.part;
             let gate = self.quotas.entry(id.clone()).or_insert_with(|| QuotaGate::new(part, now));
-            let slack = match share.unit {
-                ChargeUnit::Tokens { .. } => self.bounds.quota_slack,
-                ChargeUnit::Requests => Default::default(),
-            };
-            gate.update(share.spec.rate.get() as f64, share.spec.burst, slack, now);
+            gate.update(QuotaLimit::new(share, &self.bounds), now);
         }
     }
 
@@ -129,8 +125,10 @@
                     self.running.insert(running.call.id, running);
                 }
                 outcome if now >= hold_limit(&call) => {
-                    decisions
-                        .push(DeskDecision::Refuse(call.id, self.refuse_held(&call, &outcome)));
+                    decisions.push(DeskDecision::Refuse(
+                        call.id,
+                        self.refuse_held(&call, &outcome, now),
+                    ));
                 }
                 _ => self.waiting.push(call),
             }
@@ -156,19 +154,15 @@
         now: MonoTime,
     ) {
         self.note_answer(id, table);
-        let Some(RunningCall { call, upstream, .. }) = self.running.remove(&id) else { return };
+        let Some(RunningCall { upstream, .. }) = self.running.remove(&id) else { return };
         table.note_end(&upstream, end, now);
-        let is_unrun = matches!(end, AttemptEnd::Rejected | AttemptEnd::Unreachable);
-        if is_unrun && call.runs == 0 {
-            self.refund(&call);
-        }
     }
 
     /// Forgets a request for whose start nobody waits any more.
     pub fn cancel(&mut self, id: RequestId, table: &mut UpstreamTable, now: MonoTime) {
         if let Some(place) = self.waiting.iter().position(|call| call.id == id) {
             let call = self.waiting.remove(place);
-            self.refund(&call);
+            self.refund(&call, now);
         }
         self.end_attempt(id, AttemptEnd::Abandoned, table, now);
     }
@@ -267,16 +261,16 @@
         }
     }
 
-    fn refund(&mut self, call: &ServingCall) {
+    fn refund(&mut self, call: &ServingCall, now: MonoTime) {
         let share = call.organisation.as_ref().filter(|_| call.is_charged);
         if let Some(gate) = share.and_then(|share| self.quotas.get_mut(&share.spec.id)) {
-            gate.refund(call.cost);
+            gate.refund(call.cost, now);
         }
     }
 
-    fn refuse_held(&mut self, call: &ServingCall, outcome: &PickOutcome) -> Refusal {
+    fn refuse_held(&mut self, call: &ServingCall, outcome: &PickOutcome, now: MonoTime) -> Refusal {
         if call.runs == 0 {
-            self.refund(call);
+            self.refund(call, now);
         }
         let message = match outcome {
             PickOutcome::NotHeld => "no upstream could load the model in time",
--- a/crates/gentian-decide/src/serving/quota_gate.rs
+++ b/crates/gentian-decide/src/serving/quota_gate.rs
@@ -1,15 +1,16 @@
-//! The rate and burst of an organisation over all entries together.
+//! The use of an organisation over all entries together.
+
+use std::collections::VecDeque;
 
 use gentian_core::{MonoTime, TimeSpan, TokenCount};
 
-/// Part of the allowed excess that is used to never refuse a request within the rate; the rest covers
-/// what other entries spend before the hub has told of it.
-const SLACK_PART: f64 = 0.3;
-/// Part of the burst with which a process starts that knows nothing of what was spent before.
-const START_PART: f64 = 0.5;
-/// Wait that a refusal names at least.
+use super::QuotaLimit;
+
+/// Wait that a refusal names.
 const SHORTEST_WAIT: TimeSpan = TimeSpan::from_millis(100);
 const LONGEST_WAIT: TimeSpan = TimeSpan::from_secs(5);
+/// Part of its share of the burst that an entry has at once when it begins to count alone.
+const ALONE_START: f64 = 0.5;
 
 /// Part of the fleet that shares one count with this entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +27,11 @@
         Self { heard: 1, all: all.max(1) }
     }
 
+    /// Tells whether every entry is heard.
+    pub fn is_whole(self) -> bool {
+        self.heard >= self.all
+    }
+
     fn share(self) -> f64 {
         f64::from(self.heard.min(self.all)) / f64::from(self.all.max(1))
     }
@@ -40,75 +46,85 @@
     Exceeded(TimeSpan),
 }
 
-/// Token bucket of one organisation that counts for all entries that this one hears of.
+/// Counts the use of one organisation within a sliding window, by this entry and by those that it
+/// hears of.
 ///
-/// The entries that hear of each other share as much of the rate as their number among all entries,
-/// so that the parts of a divided fleet together keep the rate.
+/// While some entries are not heard, those that hear each other also keep to their share of the
+/// rate from then on, so that the parts of a divided fleet together keep the limit.
 #[derive(Clone, Debug)]
 pub struct QuotaGate {
-    rate: f64,
-    burst: f64,
+    limit: Option<QuotaLimit>,
+    used: VecDeque<(MonoTime, f64)>,
+    sum: f64,
+    part: FleetPart,
+    /// Tokens of the part's own bucket, while the part is not the whole fleet.
     level: f64,
     updated: MonoTime,
-    part: FleetPart,
     spent: u64,
 }
 
 impl QuotaGate {
     /// Creates the gate of an entry that hears `part` of the fleet.
     pub fn new(part: FleetPart, now: MonoTime) -> Self {
-        Self { rate: 0.0, burst: 0.0, level: f64::NAN, updated: now, part, spent: 0 }
+        Self {
+            limit: None,
+            used: VecDeque::new(),
+            sum: 0.0,
+            part,
+            level: 0.0,
+            updated: now,
+            spent: 0,
+        }
     }
 
-    /// Takes the configured rate and burst over.
-    pub fn update(&mut self, rate: f64, burst: TokenCount, slack: TokenCount, now: MonoTime) {
+    /// Takes the limit of a new configuration over.
+    pub fn update(&mut self, limit: QuotaLimit, now: MonoTime) {
         self.refill(now);
-        let burst = burst.get() as f64 + slack.get() as f64 * SLACK_PART;
-        if self.level.is_nan() {
-            self.level = burst * START_PART;
+        if self.limit.is_none() {
+            self.level = limit.burst * self.part.share() * ALONE_START;
         }
-        self.rate = rate;
-        self.burst = burst;
-        self.level = self.level.min(burst);
+        self.limit = Some(limit);
     }
 
-    /// Takes over which entries are heard; an entry that hears fewer than before keeps only its part
-    /// of what was saved up.
+    /// Takes over which entries are heard.
     pub fn note_part(&mut self, part: FleetPart, now: MonoTime) {
+        if part == self.part {
+            return;
+        }
         self.refill(now);
+        if self.part.is_whole() {
+            let burst = self.limit.map_or(0.0, |limit| limit.burst);
+            self.level = burst * part.share() * ALONE_START;
+        }
         self.part = part;
-        self.level = self.level.min(self.burst * part.share());
     }
 
     /// Takes in what other entries spent.
     pub fn note_others(&mut self, tokens: u64, now: MonoTime) {
-        self.refill(now);
-        self.level -= tokens as f64;
+        if tokens > 0 {
+            self.note_use(tokens as f64, now);
+        }
     }
 
     /// Charges a request.
     pub fn charge(&mut self, cost: TokenCount, now: MonoTime) -> QuotaOutcome {
-        self.refill(now);
-        if self.rate <= 0.0 {
-            return QuotaOutcome::Charged;
-        }
         let tokens = cost.get() as f64;
-        let limit = self.burst * self.part.share();
-        let missing = tokens.min(limit) - self.level;
-        if missing > 0.0 {
-            let seconds = missing / (self.rate * self.part.share()).max(1.0);
-            let wait = TimeSpan::from_micros((seconds * 1e6) as u64);
+        let Some(limit) = self.limit.filter(|limit| limit.most.is_finite()) else {
+            self.spent += cost.get();
+            return QuotaOutcome::Charged;
+        };
+        self.refill(now);
+        if let Some(wait) = self.find_wait(&limit, tokens, now) {
             return QuotaOutcome::Exceeded(wait.clamp(SHORTEST_WAIT, LONGEST_WAIT));
         }
-        self.level -= tokens;
+        self.note_use(tokens, now);
         self.spent += cost.get();
         QuotaOutcome::Charged
     }
 
-    /// Gives back what a request was charged that did not run.
-    pub fn refund(&mut self, cost: TokenCount) {
-        self.level += cost.get() as f64;
-        self.spent = self.spent.saturating_sub(cost.get());
+    /// Gives back what a request was charged that did not run; other entries may have been told.
+    pub fn refund(&mut self, cost: TokenCount, now: MonoTime) {
+        self.note_use(-(cost.get() as f64), now);
     }
 
     /// Returns the tokens spent at this entry since the process started.
@@ -116,10 +132,45 @@
         self.spent
     }
 
+    /// Returns how long a request has to wait; `None` if it fits now.
+    fn find_wait(&self, limit: &QuotaLimit, tokens: f64, now: MonoTime) -> Option<TimeSpan> {
+        let mut excess = self.sum + tokens.min(limit.most) - limit.most;
+        if excess > 0.0 {
+            for (time, used) in &self.used {
+                excess -= used;
+                if excess <= 0.0 {
+                    return Some((*time + limit.window).since(now));
+                }
+            }
+            return Some(limit.window);
+        }
+        let missing = tokens.min(limit.burst * self.part.share()) - self.level;
+        if self.part.is_whole() || missing <= 0.0 {
+            return None;
+        }
+        let rate = (limit.rate * self.part.share()).max(1.0);
+        Some(TimeSpan::from_micros((missing / rate * 1e6) as u64))
+    }
+
+    fn note_use(&mut self, tokens: f64, now: MonoTime) {
+        self.refill(now);
+        self.level -= tokens;
+        if self.limit.is_some_and(|limit| limit.most.is_finite()) {
+            self.used.push_back((now, tokens));
+            self.sum += tokens;
+        }
+    }
+
     fn refill(&mut self, now: MonoTime) {
         let seconds = now.since(self.updated).as_secs_f64();
         self.updated = self.updated.max(now);
+        let Some(limit) = self.limit else { return };
         let share = self.part.share();
-        self.level = (self.level + self.rate * share * seconds).min(self.burst * share);
+        self.level = (self.level + limit.rate * share * seconds).min(limit.burst * share);
+        while self.used.front().is_some_and(|(time, _)| now.since(*time) >= limit.window) {
+            if let Some((_, tokens)) = self.used.pop_front() {
+                self.sum -= tokens;
+            }
+        }
     }
 }
--- a/crates/gentian-decide/src/serving/serving_bounds.rs
+++ b/crates/gentian-decide/src/serving/serving_bounds.rs
@@ -11,7 +11,11 @@
     pub budget_extra: f64,
     /// Span in which second sends are counted.
     pub budget_window: TimeSpan,
-    /// Tokens that an organisation may exceed its rate and burst by in a window.
+    /// Span in which the use of an organisation is counted.
+    pub quota_window: TimeSpan,
+    /// Part by which an organisation may exceed its rate and burst in a window.
+    pub quota_overshoot: f64,
+    /// Tokens that an organisation may exceed that by in a window.
     pub quota_slack: TokenCount,
     /// Factor on the rate of a cold upstream.
     pub cold_overshoot: f64,
