--- a/crates/gentian-core/src/event_code.rs
+++ b/crates/gentian-core/src/event_code.rs
@@ -74,7 +74,7 @@
     1306 HUB_KNOWN "hub-known": "This entry learned of a new hub."; "None."
     1307 HUB_SILENT "hub-silent": "The hub does not answer; this entry keeps to its own part of all shares."; "Check the hub named last and the network between the VMs."
     1401 LOAD_ORDERED "load-ordered": "Placement decided a load on an upstream."; "None."
-    1402 LOAD_DONE "load-done": "An upstream confirmed a load."; "None."
+    1402 LOAD_DONE "load-done": "An upstream confirmed a load or an unload."; "None."
     1403 LOAD_FAILED "load-failed": "An upstream refused or failed a load."; "Check the upstream and the weight store."
     1404 UNLOAD_ORDERED "unload-ordered": "Placement decided to free memory of an idle object."; "None."
     1405 UPSTREAM_LOST "upstream-lost": "An upstream no longer answers status calls."; "Check the upstream."
--- a/crates/gentian-decide/src/orders/fleet_planner.rs
+++ b/crates/gentian-decide/src/orders/fleet_planner.rs
@@ -9,12 +9,15 @@
     AdapterId, FastMap, FenceNumber, ModelId, MonoTime, ServiceId, TimeSpan, UpstreamId,
 };
 
-use super::placement_choice::{LoadOption, ModelUse, find_option, is_bearable, load_time};
+use super::placement_choice::{
+    LoadOption, LoadReason, ModelUse, find_option, is_bearable, load_time,
+};
 use super::{EngineOrder, EngineStateReport, LoadCeiling, OrderAction, OrderLane, OrderReply};
 use crate::serving::{TargetUse, UpstreamRow, UpstreamTable};
 
-/// Rate of requests from which a model gets a second copy, so that a crash does not stop it.
-const SPARE_RATE: f64 = 0.5;
+/// Requests that would wait for a load from disk from which a model gets a second copy, so that a
+/// crash does not stop it.
+const SPARE_WAITERS: f64 = 1.0;
 /// Part of an engine's slots in use from which a model gets a further copy.
 const FULL_PART: f64 = 0.12;
 
@@ -78,16 +81,15 @@
         lane.take_reply(order, reply, time.unwrap_or(TimeSpan::ZERO), now);
     }
 
-    /// Takes a report in, or the failure to get one.
+    /// Takes a report in, or the failure to get one; returns the order that it shows as done, with
+    /// the time since it was accepted.
     pub fn take_report(
         &mut self,
         upstream: &UpstreamId,
         report: Option<EngineStateReport>,
         now: MonoTime,
-    ) {
-        if let Some(lane) = self.lanes.get_mut(upstream) {
-            lane.take_report(report, now);
-        }
+    ) -> Option<(EngineOrder, TimeSpan)> {
+        self.lanes.get_mut(upstream)?.take_report(report, now)
     }
 
     /// Returns what the engines hold.
@@ -209,7 +211,11 @@
             let is_coming = self.lanes().any(|(_, lane)| {
                 lane.loading().is_some_and(|loading| loading.model == target.model)
             });
-            return if is_coming { None } else { self.load_model(&target.model) };
+            return if is_coming {
+                None
+            } else {
+                self.load_model(&target.model, LoadReason::Waiting)
+            };
         }
         target.adapter.as_ref()?;
         let is_there =
@@ -226,7 +232,9 @@
         let slots = self.engine.slots.get().max(1) as f64;
         for (model, usage) in &self.models {
             let running: u32 = usage.running.values().sum();
-            let spare = if usage.rate >= SPARE_RATE { 1 } else { 0 };
+            let reload = self.engine.models.get(model).map_or(TimeSpan::ZERO, |it| it.disk_load);
+            let waiters = usage.rate * reload.as_secs_f64();
+            let spare = usize::from(waiters >= SPARE_WAITERS);
             let full = (f64::from(running) / (slots * FULL_PART)) as usize;
             let desired = 1 + spare + full;
             if usage.copies > 0 && usage.copies < desired {
@@ -234,17 +242,17 @@
             }
         }
         wanted.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
-        wanted.iter().filter_map(|(_, model)| self.load_model(model)).collect()
+        wanted.iter().filter_map(|(_, model)| self.load_model(model, LoadReason::Spare)).collect()
     }
 
-    fn load_model(&mut self, model: &ModelId) -> Option<EngineOrder> {
+    fn load_model(&mut self, model: &ModelId, reason: LoadReason) -> Option<EngineOrder> {
         let spec = self.engine.models.get(model)?.clone();
         let mut options: Vec<LoadOption> = self
             .lanes()
             .filter(|(_, lane)| lane.is_free())
             .filter(|(_, lane)| lane.known().is_some_and(|it| !it.loaded.contains_key(model)))
             .filter_map(|(id, lane)| {
-                find_option(lane, id, &spec, self.engine, &self.models, self.now)
+                find_option(lane, id, &spec, self.engine, &self.models, (reason, self.now))
             })
             .collect();
         options.sort_by(|a, b| a.cost.total_cmp(&b.cost).then_with(|| a.upstream.cmp(&b.upstream)));
--- a/crates/gentian-decide/src/orders/order_lane.rs
+++ b/crates/gentian-decide/src/orders/order_lane.rs
@@ -33,7 +33,7 @@
     is_answered: bool,
     repeats: u32,
     next_send: Option<MonoTime>,
-    done_at: MonoTime,
+    accepted: MonoTime,
 }
 
 /// What an engine holds for certain after a number of orders.
@@ -180,7 +180,7 @@
             is_answered: false,
             repeats: 0,
             next_send: None,
-            done_at: now,
+            accepted: now,
         });
         Some(order)
     }
@@ -230,23 +230,28 @@
         }
     }
 
-    /// Takes a report in that was asked for at `asked`, or the failure to get one.
-    pub(super) fn take_report(&mut self, report: Option<EngineStateReport>, now: MonoTime) {
+    /// Takes a report in, or the failure to get one; returns the order that it shows as done, with
+    /// the time since it was accepted.
+    pub(super) fn take_report(
+        &mut self,
+        report: Option<EngineStateReport>,
+        now: MonoTime,
+    ) -> Option<(EngineOrder, TimeSpan)> {
         self.is_asked = false;
         let Some(report) = report else {
             self.next_report = now + SILENT_EVERY;
-            return;
+            return None;
         };
         let is_old = self.known.as_ref().is_some_and(|known| report.sequence < known.sequence);
         if is_old || report.is_busy {
             self.next_report = now + REPORT_EVERY;
-            return;
+            return None;
         }
         if self.open.as_ref().is_some_and(|open| !open.is_answered) {
-            return;
+            return None;
         }
-        self.open = None;
         self.known = Some(KnownState::new(report));
+        self.open.take().map(|open| (open.order, now.since(open.accepted)))
     }
 
     fn accept(&mut self, mut open: OpenOrder, load_time: TimeSpan, now: MonoTime) {
@@ -276,8 +281,8 @@
             }
         }
         open.is_answered = true;
-        open.done_at = now + load_time;
-        self.next_report = open.done_at;
+        open.accepted = now;
+        self.next_report = now + load_time;
         self.open = Some(open);
     }
 
@@ -296,7 +301,7 @@
             is_answered: false,
             repeats: 0,
             next_send: Some(now),
-            done_at: now,
+            accepted: now,
         });
     }
 
--- a/crates/gentian-decide/src/orders/placement_choice.rs
+++ b/crates/gentian-decide/src/orders/placement_choice.rs
@@ -15,6 +15,18 @@
 /// Time after its last use for which a model is not unloaded.
 const USE_GUARD: TimeSpan = TimeSpan::from_millis(500);
 
+/// Time after the last use of a model's only copy for which it does not make way for a spare copy.
+const SPARE_GUARD: TimeSpan = TimeSpan::from_secs(10);
+
+/// Why a model is loaded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LoadReason {
+    /// Requests wait for it.
+    Waiting,
+    /// A further copy spreads the load, or stands in after a crash.
+    Spare,
+}
+
 /// Use of a model, with all its adapters, over all entries.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ModelUse {
@@ -62,7 +74,7 @@
     model: &CatalogueModel,
     engine: &EngineSpec,
     uses: &FastMap<ModelId, ModelUse>,
-    now: MonoTime,
+    (reason, now): (LoadReason, MonoTime),
 ) -> Option<LoadOption> {
     let known = lane.known()?;
     let (time, is_from_store) = load_time(known, model);
@@ -72,7 +84,7 @@
     let mut held: Vec<(f64, &ModelId)> = known
         .loaded
         .keys()
-        .filter(|held| is_evictable(held, upstream, uses, now))
+        .filter(|held| is_evictable(uses.get(*held), upstream, reason, now))
         .map(|held| (eviction_cost(uses.get(held), now), held))
         .collect();
     held.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
@@ -101,16 +113,20 @@
 }
 
 fn is_evictable(
-    model: &ModelId,
+    usage: Option<&ModelUse>,
     upstream: &UpstreamId,
-    uses: &FastMap<ModelId, ModelUse>,
+    reason: LoadReason,
     now: MonoTime,
 ) -> bool {
-    uses.get(model).is_none_or(|usage| {
-        let is_idle = usage.waiting == 0 && now.since(usage.last) > USE_GUARD;
-        let is_spare = usage.copies > 1;
-        !usage.running.contains_key(upstream) && (is_idle || is_spare)
-    })
+    let Some(usage) = usage else { return true };
+    if usage.running.contains_key(upstream) {
+        return false;
+    }
+    let idle = now.since(usage.last);
+    match reason {
+        LoadReason::Waiting => usage.copies > 1 || (usage.waiting == 0 && idle > USE_GUARD),
+        LoadReason::Spare => usage.waiting == 0 && idle > SPARE_GUARD,
+    }
 }
 
 fn eviction_cost(usage: Option<&ModelUse>, now: MonoTime) -> f64 {
--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -203,7 +203,10 @@
         Ok(framing) => framing,
         Err(error) => return Stop::Broken(error.to_string()).into(),
     };
-    if call.events.is_none() && !begin_stream(handles, call, head) {
+    if let Some(events) = &mut call.events {
+        // The stream goes on behind the last whole event; a part of the next one is made anew.
+        events.drop_partial();
+    } else if !begin_stream(handles, call, head) {
         return AttemptResult::CallerGone;
     }
     let mut reader = BodyReader::new(framing);
--- a/crates/gentian-gateway/src/control/hub_controller.rs
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -84,7 +84,14 @@
             hub.planner.take_reply(order, *reply, now);
         }
         ControlEvent::Report(upstream, report) => {
-            hub.planner.take_report(upstream, report.clone(), now);
+            if let Some((order, after)) = hub.planner.take_report(upstream, report.clone(), now) {
+                log::info!(
+                    "{} upstream={upstream} action={} target={} after={after}",
+                    EventCode::LOAD_DONE,
+                    order.action,
+                    order.target
+                );
+            }
         }
         _ => {}
     }
