--- a/crates/gentian-gateway/src/fleet_dialect.rs
+++ b/crates/gentian-gateway/src/fleet_dialect.rs
@@ -8,6 +8,10 @@
 
 use crate::{AnswerMarks, CallerMarks, UpstreamHead};
 
+type KeyFn<T> = Box<dyn Fn(&str) -> Option<T> + Send + Sync>;
+type HeadFn<T> = Box<dyn Fn(&RequestHead, &T) -> RequestHead + Send + Sync>;
+type ReportFn = Box<dyn Fn(&[u8]) -> eyre::Result<EngineStateReport> + Send + Sync>;
+type OrderFn = Box<dyn Fn(&EngineOrder, &str) -> (RequestHead, Vec<u8>) + Send + Sync>;
 type DecodeFn<T> = Box<dyn Fn(&str, &[u8]) -> eyre::Result<T> + Send + Sync>;
 
 /// Where records lie in the key-value service.
@@ -34,17 +38,17 @@
     /// Decodes the registration of an upstream, given its key.
     pub read_upstream: DecodeFn<UpstreamEntry>,
     /// Returns the failure domain that an operator's record takes out, given its key.
-    pub read_drained: Box<dyn Fn(&str) -> Option<DomainId> + Send + Sync>,
+    pub read_drained: KeyFn<DomainId>,
     /// Decodes the head of a request.
     pub read_request: Box<dyn Fn(&RequestHead) -> CallerMarks + Send + Sync>,
     /// Encodes the head of a request to an upstream.
-    pub write_request: Box<dyn Fn(&RequestHead, &UpstreamHead) -> RequestHead + Send + Sync>,
+    pub write_request: HeadFn<UpstreamHead>,
     /// Decodes the head of an answer.
     pub read_answer: Box<dyn Fn(&ResponseHead) -> AnswerMarks + Send + Sync>,
     /// Decodes the report of an engine.
-    pub read_report: Box<dyn Fn(&[u8]) -> eyre::Result<EngineStateReport> + Send + Sync>,
+    pub read_report: ReportFn,
     /// Encodes an order, given the name of the holder, as a head and a body.
-    pub write_order: Box<dyn Fn(&EngineOrder, &str) -> (RequestHead, Vec<u8>) + Send + Sync>,
+    pub write_order: OrderFn,
     /// Decodes the status of the answer to an order.
     pub read_order_reply: Box<dyn Fn(u16) -> OrderReply + Send + Sync>,
 }
