--- a/crates/gentian-core/src/peer/fleet_message.rs
+++ b/crates/gentian-core/src/peer/fleet_message.rs
@@ -1,11 +1,13 @@
 //! Messages between the entries of a serving fleet and its hub.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use super::TargetId;
 use crate::{
-    FenceNumber, InstanceId, ModelId, OrganisationId, SequenceNumber, ServiceId, TimeSpan,
-    UpstreamId, VmId,
+    DomainId, FenceNumber, InstanceId, ModelId, OrganisationId, SequenceNumber, ServiceId,
+    SlotCount, TimeSpan, UpstreamId, VmId,
 };
 
 /// A message between an entry and the hub.
@@ -41,9 +43,9 @@
     pub known: (InstanceId, SequenceNumber),
     /// Tokens spent since the start of the process, by organisation.
     pub spent: Vec<(OrganisationId, u64)>,
-    /// Work under way, by upstream.
-    pub work: Vec<(UpstreamId, UpstreamWork)>,
-    /// Targets that requests use or wait for.
+    /// Work under way, by upstream; `None` if it was told shortly before.
+    pub work: Option<Vec<(UpstreamId, UpstreamWork)>>,
+    /// Targets that requests use, wait for or have asked for since the digest before.
     pub demands: Vec<ServingDemand>,
 }
 
@@ -86,14 +88,43 @@
     pub heard: u32,
     /// Tokens that the other entries spent since the hub began to count, by organisation.
     pub spent: Vec<(OrganisationId, u64)>,
-    /// Work of the other entries, by upstream.
-    pub work: Vec<(UpstreamId, UpstreamWork)>,
-    /// Revision of the rows.
+    /// Work of the other entries, by upstream; `None` if it was told shortly before.
+    pub work: Option<Vec<(UpstreamId, UpstreamWork)>>,
+    /// Time since the hub last read the registrations of upstreams.
+    pub listing_age: TimeSpan,
+    /// Revision of the rows and listings.
     pub revision: SequenceNumber,
+    /// Listings that changed since the revision that the entry knows.
+    pub listings: Vec<UpstreamListing>,
     /// Rows that changed since the revision that the entry knows.
     pub rows: Vec<HoldingRow>,
 }
 
+/// Registration of an upstream, as the hub read it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct UpstreamListing {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Revision of the registration in the key-value service.
+    pub stored: SequenceNumber,
+    /// Start of the upstream, as its registration says it.
+    pub born: u64,
+    /// Service that it belongs to.
+    pub service: ServiceId,
+    /// Address for requests.
+    pub address: SocketAddr,
+    /// Failure domain in which it stands.
+    pub domain: DomainId,
+    /// Requests that it runs at the same time.
+    pub slots: SlotCount,
+    /// Whether it takes new work; false also if its registration is gone.
+    pub is_ready: bool,
+    /// Whether it holds models.
+    pub has_engine: bool,
+    /// Time for which it still bears little, when the hub first saw it cold.
+    pub cold: TimeSpan,
+}
+
 /// What an upstream holds, as far as the hub knows.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HoldingRow {
--- a/crates/gentian-decide/src/serving/call_desk.rs
+++ b/crates/gentian-decide/src/serving/call_desk.rs
@@ -4,7 +4,9 @@
 
 use gentian_config::serving::ServingConfig;
 use gentian_core::peer::{ServingDemand, TargetId, UpstreamWork};
-use gentian_core::{FastMap, MonoTime, OrganisationId, RequestId, ServiceId, TimeSpan, UpstreamId};
+use gentian_core::{
+    FastMap, FastSet, MonoTime, OrganisationId, RequestId, ServiceId, TimeSpan, UpstreamId,
+};
 
 use super::{
     AttemptEnd, FleetPart, PickOutcome, QuotaGate, QuotaLimit, QuotaOutcome, SendBudget,
@@ -42,6 +44,10 @@
 struct TargetRecord {
     arrived: u64,
     last: MonoTime,
+    /// Arrivals that the hub was told of.
+    told: u64,
+    /// Whether the hub was told that requests wait.
+    is_wait_told: bool,
 }
 
 /// Decides when each request starts and where.
@@ -195,9 +201,17 @@
         work.into_iter().collect()
     }
 
-    /// Returns what requests use or wait for.
-    pub fn demands(&mut self, now: MonoTime) -> Vec<ServingDemand> {
-        let in_use: Vec<(ServiceId, TargetId)> = self
+    /// Tells whether the hub should hear soon: a target is waited for that it was not told of, or an
+    /// organisation comes near its limit.
+    pub fn has_news(&self) -> bool {
+        let is_hot = self.quotas.values().any(QuotaGate::has_hot_news);
+        is_hot || self.waiting.iter().any(|call| self.is_untold(call))
+    }
+
+    /// Returns what requests use, wait for or have asked for since the last call.
+    pub fn take_demands(&mut self, now: MonoTime) -> Vec<ServingDemand> {
+        self.quotas.values_mut().for_each(QuotaGate::mark_told);
+        let in_use: FastSet<(ServiceId, TargetId)> = self
             .running
             .values()
             .map(|running| &running.call)
@@ -206,8 +220,22 @@
             .collect();
         self.targets
             .retain(|key, record| now.since(record.last) < DEMAND_MEMORY || in_use.contains(key));
-        let demands = self.targets.iter().map(|(key, record)| self.demand(key, record, now));
-        demands.collect()
+        let is_told = |key: &(ServiceId, TargetId), record: &TargetRecord| {
+            in_use.contains(key) || record.arrived != record.told
+        };
+        let told = self.targets.iter().filter(|(key, record)| is_told(key, record));
+        let demands = told.map(|(key, record)| self.demand(key, record, now)).collect();
+        let waiting: FastSet<_> = self.waiting.iter().filter_map(target_key).collect();
+        for (key, record) in &mut self.targets {
+            record.told = record.arrived;
+            record.is_wait_told = waiting.contains(key);
+        }
+        demands
+    }
+
+    fn is_untold(&self, call: &ServingCall) -> bool {
+        let record = target_key(call).and_then(|key| self.targets.get(&key));
+        record.is_some_and(|record| !record.is_wait_told)
     }
 
     fn demand(
--- a/crates/gentian-decide/src/serving/fleet_hub.rs
+++ b/crates/gentian-decide/src/serving/fleet_hub.rs
@@ -1,16 +1,16 @@
 //! The hub: counts what all entries use, and knows what they ask for.
 
 use gentian_core::peer::{
-    EntryDigest, FleetTally, HoldingRow, ServingDemand, TargetId, UpstreamWork,
+    EntryDigest, FleetTally, HoldingRow, ServingDemand, TargetId, UpstreamListing, UpstreamWork,
 };
 use gentian_core::{
-    FastMap, FenceNumber, InstanceId, MonoTime, OrganisationId, SequenceNumber, ServiceId,
+    FastMap, FastSet, FenceNumber, InstanceId, MonoTime, OrganisationId, SequenceNumber, ServiceId,
     TimeSpan, UpstreamId, VmId,
 };
 
-/// Time after its last digest for which an entry counts as heard; shorter than the time after which
-/// an entry itself gives up on the hub.
-const HEARD_LIMIT: TimeSpan = TimeSpan::from_millis(700);
+use super::RevisedMap;
+use super::digest_pace::{heard_limit, work_spacing};
+
 /// Time constant of the rates of arrival.
 const RATE_TIME: TimeSpan = TimeSpan::from_secs(5);
 
@@ -32,6 +32,8 @@
 #[derive(Debug)]
 struct HeardEntry {
     digest: EntryDigest,
+    work: Vec<(UpstreamId, UpstreamWork)>,
+    told_work: MonoTime,
     heard: MonoTime,
     spent: FastMap<OrganisationId, u64>,
 }
@@ -43,12 +45,6 @@
     last: MonoTime,
 }
 
-#[derive(Debug)]
-struct RevisedRow {
-    revision: SequenceNumber,
-    row: HoldingRow,
-}
-
 /// Counts for all entries.
 #[derive(Debug)]
 pub struct FleetHub {
@@ -56,7 +52,9 @@
     entries: FastMap<VmId, HeardEntry>,
     spent: FastMap<OrganisationId, u64>,
     rates: FastMap<(ServiceId, TargetId), ArrivalRate>,
-    rows: FastMap<UpstreamId, RevisedRow>,
+    listings: RevisedMap<UpstreamId, UpstreamListing>,
+    listed: MonoTime,
+    rows: RevisedMap<UpstreamId, HoldingRow>,
     revision: SequenceNumber,
 }
 
@@ -68,7 +66,9 @@
             entries: FastMap::default(),
             spent: FastMap::default(),
             rates: FastMap::default(),
-            rows: FastMap::default(),
+            listings: RevisedMap::new(),
+            listed: MonoTime::ORIGIN,
+            rows: RevisedMap::new(),
             revision: SequenceNumber::new(1),
         }
     }
@@ -82,7 +82,8 @@
         }
         // Without a digest shortly before, a total is only a base: what was spent meanwhile is
         // covered by the part of the rate that the entry kept to alone.
-        let earlier = same.filter(|entry| now.since(entry.heard) < HEARD_LIMIT);
+        let limit = heard_limit(self.entries.len());
+        let earlier = same.filter(|entry| now.since(entry.heard) < limit);
         let mut own = known.map(|entry| entry.spent.clone()).unwrap_or_default();
         for (organisation, total) in &digest.spent {
             let before = earlier.map(|entry| find_spent(&entry.digest, organisation));
@@ -99,36 +100,48 @@
         for (key, count) in arrivals {
             self.rates.entry(key).or_default().note(count, now);
         }
-        self.entries.insert(digest.vm.clone(), HeardEntry { digest, heard: now, spent: own });
+        let told_work = known.map_or(MonoTime::ORIGIN, |entry| entry.told_work);
+        let past_work = same.map(|entry| entry.work.clone()).unwrap_or_default();
+        let work = digest.work.clone().unwrap_or(past_work);
+        let entry = HeardEntry { digest, work, told_work, heard: now, spent: own };
+        self.entries.insert(entry.digest.vm.clone(), entry);
         true
     }
 
     /// Answers the last digest of the entry on `vm`.
-    pub fn make_tally(&self, vm: &VmId, fence: FenceNumber, now: MonoTime) -> Option<FleetTally> {
+    pub fn make_tally(
+        &mut self,
+        vm: &VmId,
+        fence: FenceNumber,
+        now: MonoTime,
+    ) -> Option<FleetTally> {
+        let tally = self.write_tally(vm, fence, now)?;
+        if tally.work.is_some() {
+            self.entries.get_mut(vm)?.told_work = now;
+        }
+        Some(tally)
+    }
+
+    fn write_tally(&self, vm: &VmId, fence: FenceNumber, now: MonoTime) -> Option<FleetTally> {
         let entry = self.entries.get(vm)?;
         let spent = self.spent.iter().map(|(organisation, total)| {
             let own = entry.spent.get(organisation).copied().unwrap_or(0);
             (organisation.clone(), total.saturating_sub(own))
         });
-        let others = self.heard(now).filter(|other| other.digest.vm != *vm);
-        let mut work: FastMap<UpstreamId, UpstreamWork> = FastMap::default();
-        for (upstream, part) in others.flat_map(|other| &other.digest.work) {
-            let sum = work.entry(upstream.clone()).or_default();
-            sum.running += part.running;
-            sum.unread_tokens = sum.unread_tokens.saturating_add(part.unread_tokens);
-        }
+        let work = self.is_work_due(entry, now).then(|| self.work_of_others(vm, now));
         let (hub, known) = entry.digest.known;
         let known = if hub == self.instance { known } else { SequenceNumber::default() };
-        let changed = self.rows.values().filter(|revised| revised.revision > known);
         Some(FleetTally {
             hub: self.instance,
             fence,
             sequence: entry.digest.sequence,
             heard: u32::try_from(self.heard(now).count()).unwrap_or(u32::MAX),
             spent: spent.collect(),
-            work: work.into_iter().collect(),
+            work,
+            listing_age: now.since(self.listed),
             revision: self.revision,
-            rows: changed.map(|revised| revised.row.clone()).collect(),
+            listings: self.listings.changed_since(known),
+            rows: self.rows.changed_since(known),
         })
     }
 
@@ -136,19 +149,35 @@
     pub fn take_rows(&mut self, rows: impl IntoIterator<Item = HoldingRow>) -> bool {
         let before = self.revision;
         for row in rows {
-            if self.rows.get(&row.upstream).is_some_and(|revised| revised.row == row) {
-                continue;
-            }
-            self.revision = self.revision.next();
-            let revised = RevisedRow { revision: self.revision, row };
-            self.rows.insert(revised.row.upstream.clone(), revised);
+            self.rows.set(row.upstream.clone(), row, &mut self.revision);
         }
         self.revision > before
     }
 
+    /// Takes the registrations over that were just read; only those that differ are sent again.
+    pub fn take_listings(&mut self, rows: impl Iterator<Item = UpstreamListing>, now: MonoTime) {
+        self.listed = now;
+        let mut gone: FastSet<UpstreamId> = self.listings.keys().cloned().collect();
+        for listing in rows {
+            gone.remove(&listing.upstream);
+            let known = self.listings.get(&listing.upstream);
+            let listing = match known {
+                Some(known) => settle_listing(known, listing),
+                None => listing,
+            };
+            self.listings.set(listing.upstream.clone(), listing, &mut self.revision);
+        }
+        for upstream in gone {
+            if let Some(known) = self.listings.get(&upstream) {
+                let listing = UpstreamListing { is_ready: false, ..known.clone() };
+                self.listings.set(upstream, listing, &mut self.revision);
+            }
+        }
+    }
+
     /// Forgets the rows of upstreams that are not `listed`.
     pub fn retain_rows(&mut self, listed: impl Fn(&UpstreamId) -> bool) {
-        self.rows.retain(|id, _| listed(id));
+        self.rows.retain(listed);
     }
 
     /// Returns the VMs whose requests wait for an upstream.
@@ -179,8 +208,24 @@
         uses
     }
 
+    fn is_work_due(&self, entry: &HeardEntry, now: MonoTime) -> bool {
+        now.since(entry.told_work) >= work_spacing(self.entries.len())
+    }
+
+    fn work_of_others(&self, vm: &VmId, now: MonoTime) -> Vec<(UpstreamId, UpstreamWork)> {
+        let others = self.heard(now).filter(|other| other.digest.vm != *vm);
+        let mut work: FastMap<&UpstreamId, UpstreamWork> = FastMap::default();
+        for (upstream, part) in others.flat_map(|other| &other.work) {
+            let sum = work.entry(upstream).or_default();
+            sum.running += part.running;
+            sum.unread_tokens = sum.unread_tokens.saturating_add(part.unread_tokens);
+        }
+        work.into_iter().map(|(upstream, work)| (upstream.clone(), work)).collect()
+    }
+
     fn heard(&self, now: MonoTime) -> impl Iterator<Item = &HeardEntry> {
-        self.entries.values().filter(move |entry| now.since(entry.heard) < HEARD_LIMIT)
+        let limit = heard_limit(self.entries.len());
+        self.entries.values().filter(move |entry| now.since(entry.heard) < limit)
     }
 }
 
@@ -199,6 +244,16 @@
     }
 }
 
+/// Keeps what differs at every heartbeat as it was: the time for which an upstream stays cold.
+fn settle_listing(known: &UpstreamListing, listing: UpstreamListing) -> UpstreamListing {
+    let is_cold = |listing: &UpstreamListing| listing.cold > TimeSpan::ZERO;
+    let is_same_start = known.born == listing.born && is_cold(known) == is_cold(&listing);
+    match is_same_start {
+        true => UpstreamListing { cold: known.cold, stored: known.stored, ..listing },
+        false => listing,
+    }
+}
+
 fn find_spent(digest: &EntryDigest, organisation: &OrganisationId) -> u64 {
     let mut spent = digest.spent.iter();
     spent.find(|(id, _)| id == organisation).map_or(0, |(_, total)| *total)
--- a/crates/gentian-decide/src/serving/hub_link.rs
+++ b/crates/gentian-decide/src/serving/hub_link.rs
@@ -3,23 +3,23 @@
 use gentian_core::peer::{EntryDigest, FleetTally};
 use gentian_core::{FastMap, InstanceId, MonoTime, OrganisationId, SequenceNumber, TimeSpan, VmId};
 
+use super::digest_pace::{digest_spacing, hot_spacing, silent_limit, work_spacing};
 use super::{CallDesk, FleetPart, UpstreamTable};
 
-/// Time between two digests while requests wait, while requests run, and otherwise.
-const WAITING_SPACING: TimeSpan = TimeSpan::from_millis(20);
-const RUNNING_SPACING: TimeSpan = TimeSpan::from_millis(100);
-const IDLE_SPACING: TimeSpan = TimeSpan::from_millis(250);
-/// Time without a tally after which an entry counts alone.
-const SILENT_LIMIT: TimeSpan = TimeSpan::from_millis(800);
+/// Age of the hub's registrations up to which an entry needs none of its own reading.
+const LISTING_LIMIT: TimeSpan = TimeSpan::from_millis(1_200);
 
 /// What an entry knows of the hub.
 #[derive(Debug)]
 pub struct HubLink {
     vm: VmId,
     instance: InstanceId,
+    entries: usize,
     sequence: SequenceNumber,
     sent: MonoTime,
+    told_work: MonoTime,
     heard: Option<MonoTime>,
+    listing_age: TimeSpan,
     hub: InstanceId,
     answered: SequenceNumber,
     revision: SequenceNumber,
@@ -32,9 +32,12 @@
         Self {
             vm,
             instance,
+            entries: 1,
             sequence: SequenceNumber::default(),
             sent: MonoTime::ORIGIN,
+            told_work: MonoTime::ORIGIN,
             heard: None,
+            listing_age: TimeSpan::ZERO,
             hub: InstanceId::default(),
             answered: SequenceNumber::default(),
             revision: SequenceNumber::default(),
@@ -42,12 +45,16 @@
         }
     }
 
+    /// Takes the number of entries over, which sets the pace.
+    pub fn note_entries(&mut self, entries: usize) {
+        self.entries = entries;
+    }
+
     /// Returns when the next digest is due.
     pub fn due(&self, desk: &CallDesk) -> MonoTime {
-        let spacing = match (desk.is_waiting(), desk.running()) {
-            (true, _) => WAITING_SPACING,
-            (false, 0) => IDLE_SPACING,
-            (false, _) => RUNNING_SPACING,
+        let spacing = match desk.has_news() {
+            true => hot_spacing(self.entries),
+            false => digest_spacing(self.entries, desk.running() > 0),
         };
         self.sent + spacing
     }
@@ -59,14 +66,18 @@
         }
         self.sent = now;
         self.sequence = self.sequence.next();
+        let is_work_due = now.since(self.told_work) >= work_spacing(self.entries);
+        if is_work_due {
+            self.told_work = now;
+        }
         Some(EntryDigest {
             vm: self.vm.clone(),
             instance: self.instance,
             sequence: self.sequence,
             known: (self.hub, self.revision),
             spent: desk.spent(),
-            work: desk.work(),
-            demands: desk.demands(now),
+            work: is_work_due.then(|| desk.work()),
+            demands: desk.take_demands(now),
         })
     }
 
@@ -80,7 +91,9 @@
         now: MonoTime,
     ) -> bool {
         let is_same_hub = tally.hub == self.hub;
-        if is_same_hub && tally.sequence <= self.answered {
+        // The hub answers one digest again when something has changed since.
+        let is_old = tally.sequence < self.answered || tally.revision < self.revision;
+        if is_same_hub && is_old {
             return false;
         }
         if !is_same_hub {
@@ -90,15 +103,20 @@
         }
         self.answered = tally.sequence;
         self.heard = Some(now);
+        self.listing_age = tally.listing_age;
         for (organisation, total) in &tally.spent {
             // The first count of a hub is only a base: what was spent before is covered by the part
             // of the rate that this entry kept to.
-            let known = self.spent.insert(organisation.clone(), *total);
+            let known = self.spent.get(organisation).copied();
             let others = known.map_or(0, |known| total.saturating_sub(known));
+            self.spent.insert(organisation.clone(), known.unwrap_or(0).max(*total));
             desk.note_others(organisation, others, now);
         }
         desk.note_part(FleetPart { heard: tally.heard, all: all.max(tally.heard) }, now);
-        table.take_others(&tally.work);
+        if let Some(work) = &tally.work {
+            table.take_others(work);
+        }
+        table.take_listings(tally.listings, now);
         table.take_holdings(tally.hub, tally.rows);
         self.revision = tally.revision;
         true
@@ -112,7 +130,8 @@
         table: &mut UpstreamTable,
         now: MonoTime,
     ) -> bool {
-        let is_silent = self.heard.is_some_and(|heard| now.since(heard) > SILENT_LIMIT);
+        let limit = silent_limit(self.entries);
+        let is_silent = self.heard.is_some_and(|heard| now.since(heard) > limit);
         if is_silent {
             self.heard = None;
             self.hub = InstanceId::default();
@@ -129,4 +148,9 @@
     pub fn is_linked(&self) -> bool {
         self.heard.is_some()
     }
+
+    /// Tells whether the hub's registrations are fresh enough to go by.
+    pub fn has_fresh_listings(&self) -> bool {
+        self.is_linked() && self.listing_age < LISTING_LIMIT
+    }
 }
--- a/crates/gentian-decide/src/serving/mod.rs
+++ b/crates/gentian-decide/src/serving/mod.rs
@@ -3,10 +3,12 @@
 
 mod call_desk;
 mod cold_gate;
+mod digest_pace;
 mod fleet_hub;
 mod hub_link;
 mod quota_gate;
 mod quota_limit;
+mod revised_map;
 mod send_budget;
 mod serving_bounds;
 mod serving_call;
@@ -20,6 +22,7 @@
 pub use hub_link::HubLink;
 pub use quota_gate::{FleetPart, QuotaGate, QuotaOutcome};
 pub use quota_limit::QuotaLimit;
+use revised_map::RevisedMap;
 pub use send_budget::SendBudget;
 pub use serving_bounds::ServingBounds;
 pub use serving_call::{AttemptEnd, ServingCall};
--- a/crates/gentian-decide/src/serving/quota_gate.rs
+++ b/crates/gentian-decide/src/serving/quota_gate.rs
@@ -9,6 +9,8 @@
 /// Wait that a refusal names.
 const SHORTEST_WAIT: TimeSpan = TimeSpan::from_millis(100);
 const LONGEST_WAIT: TimeSpan = TimeSpan::from_secs(5);
+/// Part of the limit in use from which entries tell each other at once of what they spend.
+const HOT_PART: f64 = 0.6;
 /// Part of its share of the burst that an entry has at once when it begins to count alone.
 const ALONE_START: f64 = 0.5;
 
@@ -61,6 +63,8 @@
     level: f64,
     updated: MonoTime,
     spent: u64,
+    /// Tokens spent here that the hub was told of.
+    told: u64,
 }
 
 impl QuotaGate {
@@ -74,6 +78,7 @@
             level: 0.0,
             updated: now,
             spent: 0,
+            told: 0,
         }
     }
 
@@ -132,6 +137,17 @@
         self.spent
     }
 
+    /// Tells whether the use comes near the limit and the hub was not told of all that was spent here.
+    pub fn has_hot_news(&self) -> bool {
+        let is_hot = self.limit.is_some_and(|limit| self.sum > limit.most * HOT_PART);
+        is_hot && self.spent != self.told
+    }
+
+    /// Notes that the hub is being told of all that was spent here.
+    pub fn mark_told(&mut self) {
+        self.told = self.spent;
+    }
+
     /// Returns how long a request has to wait; `None` if it fits now.
     fn find_wait(&self, limit: &QuotaLimit, tokens: f64, now: MonoTime) -> Option<TimeSpan> {
         let mut excess = self.sum + tokens.min(limit.most) - limit.most;
--- /dev/null
+++ b/crates/gentian-decide/src/serving/revised_map.rs
@@ -0,0 +1,55 @@
+//! Values with the revision at which each last changed.
+
+use std::hash::Hash;
+
+use gentian_core::{FastMap, SequenceNumber};
+
+#[derive(Clone, Debug)]
+struct RevisedValue<V> {
+    revision: SequenceNumber,
+    value: V,
+}
+
+/// A map that tells which of its values changed since a revision.
+#[derive(Clone, Debug)]
+pub(super) struct RevisedMap<K, V> {
+    values: FastMap<K, RevisedValue<V>>,
+}
+
+impl<K: Eq + Hash, V: Clone + PartialEq> RevisedMap<K, V> {
+    /// Creates an empty map.
+    pub(super) fn new() -> Self {
+        Self { values: FastMap::default() }
+    }
+
+    /// Sets a value; a changed one gets the revision after `last`. Returns whether it changed.
+    pub(super) fn set(&mut self, key: K, value: V, last: &mut SequenceNumber) -> bool {
+        if self.values.get(&key).is_some_and(|revised| revised.value == value) {
+            return false;
+        }
+        *last = last.next();
+        self.values.insert(key, RevisedValue { revision: *last, value });
+        true
+    }
+
+    /// Returns a value.
+    pub(super) fn get(&self, key: &K) -> Option<&V> {
+        self.values.get(key).map(|revised| &revised.value)
+    }
+
+    /// Returns the keys.
+    pub(super) fn keys(&self) -> impl Iterator<Item = &K> {
+        self.values.keys()
+    }
+
+    /// Returns the values that changed after `known`.
+    pub(super) fn changed_since(&self, known: SequenceNumber) -> Vec<V> {
+        let changed = self.values.values().filter(|revised| revised.revision > known);
+        changed.map(|revised| revised.value.clone()).collect()
+    }
+
+    /// Keeps the values whose keys are `wanted`.
+    pub(super) fn retain(&mut self, wanted: impl Fn(&K) -> bool) {
+        self.values.retain(|key, _| wanted(key));
+    }
+}
--- a/crates/gentian-decide/src/serving/upstream_entry.rs
+++ b/crates/gentian-decide/src/serving/upstream_entry.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
-use gentian_core::{AdapterId, DomainId, ModelId, ServiceId, SlotCount, TimeSpan, UpstreamId};
+use gentian_core::peer::UpstreamListing;
+use gentian_core::{
+    AdapterId, DomainId, ModelId, SequenceNumber, ServiceId, SlotCount, TimeSpan, UpstreamId,
+};
 
 /// Whether an upstream takes work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,6 +24,8 @@
 pub struct UpstreamEntry {
     /// Name of the upstream.
     pub id: UpstreamId,
+    /// Revision of the registration in the key-value service; an older one never replaces it.
+    pub stored: SequenceNumber,
     /// Start of the upstream, in Unix milliseconds of its own clock; only compared for equality.
     pub born: u64,
     /// Service that it belongs to.
@@ -39,6 +44,50 @@
     pub holdings: Option<EngineHoldings>,
 }
 
+impl UpstreamEntry {
+    /// Adds the revision of the registration.
+    pub fn with_stored(self, stored: SequenceNumber) -> Self {
+        Self { stored, ..self }
+    }
+
+    /// Returns what entries need to know.
+    pub fn listing(&self) -> UpstreamListing {
+        UpstreamListing {
+            upstream: self.id.clone(),
+            stored: self.stored,
+            born: self.born,
+            service: self.service.clone(),
+            address: self.address,
+            domain: self.domain.clone(),
+            slots: self.slots,
+            is_ready: self.state == UpstreamState::Ready,
+            has_engine: self.holdings.is_some(),
+            cold: self.cold,
+        }
+    }
+}
+
+impl From<UpstreamListing> for UpstreamEntry {
+    fn from(listing: UpstreamListing) -> Self {
+        let state = match listing.is_ready {
+            true => UpstreamState::Ready,
+            false => UpstreamState::Draining { remaining: None },
+        };
+        Self {
+            id: listing.upstream,
+            stored: listing.stored,
+            born: listing.born,
+            service: listing.service,
+            address: listing.address,
+            domain: listing.domain,
+            state,
+            slots: listing.slots,
+            cold: listing.cold,
+            holdings: listing.has_engine.then(EngineHoldings::default),
+        }
+    }
+}
+
 /// Models that an engine holds, in each tier.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EngineHoldings {
--- a/crates/gentian-decide/src/serving/upstream_row.rs
+++ b/crates/gentian-decide/src/serving/upstream_row.rs
@@ -3,7 +3,7 @@
 use gentian_core::peer::{HoldingRow, TargetId, UpstreamWork};
 use gentian_core::{MonoTime, TimeSpan};
 
-use super::{AttemptEnd, ColdGate, UpstreamEntry, UpstreamState};
+use super::{AttemptEnd, ColdGate, EngineHoldings, UpstreamEntry, UpstreamState};
 
 /// Time for which an upstream is passed over after a connection failed.
 const UNREACHABLE_PAUSE: TimeSpan = TimeSpan::from_millis(1_000);
@@ -17,6 +17,8 @@
 pub struct UpstreamRow {
     /// Its registration.
     pub entry: UpstreamEntry,
+    /// Whether its registration is still there.
+    pub is_listed: bool,
     /// What the hub knows of its models; preferred to the registration, which lags.
     pub holding: Option<HoldingRow>,
     /// Work of this entry.
@@ -37,6 +39,7 @@
         let cold_until = now + entry.cold;
         Self {
             entry,
+            is_listed: true,
             holding: None,
             own: UpstreamWork::default(),
             others: UpstreamWork::default(),
@@ -49,7 +52,13 @@
     }
 
     /// Takes a newer registration of the same start over.
-    pub fn update(&mut self, entry: UpstreamEntry, now: MonoTime) {
+    pub fn update(&mut self, mut entry: UpstreamEntry, now: MonoTime) {
+        let is_listing = entry.holdings == Some(EngineHoldings::default());
+        if is_listing {
+            // The hub tells of models apart from registrations.
+            entry.holdings = self.entry.holdings.take();
+        }
+        self.is_listed = true;
         if entry.cold > TimeSpan::ZERO {
             self.cold_until = self.cold_until.max(now + entry.cold);
         }
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 
 use gentian_config::serving::{ServiceSpec, ServingConfig};
-use gentian_core::peer::{HoldingRow, UpstreamWork};
-use gentian_core::{DomainId, FastMap, FastSet, InstanceId, MonoTime, UpstreamId};
+use gentian_core::peer::{HoldingRow, UpstreamListing, UpstreamWork};
+use gentian_core::{DomainId, FastMap, FastSet, InstanceId, MonoTime, SequenceNumber, UpstreamId};
 use rustc_hash::FxHasher;
 
-use super::{AttemptEnd, ServingBounds, ServingCall, UpstreamEntry, UpstreamRow};
+use super::{AttemptEnd, ServingBounds, ServingCall, UpstreamEntry, UpstreamRow, UpstreamState};
 
 /// Weights of the choice, in prompt tokens that would delay a request as much.
 const RUNNING_WEIGHT: f64 = 60.0;
@@ -82,21 +82,40 @@
         self.rank = (rank, entries);
     }
 
-    /// Takes the whole list of registrations over; returns the addresses in use.
-    pub fn take_entries(&mut self, entries: Vec<UpstreamEntry>, now: MonoTime) {
+    /// Takes the whole list of registrations over, as it was at `revision` of the service.
+    pub fn take_entries(
+        &mut self,
+        entries: Vec<UpstreamEntry>,
+        revision: SequenceNumber,
+        now: MonoTime,
+    ) {
         let listed: FastSet<UpstreamId> = entries.iter().map(|entry| entry.id.clone()).collect();
-        self.rows.retain(|id, row| listed.contains(id) || row.own.running > 0);
         for (id, row) in &mut self.rows {
-            if !listed.contains(id) {
-                row.entry.state = super::UpstreamState::Draining { remaining: None };
+            // A listing of the hub may be newer than the whole list.
+            if !listed.contains(id) && row.entry.stored <= revision {
+                row.entry.state = UpstreamState::Draining { remaining: None };
+                row.is_listed = false;
             }
         }
         for entry in entries {
-            match self.rows.get_mut(&entry.id) {
-                Some(row) if row.entry.born == entry.born => row.update(entry, now),
-                _ => {
-                    self.rows.insert(entry.id.clone(), UpstreamRow::new(entry, now));
-                }
+            self.take_entry(entry, now);
+        }
+        self.rows.retain(|_, row| row.is_listed || row.own.running > 0);
+    }
+
+    /// Takes listings of the hub in.
+    pub fn take_listings(&mut self, listings: Vec<UpstreamListing>, now: MonoTime) {
+        for listing in listings {
+            self.take_entry(listing.into(), now);
+        }
+    }
+
+    fn take_entry(&mut self, entry: UpstreamEntry, now: MonoTime) {
+        match self.rows.get_mut(&entry.id) {
+            Some(row) if entry.stored < row.entry.stored => {}
+            Some(row) if row.entry.born == entry.born => row.update(entry, now),
+            _ => {
+                self.rows.insert(entry.id.clone(), UpstreamRow::new(entry, now));
             }
         }
     }
--- a/crates/gentian-gateway/src/control/control_event.rs
+++ b/crates/gentian-gateway/src/control/control_event.rs
@@ -2,7 +2,7 @@
 
 use flume::Sender;
 use gentian_core::peer::FleetMessage;
-use gentian_core::{MonoTime, RequestId, UpstreamId};
+use gentian_core::{MonoTime, RequestId, SequenceNumber, UpstreamId};
 use gentian_decide::orders::{EngineOrder, EngineStateReport, LeaseReply, OrderReply};
 use gentian_decide::request::Refusal;
 use gentian_decide::serving::{AttemptEnd, ServingCall, UpstreamPick};
@@ -27,8 +27,8 @@
         /// Whether these are all records.
         is_whole: bool,
     },
-    /// All registrations of upstreams.
-    Upstreams(Vec<StoredValue>),
+    /// All registrations of upstreams, as they were at this revision.
+    Upstreams(Vec<StoredValue>, SequenceNumber),
     /// All records of the system itself.
     Own(Vec<StoredValue>),
 }
--- a/crates/gentian-gateway/src/control/control_state.rs
+++ b/crates/gentian-gateway/src/control/control_state.rs
@@ -1,12 +1,12 @@
 //! What the control thread keeps.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 use arc_swap::ArcSwap;
 use flume::Sender;
 use gentian_config::serving::ServingConfig;
-use gentian_core::{FastMap, FastSet, FenceNumber, InstanceId, RequestId, VmId};
+use gentian_core::{FastMap, FastSet, FenceNumber, InstanceId, MonoTime, RequestId, VmId};
 use gentian_decide::orders::{FleetPlanner, HolderLease, LeaseTask};
 use gentian_decide::serving::{CallDesk, FleetHub, HubLink, ServingBounds, UpstreamTable};
 use gentian_process::PeerSocket;
@@ -14,7 +14,7 @@
 use super::CallAssignment;
 use crate::FleetDialect;
 use crate::gateway_metrics::GatewayMetrics;
-use crate::io::EngineCalls;
+use crate::io::{EngineCalls, MemberEntry};
 
 /// What traffic threads read of the control state.
 #[derive(Clone, Debug, Default)]
@@ -34,6 +34,10 @@
     pub(crate) planner: FleetPlanner,
     /// Fencing number of its lease.
     pub(crate) fence: FenceNumber,
+    /// When orders were last decided.
+    pub(crate) planned: MonoTime,
+    /// When orders are decided again, if something happened since.
+    pub(crate) plan_due: Option<MonoTime>,
 }
 
 /// What the control state is made of.
@@ -47,6 +51,7 @@
     pub(crate) socket: PeerSocket,
     pub(crate) lease_tasks: Sender<LeaseTask>,
     pub(crate) engines: EngineCalls,
+    pub(crate) is_told: Arc<AtomicBool>,
     pub(crate) metrics: GatewayMetrics,
 }
 
@@ -72,12 +77,14 @@
     pub(crate) hub: Option<HubState>,
     /// Lease of the hub.
     pub(crate) lease: HolderLease,
-    /// Whether no holder of the lease is known.
-    pub(crate) is_vacant: bool,
     /// Whether this process was asked to stop.
     pub(crate) is_stopping: bool,
-    /// Datagram ports of the entries.
-    pub(crate) members: FastMap<VmId, SocketAddr>,
+    /// The entries.
+    pub(crate) members: FastMap<VmId, MemberEntry>,
+    /// Since when no holder of the lease is known.
+    pub(crate) vacant_since: Option<MonoTime>,
+    /// Set while the hub tells of changes.
+    pub(crate) is_told: Arc<AtomicBool>,
     /// The hub that is asked, with its fencing number.
     pub(crate) known_hub: Option<(VmId, FenceNumber)>,
     /// Failure domains that operators took out.
@@ -110,7 +117,8 @@
             config: Arc::default(),
             table: parts.table,
             hub: None,
-            is_vacant: false,
+            vacant_since: None,
+            is_told: parts.is_told,
             is_stopping: false,
             members: FastMap::default(),
             known_hub: None,
--- a/crates/gentian-gateway/src/control/control_thread.rs
+++ b/crates/gentian-gateway/src/control/control_thread.rs
@@ -35,7 +35,9 @@
 }
 
 fn next_due(state: &ControlState, now: MonoTime) -> MonoTime {
-    let planner = state.hub.as_ref().and_then(|hub| hub.planner.due(now));
-    let dues = [state.desk.due(), planner, Some(state.link.due(&state.desk))];
+    let hub = state.hub.as_ref();
+    let calls = hub.and_then(|hub| hub.planner.due(now));
+    let plan = hub.and_then(|hub| hub.plan_due);
+    let dues = [state.desk.due(), calls, plan, Some(state.link.due(&state.desk))];
     dues.into_iter().flatten().min().unwrap_or(now + IDLE_WAIT)
 }
--- a/crates/gentian-gateway/src/control/hub_controller.rs
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -1,12 +1,17 @@
 //! Controllers: the entries of the fleet, the exchange with the hub, and the work of the hub.
 
+use std::sync::atomic::Ordering;
+
 use gentian_core::peer::{EntryDigest, FleetMessage, HubAnnounce};
-use gentian_core::{EventCode, FenceNumber, MonoTime, VmId};
+use gentian_core::{EventCode, FenceNumber, MonoTime, TimeSpan, VmId};
 use gentian_decide::orders::EngineCall;
 
 use super::{ControlEvent, ControlState, StoreChange};
 use crate::io::{OwnRecord, read_own_record};
 
+/// Time between two rounds of planning, but for the answers of engines.
+const PLAN_EVERY: TimeSpan = TimeSpan::from_millis(15);
+
 /// Follows the records of the entries and of the holder of the lease.
 pub(super) fn follow_members(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
     let ControlEvent::Store(StoreChange::Own(values)) = event else { return };
@@ -15,8 +20,8 @@
     let mut members = gentian_core::FastMap::default();
     for value in values {
         match read_own_record(&prefix, value) {
-            Some(OwnRecord::Member(vm, address)) => {
-                members.insert(vm, address);
+            Some(OwnRecord::Member(member)) => {
+                members.insert(member.vm.clone(), member);
             }
             Some(OwnRecord::Holder(record)) => {
                 holder = Some((record.vm, FenceNumber::new(value.revision.get())));
@@ -34,7 +39,11 @@
         state.table.note_rank(rank, u32::try_from(names.len()).unwrap_or(u32::MAX));
     }
     state.members = members;
-    state.is_vacant = holder.is_none();
+    state.link.note_entries(state.members.len());
+    state.vacant_since = match holder {
+        Some(_) => None,
+        None => state.vacant_since.or(Some(now)),
+    };
     if let Some((vm, fence)) = holder {
         note_hub(state, vm, fence);
     }
@@ -63,12 +72,14 @@
     if state.link.check_silence(all, &mut state.desk, &mut state.table, now) {
         log::warn!("{} entries={all}", EventCode::HUB_SILENT);
     }
+    let is_told = state.hub.is_none() && state.link.has_fresh_listings();
+    state.is_told.store(is_told, Ordering::Release);
     let Some((vm, _)) = state.known_hub.clone() else { return };
     let Some(digest) = state.link.make_digest(&mut state.desk, now) else { return };
     if vm == state.vm {
         take_digest(state, digest, now);
-    } else if let Some(address) = state.members.get(&vm) {
-        state.socket.send(&FleetMessage::Digest(digest), *address);
+    } else if let Some(member) = state.members.get(&vm) {
+        state.socket.send(&FleetMessage::Digest(digest), member.address);
     }
 }
 
@@ -95,6 +106,13 @@
         }
         _ => {}
     }
+    let is_answer = matches!(event, ControlEvent::Order(..) | ControlEvent::Report(..));
+    if !is_answer && now.since(hub.planned) < PLAN_EVERY {
+        hub.plan_due = Some(hub.planned + PLAN_EVERY);
+        return;
+    }
+    hub.planned = now;
+    hub.plan_due = None;
     let uses = hub.hub.target_uses(now);
     let fence = state.lease.acting_fence(now);
     let calls = hub.planner.decide(&uses, &state.table, fence, now);
@@ -130,8 +148,8 @@
     if *vm == state.vm {
         let all = state.fleet_size();
         state.link.take_tally(tally, all, &mut state.desk, &mut state.table, now);
-    } else if let Some(address) = state.members.get(vm) {
-        state.socket.send(&FleetMessage::Tally(tally), *address);
+    } else if let Some(member) = state.members.get(vm) {
+        state.socket.send(&FleetMessage::Tally(tally), member.address);
     }
 }
 
@@ -144,6 +162,7 @@
         log::info!("{} vm={} successor={vm}", EventCode::SEAT_LOST, state.vm);
     }
     state.known_hub = Some((vm, fence));
+    state.vacant_since = None;
 }
 
 fn log_call(call: &EngineCall) {
--- a/crates/gentian-gateway/src/control/lease_controller.rs
+++ b/crates/gentian-gateway/src/control/lease_controller.rs
@@ -3,18 +3,27 @@
 use std::sync::Arc;
 
 use gentian_core::peer::{FleetMessage, HubAnnounce};
-use gentian_core::{EventCode, MonoTime};
-use gentian_decide::orders::FleetPlanner;
+use gentian_core::{EventCode, MonoTime, TimeSpan};
+use gentian_decide::orders::{FleetPlanner, LeaseReply};
 use gentian_decide::serving::FleetHub;
 
 use super::control_state::HubState;
 use super::{ControlEvent, ControlState};
 
+/// Capacity against the largest one from which an entry takes a vacant lease at once.
+const CAPABLE_PERCENT: u64 = 80;
+/// Time after which any entry takes a vacant lease.
+const LESSER_WAIT: TimeSpan = TimeSpan::from_millis(2_500);
+
 /// Takes, renews and gives up the lease.
 pub(super) fn keep_lease(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
     match event {
         ControlEvent::Lease(reply, sent) => {
             let was_held = state.lease.is_held();
+            if *reply == LeaseReply::Lost {
+                // Somebody holds it; the next read of the records tells who.
+                state.vacant_since = None;
+            }
             if state.lease.take_reply(*reply, *sent) {
                 become_hub(state, now);
             } else if was_held && !state.lease.is_held() {
@@ -35,13 +44,22 @@
     if state.is_stopping {
         return;
     }
-    let has_config = state.config.version.get() > 0;
-    let is_vacant = state.is_vacant && has_config;
-    if let Some(task) = state.lease.next_task(is_vacant, now) {
+    if let Some(task) = state.lease.next_task(may_take(state, now), now) {
         send_task(state, task);
     }
 }
 
+/// Tells whether this entry may take a vacant lease: one of the most capable entries at once, since
+/// the hub's work grows with the fleet, any other one when none of these has taken it for a while.
+fn may_take(state: &ControlState, now: MonoTime) -> bool {
+    let Some(vacant_since) = state.vacant_since else { return false };
+    let Some(own) = state.members.get(&state.vm) else { return false };
+    let most = state.members.values().map(|member| member.capacity).max().unwrap_or(0);
+    let is_capable = u64::from(own.capacity) * 100 >= u64::from(most) * CAPABLE_PERCENT;
+    let has_config = state.config.version.get() > 0;
+    has_config && (is_capable || now.since(vacant_since) > LESSER_WAIT)
+}
+
 fn send_task(state: &ControlState, task: gentian_decide::orders::LeaseTask) {
     if state.lease_tasks.send(task).is_err() {
         log::error!("the lease thread ended before the control thread");
@@ -54,10 +72,12 @@
     let config = Arc::clone(&state.config);
     let mut planner = FleetPlanner::new(config, state.bounds.load_window);
     planner.sync(&state.table, now);
-    state.hub = Some(HubState { hub: FleetHub::new(state.instance), planner, fence });
+    let hub = FleetHub::new(state.instance);
+    let planned = MonoTime::ORIGIN;
+    state.hub = Some(HubState { hub, planner, fence, planned, plan_due: None });
     state.known_hub = Some((state.vm.clone(), fence));
     let announce = FleetMessage::Announce(HubAnnounce { vm: state.vm.clone(), fence });
-    for address in state.members.iter().filter(|(vm, _)| **vm != state.vm).map(|it| it.1) {
-        state.socket.send(&announce, *address);
+    for member in state.members.values().filter(|member| member.vm != state.vm) {
+        state.socket.send(&announce, member.address);
     }
 }
--- a/crates/gentian-gateway/src/control/upstream_controller.rs
+++ b/crates/gentian-gateway/src/control/upstream_controller.rs
@@ -9,12 +9,12 @@
 
 /// Follows the registrations of upstreams.
 pub(super) fn follow_upstreams(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
-    let ControlEvent::Store(StoreChange::Upstreams(values)) = event else { return };
+    let ControlEvent::Store(StoreChange::Upstreams(values, revision)) = event else { return };
     let mut entries = Vec::new();
     for value in values {
         let Some(bytes) = &value.value else { continue };
         match (state.dialect.read_upstream)(&value.key, bytes) {
-            Ok(entry) => entries.push(entry),
+            Ok(entry) => entries.push(entry.with_stored(value.revision)),
             Err(error) => {
                 log::debug!("registration {} passed over: {error:#}", value.key);
             }
@@ -22,7 +22,10 @@
     }
     log_changes(state, &entries);
     let has_upstreams = !entries.is_empty();
-    state.table.take_entries(entries, now);
+    if let Some(hub) = &mut state.hub {
+        hub.hub.take_listings(entries.iter().map(UpstreamEntry::listing), now);
+    }
+    state.table.take_entries(entries, *revision, now);
     if let Some(hub) = &mut state.hub {
         hub.planner.sync(&state.table, now);
         let planner = &hub.planner;
--- a/crates/gentian-gateway/src/gateway_process.rs
+++ b/crates/gentian-gateway/src/gateway_process.rs
@@ -18,8 +18,8 @@
 use crate::front::{ClientFront, serve_client, serve_readiness};
 use crate::gateway_metrics::GatewayMetrics;
 use crate::io::{
-    EngineCalls, LeaseWorker, RecordFollower, start_lease_worker, start_operator_watch,
-    start_own_reader, start_upstream_reader,
+    EngineCalls, LeaseWorker, MemberEntry, RecordFollower, start_lease_worker,
+    start_operator_watch, start_own_reader, start_upstream_reader,
 };
 use crate::{FleetDialect, GatewaySettings};
 
@@ -53,6 +53,7 @@
     let metrics = GatewayMetrics::new()?;
     let connections = ConnectionPool::new(clock);
     let (ended, closing) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+    let is_told = Arc::new(AtomicBool::new(false));
     let (control, events) = flume::unbounded();
     let (lease_tasks, tasks) = flume::unbounded();
     let socket = PeerSocket::new(settings.peer, settings.cluster_key.clone())?;
@@ -81,6 +82,7 @@
         socket: socket.clone(),
         lease_tasks,
         engines,
+        is_told: Arc::clone(&is_told),
         metrics: metrics.clone(),
     });
     let mut threads: Vec<JoinHandle<()>> = Vec::new();
@@ -98,8 +100,13 @@
         metrics: metrics.clone(),
     };
     threads.push(start_lease_worker(worker, tasks, control.clone(), clock)?);
-    let (events, ends) = (control.clone(), Arc::clone(&ended));
-    let follower = RecordFollower { service, events, ended: ends, metrics: metrics.clone() };
+    let follower = RecordFollower {
+        service,
+        events: control.clone(),
+        ended: Arc::clone(&ended),
+        is_told,
+        metrics: metrics.clone(),
+    };
     threads.extend(start_followers(&settings, &dialect, follower, clock)?);
     threads.extend(start_admin(&settings, &view, &metrics, &signal, &ended));
     let (ready_view, stopping) = (Arc::clone(&view), signal.mark());
@@ -176,11 +183,16 @@
     clock: ProcessClock,
 ) -> eyre::Result<Vec<JoinHandle<()>>> {
     let records = &dialect.records;
-    let (vm, own) = (settings.vm.clone(), records.own_prefix.clone());
+    let member = MemberEntry {
+        vm: settings.vm.clone(),
+        address: settings.peer,
+        capacity: settings.capacity,
+    };
+    let own = records.own_prefix.clone();
     Ok(vec![
         start_operator_watch(follower.clone(), records.operator_prefix.clone())?,
         start_upstream_reader(follower.clone(), records.upstream_prefix.clone())?,
-        start_own_reader(follower, own, vm, settings.peer, clock)?,
+        start_own_reader(follower, own, member, clock)?,
     ])
 }
 
--- a/crates/gentian-gateway/src/gateway_settings.rs
+++ b/crates/gentian-gateway/src/gateway_settings.rs
@@ -23,6 +23,8 @@
     pub admin: SocketAddr,
     /// Key that the processes share.
     pub cluster_key: ClusterKey,
+    /// Processor that the process may use, in thousandths of a core.
+    pub capacity: u32,
     /// Most open connections of callers.
     pub connection_limit: usize,
     /// Promised bounds.
--- a/crates/gentian-gateway/src/io/mod.rs
+++ b/crates/gentian-gateway/src/io/mod.rs
@@ -7,7 +7,7 @@
 
 pub(crate) use engine_calls::EngineCalls;
 pub(crate) use lease_worker::{LeaseWorker, start_lease_worker};
-pub(crate) use own_records::{OwnRecord, read_own_record, write_member};
+pub(crate) use own_records::{MemberEntry, OwnRecord, read_own_record, write_member};
 pub(crate) use record_follower::{
     RecordFollower, start_operator_watch, start_own_reader, start_upstream_reader,
 };
--- a/crates/gentian-gateway/src/io/own_records.rs
+++ b/crates/gentian-gateway/src/io/own_records.rs
@@ -6,7 +6,7 @@
 use gentian_decide::orders::HolderRecord;
 use gentian_process::{KeyValueService, ServiceError, StoredValue, ValueChange, WriteCondition};
 use gentian_wire::{decode_record, encode_record};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 const MEMBER_DIR: &str = "entries/";
 const HOLDER_KEY: &str = "holder";
@@ -14,11 +14,22 @@
 const MEMBER_LIFE: TimeSpan = TimeSpan::from_secs(600);
 const PAST_KEY: &str = "past-holder";
 
+/// An entry, as the others see it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct MemberEntry {
+    /// VM of the entry.
+    pub(crate) vm: VmId,
+    /// Its datagram port.
+    pub(crate) address: SocketAddr,
+    /// Processor that it may use, in thousandths of a core.
+    pub(crate) capacity: u32,
+}
+
 /// A record of the system itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) enum OwnRecord {
-    /// An entry with its datagram port.
-    Member(VmId, SocketAddr),
+    /// An entry.
+    Member(MemberEntry),
     /// The holder of the lease; gone when the lease ends.
     Holder(HolderRecord),
     /// The last holder, whether its lease has ended or not.
@@ -32,10 +43,8 @@
     match name {
         HOLDER_KEY => decode_record(bytes).ok().map(OwnRecord::Holder),
         PAST_KEY => Some(OwnRecord::Past),
-        _ => {
-            let vm = name.strip_prefix(MEMBER_DIR)?.parse().ok()?;
-            Some(OwnRecord::Member(vm, decode_record(bytes).ok()?))
-        }
+        _ if name.starts_with(MEMBER_DIR) => decode_record(bytes).ok().map(OwnRecord::Member),
+        _ => None,
     }
 }
 
@@ -47,11 +56,10 @@
 pub(crate) fn write_member(
     service: &KeyValueService,
     prefix: &str,
-    vm: &VmId,
-    address: SocketAddr,
+    member: &MemberEntry,
 ) -> Result<(), ServiceError> {
-    let value = encode(&address)?;
-    let key = format!("{prefix}{MEMBER_DIR}{vm}");
+    let value = encode(member)?;
+    let key = format!("{prefix}{MEMBER_DIR}{}", member.vm);
     service.write(&[], &[ValueChange::Put { key, value, life: Some(MEMBER_LIFE) }])?;
     Ok(())
 }
--- a/crates/gentian-gateway/src/io/record_follower.rs
+++ b/crates/gentian-gateway/src/io/record_follower.rs
@@ -1,24 +1,25 @@
 //! Threads that follow records of the key-value service.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
 use flume::Sender;
-use gentian_core::{EventCode, SequenceNumber, TimeSpan, VmId};
+use gentian_core::{EventCode, SequenceNumber, TimeSpan};
 use gentian_http::ProcessClock;
 use gentian_process::{KeyValueService, ServiceError};
 
-use super::write_member;
+use super::{MemberEntry, write_member};
 use crate::control::{ControlEvent, StoreChange};
 use crate::gateway_metrics::GatewayMetrics;
 
-/// Time between two reads of the registrations of upstreams.
+/// Time between two reads of the registrations of upstreams, and of the system's own records.
 const UPSTREAM_EVERY: Duration = Duration::from_millis(400);
-/// Time between two reads of the system's own records.
 const OWN_EVERY: Duration = Duration::from_millis(700);
+/// Reads of each that are left out while the hub tells of changes.
+const UPSTREAM_SKIPS: u32 = 12;
+const OWN_SKIPS: u32 = 4;
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 /// Time between two writes of this entry's record, well within its life.
@@ -33,6 +34,8 @@
     pub(crate) events: Sender<ControlEvent>,
     /// Set when the threads are to end.
     pub(crate) ended: Arc<AtomicBool>,
+    /// Set while the hub tells of changes, so that own reads are seldom needed.
+    pub(crate) is_told: Arc<AtomicBool>,
     /// Metrics.
     pub(crate) metrics: GatewayMetrics,
 }
@@ -48,6 +51,17 @@
         self.ended.load(Ordering::Acquire)
     }
 
+    /// Waits until the next read is due: one `span`, or `skips` more while the hub tells of changes.
+    fn wait_read(&self, span: Duration, skips: u32) {
+        std::thread::sleep(span);
+        for _ in 0..skips {
+            if !self.is_told.load(Ordering::Acquire) || self.is_ended() {
+                return;
+            }
+            std::thread::sleep(span);
+        }
+    }
+
     fn send(&self, change: StoreChange) {
         if self.events.send(ControlEvent::Store(change)).is_err() {
             log::debug!("the control thread has ended");
@@ -136,7 +150,8 @@
 }
 
 /// Reads the registrations of upstreams at a steady pace, by reads that may be a little old: each
-/// upstream writes again at every heartbeat, so a watch would cost a call for each.
+/// upstream writes again at every heartbeat, so a watch would cost a call for each. While the hub
+/// tells of changes, only the hub itself reads often.
 ///
 /// # Errors
 ///
@@ -154,9 +169,9 @@
                 && revision >= newest
             {
                 newest = revision;
-                follower.send(StoreChange::Upstreams(values));
+                follower.send(StoreChange::Upstreams(values, revision));
             }
-            std::thread::sleep(UPSTREAM_EVERY);
+            follower.wait_read(UPSTREAM_EVERY, UPSTREAM_SKIPS);
         }
     })
 }
@@ -169,8 +184,7 @@
 pub(crate) fn start_own_reader(
     follower: RecordFollower,
     prefix: String,
-    vm: VmId,
-    address: SocketAddr,
+    member: MemberEntry,
     clock: ProcessClock,
 ) -> eyre::Result<JoinHandle<()>> {
     follower.spawn("own-records", move |follower| {
@@ -181,7 +195,7 @@
         while !follower.is_ended() {
             let now = clock.now();
             if written.is_none_or(|time| now.since(time) > MEMBER_EVERY) {
-                let write = write_member(&follower.service, &prefix, &vm, address);
+                let write = write_member(&follower.service, &prefix, &member);
                 written = write_contact.note(&follower.metrics, write).map(|()| now).or(written);
             }
             let read = follower.service.read_stale(&prefix);
@@ -191,7 +205,7 @@
                 newest = revision;
                 follower.send(StoreChange::Own(values));
             }
-            std::thread::sleep(OWN_EVERY);
+            follower.wait_read(OWN_EVERY, OWN_SKIPS);
         }
     })
 }
--- a/crates/gentian-http/src/forward/wire_stream.rs
+++ b/crates/gentian-http/src/forward/wire_stream.rs
@@ -16,7 +16,7 @@
 const SILENT_LIMIT: Duration = Duration::from_millis(3_000);
 /// Idle time before a probe, and time between probes, that find a peer without power.
 const PROBE_TIME: Duration = Duration::from_secs(1);
-const PROBE_COUNT: u32 = 3;
+const PROBE_COUNT: u32 = 2;
 
 /// What a wait for two peers ended with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
