News of an upstream carries its own revision

Ruled out: a late read of the hub (it knew after 0.15 s), a lost link. The test a_drain_carries_its_own_revision fails on the code of before.

--- a/crates/gentian-decide/src/serving/fleet_hub.rs
+++ b/crates/gentian-decide/src/serving/fleet_hub.rs
@@ -154,8 +154,14 @@
         self.revision > before
     }
 
-    /// Takes the registrations over that were just read; only those that differ are sent again.
-    pub fn take_listings(&mut self, rows: impl Iterator<Item = UpstreamListing>, now: MonoTime) {
+    /// Takes the registrations over that were just read, as they were at `revision` of the service;
+    /// only those that differ are sent again.
+    pub fn take_listings(
+        &mut self,
+        rows: impl Iterator<Item = UpstreamListing>,
+        revision: SequenceNumber,
+        now: MonoTime,
+    ) {
         self.listed = now;
         let mut gone: FastSet<UpstreamId> = self.listings.keys().cloned().collect();
         for listing in rows {
@@ -169,7 +175,8 @@
         }
         for upstream in gone {
             if let Some(known) = self.listings.get(&upstream) {
-                let listing = UpstreamListing { is_ready: false, ..known.clone() };
+                let stored = if known.is_ready { revision } else { known.stored };
+                let listing = UpstreamListing { is_ready: false, stored, ..known.clone() };
                 self.listings.set(upstream, listing, &mut self.revision);
             }
         }
@@ -244,14 +251,15 @@
     }
 }
 
-/// Keeps what differs at every heartbeat as it was: the time for which an upstream stays cold.
+/// Keeps a listing as it was if only what differs at every heartbeat has changed: the time for which
+/// an upstream stays cold, and the revision.
 fn settle_listing(known: &UpstreamListing, listing: UpstreamListing) -> UpstreamListing {
     let is_cold = |listing: &UpstreamListing| listing.cold > TimeSpan::ZERO;
     let is_same_start = known.born == listing.born && is_cold(known) == is_cold(&listing);
-    match is_same_start {
-        true => UpstreamListing { cold: known.cold, stored: known.stored, ..listing },
-        false => listing,
-    }
+    let cold = if is_same_start { known.cold } else { listing.cold };
+    let listing = UpstreamListing { cold, ..listing };
+    let is_same = UpstreamListing { stored: known.stored, ..listing.clone() } == *known;
+    if is_same { known.clone() } else { listing }
 }
 
 fn find_spent(digest: &EntryDigest, organisation: &OrganisationId) -> u64 {
--- /dev/null
+++ b/crates/gentian-decide/tests/fleet_hub.rs
@@ -0,0 +1,75 @@
+//! What the hub tells entries of upstreams.
+
+use gentian_core::peer::{EntryDigest, FleetTally, UpstreamListing};
+use gentian_core::{FenceNumber, InstanceId, MonoTime, SequenceNumber, SlotCount, TimeSpan, VmId};
+use gentian_decide::serving::FleetHub;
+
+const NOW: MonoTime = MonoTime::from_millis(10_000);
+
+fn listing(stored: u64) -> UpstreamListing {
+    UpstreamListing {
+        upstream: "engine-1".parse().unwrap(),
+        stored: SequenceNumber::new(stored),
+        born: 7,
+        service: "advice".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        domain: "north".parse().unwrap(),
+        slots: SlotCount::new(4),
+        is_ready: true,
+        has_engine: false,
+        cold: TimeSpan::ZERO,
+    }
+}
+
+fn ask(hub: &mut FleetHub, sequence: u64, known: u64) -> FleetTally {
+    let vm: VmId = "vm-1".parse().unwrap();
+    let digest = EntryDigest {
+        vm: vm.clone(),
+        instance: InstanceId::new(1),
+        sequence: SequenceNumber::new(sequence),
+        known: (InstanceId::new(9), SequenceNumber::new(known)),
+        spent: Vec::new(),
+        work: None,
+        demands: Vec::new(),
+    };
+    assert!(hub.take_digest(digest, NOW));
+    hub.make_tally(&vm, FenceNumber::new(1), NOW).unwrap()
+}
+
+fn hub_with(listings: impl Iterator<Item = UpstreamListing>) -> FleetHub {
+    let mut hub = FleetHub::new(InstanceId::new(9));
+    hub.take_listings(listings, SequenceNumber::new(10), NOW);
+    hub
+}
+
+#[test]
+fn heartbeats_are_not_told_again() {
+    let mut hub = hub_with([listing(3)].into_iter());
+    let first = ask(&mut hub, 1, 0);
+    assert_eq!(first.listings.len(), 1);
+    hub.take_listings([listing(8)].into_iter(), SequenceNumber::new(11), NOW);
+    let second = ask(&mut hub, 2, first.revision.get());
+    assert!(second.listings.is_empty());
+}
+
+/// An entry may have read a later heartbeat by itself: the news must be newer than that.
+#[test]
+fn a_drain_carries_its_own_revision() {
+    let mut hub = hub_with([listing(3)].into_iter());
+    let first = ask(&mut hub, 1, 0);
+    let draining = UpstreamListing { is_ready: false, ..listing(20) };
+    hub.take_listings([draining].into_iter(), SequenceNumber::new(21), NOW);
+    let second = ask(&mut hub, 2, first.revision.get());
+    assert_eq!(second.listings[0].stored, SequenceNumber::new(20));
+    assert!(!second.listings[0].is_ready);
+}
+
+#[test]
+fn a_removal_carries_the_revision_of_the_list() {
+    let mut hub = hub_with([listing(3)].into_iter());
+    let first = ask(&mut hub, 1, 0);
+    hub.take_listings(std::iter::empty(), SequenceNumber::new(30), NOW);
+    let second = ask(&mut hub, 2, first.revision.get());
+    assert_eq!(second.listings[0].stored, SequenceNumber::new(30));
+    assert!(!second.listings[0].is_ready);
+}
--- a/crates/gentian-gateway/src/control/upstream_controller.rs
+++ b/crates/gentian-gateway/src/control/upstream_controller.rs
@@ -23,7 +23,8 @@
     log_changes(state, &entries);
     let has_upstreams = !entries.is_empty();
     if let Some(hub) = &mut state.hub {
-        hub.hub.take_listings(entries.iter().map(UpstreamEntry::listing), now);
+        let listings = entries.iter().map(UpstreamEntry::listing);
+        hub.hub.take_listings(listings, *revision, now);
     }
     state.table.take_entries(entries, *revision, now);
     if let Some(hub) = &mut state.hub {
