--- a/crates/gentian-decide/src/serving/quota_limit.rs
+++ b/crates/gentian-decide/src/serving/quota_limit.rs
@@ -7,7 +7,7 @@
 
 /// Part of the allowed excess that is used, so that a request within the rate is never refused; the
 /// rest covers what other entries use before the hub has told of it.
-const EXCESS_PART: f64 = 0.3;
+const EXCESS_PART: f64 = 0.6;
 
 /// Tokens, or requests, that an organisation may use within any window over all entries.
 #[derive(Clone, Copy, Debug, PartialEq)]
