--- a/crates/gentian-core/src/event_code.rs
+++ b/crates/gentian-core/src/event_code.rs
@@ -53,6 +53,7 @@
     1003 PROCESS_STOPPED "process-stopped": "A process has joined its threads and ends."; "None."
     1004 SETTINGS_REFUSED "settings-refused": "The settings file has faults."; "Mend the listed lines and start again."
     1005 LOG_DROPPED "log-dropped": "More lines than a process writes in a second; the number of dropped ones is given."; "Find the flood by the metrics."
+    1006 SETTINGS_READ "settings-read": "The settings were read again and have no faults; the next start takes them over."; "None."
     1101 REQUEST_ADMITTED "request-admitted": "The filters accepted a request and reserved its tokens."; "None."
     1102 REQUEST_REFUSED "request-refused": "A filter refused a request; the reason and whether it ran are given."; "See the reason in OPERATIONS.md."
     1103 REQUEST_ROUTED "request-routed": "A request was given to an upstream."; "None."
--- a/crates/gentian-decide/src/serving/call_desk.rs
+++ b/crates/gentian-decide/src/serving/call_desk.rs
@@ -98,6 +98,13 @@
         }
     }
 
+    /// Takes it that other entries used their part since the last count.
+    pub fn note_gap(&mut self, organisation: &OrganisationId, now: MonoTime) {
+        if let Some(gate) = self.quotas.get_mut(organisation) {
+            gate.note_gap(now);
+        }
+    }
+
     /// Returns the tokens spent at this entry, by organisation.
     pub fn spent(&self) -> Vec<(OrganisationId, u64)> {
         let spent = self.quotas.iter().map(|(id, gate)| (id.clone(), gate.spent()));
--- a/crates/gentian-decide/src/serving/hub_link.rs
+++ b/crates/gentian-decide/src/serving/hub_link.rs
@@ -105,12 +105,13 @@
         self.heard = Some(now);
         self.listing_age = tally.listing_age;
         for (organisation, total) in &tally.spent {
-            // The first count of a hub is only a base: what was spent before is covered by the part
-            // of the rate that this entry kept to.
-            let known = self.spent.get(organisation).copied();
-            let others = known.map_or(0, |known| total.saturating_sub(known));
+            // The first count of a hub is only a base; one that it did not tell of before was zero.
+            let known = self.spent.get(organisation).copied().or(is_same_hub.then_some(0));
             self.spent.insert(organisation.clone(), known.unwrap_or(0).max(*total));
-            desk.note_others(organisation, others, now);
+            match known {
+                Some(known) => desk.note_others(organisation, total.saturating_sub(known), now),
+                None => desk.note_gap(organisation, now),
+            }
         }
         desk.note_part(FleetPart { heard: tally.heard, all: all.max(tally.heard) }, now);
         if let Some(work) = &tally.work {
--- a/crates/gentian-decide/src/serving/quota_gate.rs
+++ b/crates/gentian-decide/src/serving/quota_gate.rs
@@ -9,6 +9,11 @@
 /// Wait that a refusal names.
 const SHORTEST_WAIT: TimeSpan = TimeSpan::from_millis(100);
 const LONGEST_WAIT: TimeSpan = TimeSpan::from_secs(5);
+/// Time constant of the rate at which other entries spend, and the longest time over which it is
+/// taken to go on unseen.
+const RATE_TIME: TimeSpan = TimeSpan::from_secs(1);
+/// Slices into which a use is divided of which only the rate is presumed.
+const PRESUMED_SLICES: u64 = 8;
 /// Part of the limit in use from which entries tell each other at once of what they spend.
 const HOT_PART: f64 = 0.6;
 /// Part of its share of the burst that an entry has at once when it begins to count alone.
@@ -62,6 +67,11 @@
     /// Tokens of the part's own bucket, while the part is not the whole fleet.
     level: f64,
     updated: MonoTime,
+    /// Tokens a second that other entries spend, smoothed, with the time of the last count and the
+    /// time before it.
+    others_rate: f64,
+    others_at: MonoTime,
+    others_gap: TimeSpan,
     spent: u64,
     /// Tokens spent here that the hub was told of.
     told: u64,
@@ -77,6 +87,9 @@
             part,
             level: 0.0,
             updated: now,
+            others_rate: 0.0,
+            others_at: now,
+            others_gap: TimeSpan::ZERO,
             spent: 0,
             told: 0,
         }
@@ -85,10 +98,28 @@
     /// Takes the limit of a new configuration over.
     pub fn update(&mut self, limit: QuotaLimit, now: MonoTime) {
         self.refill(now);
-        if self.limit.is_none() {
+        let is_first = self.limit.replace(limit).is_none();
+        if is_first {
             self.level = limit.burst * self.part.share() * ALONE_START;
+            self.presume(limit.rate, limit.window, now);
+        }
+    }
+
+    /// Takes it that other entries have used their part of the rate since the last count, because
+    /// what they spent meanwhile is not known.
+    pub fn note_gap(&mut self, now: MonoTime) {
+        let Some(limit) = self.limit else { return };
+        let others = limit.rate * (1.0 - FleetPart::alone(self.part.all).share());
+        self.presume(others, now.since(self.others_at).min(limit.window), now);
+        self.others_at = now;
+    }
+
+    /// Counts a use at `rate` over the time `span` before now.
+    fn presume(&mut self, rate: f64, span: TimeSpan, now: MonoTime) {
+        let slice = TimeSpan::from_micros(span.as_micros() / PRESUMED_SLICES);
+        for number in (0..PRESUMED_SLICES).rev() {
+            self.add_use(rate * slice.as_secs_f64(), now - slice * number);
         }
-        self.limit = Some(limit);
     }
 
     /// Takes over which entries are heard.
@@ -104,8 +135,16 @@
         self.part = part;
     }
 
-    /// Takes in what other entries spent.
+    /// Takes in what other entries spent since the last count, which may be nothing.
     pub fn note_others(&mut self, tokens: u64, now: MonoTime) {
+        let gap = now.since(self.others_at);
+        if gap > TimeSpan::ZERO {
+            let newest = tokens as f64 / gap.as_secs_f64();
+            let weight = 1.0 - (-gap.as_secs_f64() / RATE_TIME.as_secs_f64()).exp();
+            self.others_rate += (newest - self.others_rate) * weight;
+            self.others_gap = gap.min(RATE_TIME);
+            self.others_at = now;
+        }
         if tokens > 0 {
             self.note_use(tokens as f64, now);
         }
@@ -150,7 +189,7 @@
 
     /// Returns how long a request has to wait; `None` if it fits now.
     fn find_wait(&self, limit: &QuotaLimit, tokens: f64, now: MonoTime) -> Option<TimeSpan> {
-        let mut excess = self.sum + tokens.min(limit.most) - limit.most;
+        let mut excess = self.sum + self.untold(now) + tokens.min(limit.most) - limit.most;
         if excess > 0.0 {
             for (time, used) in &self.used {
                 excess -= used;
@@ -168,11 +207,22 @@
         Some(TimeSpan::from_micros((missing / rate * 1e6) as u64))
     }
 
+    /// Returns what other entries have probably spent that this one was not told of yet: their counts
+    /// are as old as the last one, and were up to a gap old then.
+    fn untold(&self, now: MonoTime) -> f64 {
+        let age = now.since(self.others_at).min(RATE_TIME) + self.others_gap;
+        self.others_rate * age.as_secs_f64()
+    }
+
     fn note_use(&mut self, tokens: f64, now: MonoTime) {
         self.refill(now);
         self.level -= tokens;
+        self.add_use(tokens, now);
+    }
+
+    fn add_use(&mut self, tokens: f64, time: MonoTime) {
         if self.limit.is_some_and(|limit| limit.most.is_finite()) {
-            self.used.push_back((now, tokens));
+            self.used.push_back((time, tokens));
             self.sum += tokens;
         }
     }
--- a/crates/gentian-decide/tests/fleet_hub.rs
+++ b/crates/gentian-decide/tests/fleet_hub.rs
@@ -1,5 +1,7 @@
 //! What the hub tells entries of upstreams.
 
+#![allow(clippy::unwrap_used)]
+
 use gentian_core::peer::{EntryDigest, FleetTally, UpstreamListing};
 use gentian_core::{FenceNumber, InstanceId, MonoTime, SequenceNumber, SlotCount, TimeSpan, VmId};
 use gentian_decide::serving::FleetHub;
--- a/crates/gentian-gateway/src/chain/call_context.rs
+++ b/crates/gentian-gateway/src/chain/call_context.rs
@@ -151,7 +151,8 @@
         self.deadline.since(now)
     }
 
-    fn cost(&self) -> TokenCount {
+    /// Returns what the request is charged.
+    pub(crate) fn cost(&self) -> TokenCount {
         use gentian_config::serving::ChargeUnit;
         match self.organisation.as_ref().map(|share| share.unit) {
             Some(ChargeUnit::Tokens { plain }) => match self.marks.tokens {
--- a/crates/gentian-gateway/src/chain/forward_call.rs
+++ b/crates/gentian-gateway/src/chain/forward_call.rs
@@ -137,10 +137,13 @@
 fn log_routed(handles: &CallHandles, call: &CallContext, pick: &UpstreamPick) {
     let now = handles.clock.now();
     log::info!(
-        "{} request={} route={} target={} upstream={} address={} config={} waited={} left={} tried={}",
+        "{} request={} route={} organisation={} cost={} target={} upstream={} address={} config={} \
+         waited={} left={} tried={}",
         EventCode::REQUEST_ROUTED,
         call.marks.label,
         call.route.as_ref().map_or("-", |route| route.id.as_str()),
+        call.organisation.as_ref().map_or("-", |share| share.spec.id.as_str()),
+        call.cost(),
         call.marks.target.as_ref().map_or_else(|| "-".to_owned(), ToString::to_string),
         pick.upstream,
         pick.address,
--- a/crates/gentian-gateway/src/gateway_process.rs
+++ b/crates/gentian-gateway/src/gateway_process.rs
@@ -35,7 +35,8 @@
 /// Connections of the platform's readiness checks.
 const CHECK_LIMIT: usize = 16;
 
-/// Runs a gateway until it is asked to stop.
+/// Runs a gateway until it is asked to stop; `check_settings` is called when the settings may have
+/// changed.
 ///
 /// # Errors
 ///
@@ -45,6 +46,7 @@
     dialect: FleetDialect,
     service: KeyValueService,
     leases: LeaseCalls,
+    check_settings: impl Fn() + Send + 'static,
 ) -> eyre::Result<()> {
     let clock = ProcessClock::new();
     let (dialect, service) = (Arc::new(dialect), Arc::new(service));
@@ -58,10 +60,11 @@
     let (lease_tasks, tasks) = flume::unbounded();
     let socket = PeerSocket::new(settings.peer, settings.cluster_key.clone())?;
     let stops = control.clone();
-    let signal = StopSignal::new(move || {
+    let on_stop = move || {
         log::info!("{}", EventCode::PROCESS_STOPPING);
         pass_on(&stops, ControlEvent::Stopping);
-    })?;
+    };
+    let signal = StopSignal::with_reload(on_stop, check_settings)?;
 
     let (calls_dialect, calls_metrics) = (Arc::clone(&dialect), metrics.clone());
     let engines = EngineCalls::new(
--- a/crates/gentian-process/src/stop_signal.rs
+++ b/crates/gentian-process/src/stop_signal.rs
@@ -1,4 +1,4 @@
-//! The request to stop a process.
+//! Signals: the request to stop a process, and the request to read its settings again.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -7,7 +7,7 @@
 use eyre::WrapErr;
 use flume::Receiver;
 use gentian_http::join_threads;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::{Handle, Signals};
 
 /// Set once the process was asked to stop by SIGTERM or SIGINT.
@@ -25,14 +25,28 @@
     ///
     /// Returns an error if signals cannot be caught.
     pub fn new(on_stop: impl Fn() + Send + 'static) -> eyre::Result<Self> {
-        let mut signals =
-            Signals::new([SIGTERM, SIGINT]).wrap_err("cannot catch SIGTERM and SIGINT")?;
+        Self::with_reload(on_stop, || log::info!("nothing to read again at SIGHUP"))
+    }
+
+    /// As [`StopSignal::new`], and calls `on_reload` at each SIGHUP.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if signals cannot be caught.
+    pub fn with_reload(
+        on_stop: impl Fn() + Send + 'static,
+        on_reload: impl Fn() + Send + 'static,
+    ) -> eyre::Result<Self> {
+        let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])
+            .wrap_err("cannot catch SIGTERM, SIGINT and SIGHUP")?;
         let mark = Arc::new(AtomicBool::new(false));
         let (ask, asked) = flume::bounded(1);
         let (shared, handle) = (Arc::clone(&mark), signals.handle());
         let thread = std::thread::Builder::new().name("signals".into()).spawn(move || {
-            for _ in signals.forever() {
-                if !shared.swap(true, Ordering::AcqRel) {
+            for signal in signals.forever() {
+                if signal == SIGHUP {
+                    on_reload();
+                } else if !shared.swap(true, Ordering::AcqRel) {
                     on_stop();
                     if ask.try_send(()).is_err() {
                         log::debug!("nobody waits for the stop signal");
--- /dev/null
+++ b/crates/gentian-standin/src/commands/fleet_replica.rs
@@ -0,0 +1,273 @@
+//! Command: a replica of the users' platform.
+
+use std::fs::File;
+use std::io::Write;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use gentian_core::{EventCode, TimeSpan};
+use gentian_http::forward::{ResponseHead, WireStream};
+use gentian_http::{CallAgent, ProcessClock, join_threads};
+use gentian_process::StopSignal;
+use serde_json::{Value, json};
+
+use crate::fleet::{OrderOutcome, ReplicaOrders, ReplicaSettings, WireRequest, serve_wire};
+use crate::shared::{FaultName, FaultSwitch};
+
+const HEARTBEAT: Duration = Duration::from_millis(300);
+/// Life of the registration after its last heartbeat.
+const LEASE_MILLIS: u64 = 1_000;
+const STORE_LIMIT: TimeSpan = TimeSpan::from_millis(500);
+const WRITE_LIMIT: TimeSpan = TimeSpan::from_secs(5);
+const ANSWER_LIMIT: usize = 1 << 20;
+/// Exit code of a replica that was ordered to hold more than it can.
+const CRASH_CODE: i32 = 9;
+
+struct Replica {
+    settings: ReplicaSettings,
+    id: String,
+    born: u64,
+    orders: Mutex<ReplicaOrders>,
+    journal: Mutex<File>,
+    faults: FaultSwitch,
+    clock: ProcessClock,
+}
+
+/// Runs a replica until it is asked to stop.
+pub(crate) fn run_fleet_replica(settings: ReplicaSettings) -> eyre::Result<()> {
+    let signal = StopSignal::new(|| {})?;
+    let clock = ProcessClock::new();
+    let journal = File::options().create(true).append(true).open(&settings.journal)?;
+    let born = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis();
+    let address = settings.address;
+    let replica = Arc::new(Replica {
+        id: format!("i-{:08x}", rand::random::<u32>()),
+        born: u64::try_from(born)?,
+        orders: Mutex::new(ReplicaOrders::new(&settings)),
+        journal: Mutex::new(journal),
+        faults: FaultSwitch::default(),
+        settings,
+        clock,
+    });
+    let serving = Arc::clone(&replica);
+    let thread = serve_wire(address, signal.mark(), clock, move |request, stream| {
+        serving.answer(request, stream)
+    })?;
+    log::info!("{} address={address} id={}", EventCode::PROCESS_STARTED, replica.id);
+    while !signal.mark().load(std::sync::atomic::Ordering::Acquire) {
+        replica.register();
+        std::thread::sleep(HEARTBEAT);
+    }
+    signal.join();
+    join_threads([thread]);
+    Ok(())
+}
+
+impl Replica {
+    fn answer(&self, request: &WireRequest, stream: &mut WireStream) -> bool {
+        match request.head.path() {
+            "/control/fault" => self.set_fault(request, stream),
+            "/-/report" => {
+                let report = self.orders().report(self.born, Instant::now());
+                self.send(stream, 200, &[], report.to_string().as_bytes())
+            }
+            "/-/order" => self.take_order(request, stream),
+            _ => self.run(request, stream),
+        }
+    }
+
+    fn set_fault(&self, request: &WireRequest, stream: &mut WireStream) -> bool {
+        let query = request.head.target.split_once('?').map_or("", |(_, query)| query);
+        let value = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+        };
+        let name = value("name").and_then(|text| text.parse::<FaultName>().ok());
+        let count = value("count").and_then(|text| text.parse().ok());
+        let status = match (name, count) {
+            (Some(name), Some(count)) => {
+                self.faults.set_times(name, count);
+                204
+            }
+            _ => 400,
+        };
+        self.send(stream, status, &[], b"")
+    }
+
+    fn take_order(&self, request: &WireRequest, stream: &mut WireStream) -> bool {
+        if self.is_misdirected(request) {
+            return self.send(stream, 421, &[], b"");
+        }
+        let order: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        let outcome = self.orders().take_order(&order, &self.settings, Instant::now());
+        match outcome {
+            OrderOutcome::Answer(status) => {
+                self.note("order", &format!("{status}"), &order.to_string());
+                if self.faults.strikes(FaultName::LostAnswer) {
+                    return false;
+                }
+                self.send(stream, status, &[], b"")
+            }
+            OrderOutcome::Crash(cause) => {
+                self.note("over-limit", &cause, &order.to_string());
+                std::process::exit(CRASH_CODE);
+            }
+        }
+    }
+
+    fn run(&self, request: &WireRequest, stream: &mut WireStream) -> bool {
+        let id = request.header("X-Gentianwheel-Request-Id");
+        if self.is_misdirected(request) {
+            let instance = ("X-Gentianwheel-Instance-Id", self.id.as_str());
+            return self.send(stream, 421, &[instance], b"");
+        }
+        let target = request.header("X-Gentianwheel-Model");
+        if self.settings.memory > 0 && !self.orders().holds(target, Instant::now()) {
+            return self.send(stream, 421, &[("X-Gentianwheel-Not-Executed", "1")], b"");
+        }
+        let after = request.header("Last-Event-Id");
+        let seen = [
+            ("method", request.head.method.as_str()),
+            ("target", request.head.target.as_str()),
+            ("tenant", request.header("X-Gentianwheel-Tenant")),
+            ("left", request.header("X-Gentianwheel-Deadline-Ms")),
+            ("after", after),
+            ("key", request.header("Authorization")),
+            ("pin", request.header("X-Gentianwheel-Pin-Ms")),
+            ("body", &request.body.len().to_string()),
+        ];
+        let seen: Vec<String> =
+            seen.iter().map(|(name, value)| format!("{name}={value}")).collect();
+        self.note("run", id, &seen.join(" "));
+        if self.faults.strikes(FaultName::LostAnswer) {
+            std::thread::sleep(self.settings.event_time.into());
+            return false;
+        }
+        match self.settings.memory {
+            0 => self.run_plain(id, stream),
+            _ => self.run_stream(id, after.parse().unwrap_or(0), stream),
+        }
+    }
+
+    fn run_plain(&self, id: &str, stream: &mut WireStream) -> bool {
+        std::thread::sleep(self.settings.event_time.into());
+        let body = json!({ "done": id }).to_string();
+        if self.faults.strikes(FaultName::CutAnswer) {
+            let head = self.head(200, &[("X-Gentianwheel-Request-Id", id)], body.len());
+            let mut bytes = head.to_bytes();
+            bytes.extend_from_slice(&body.as_bytes()[..body.len() / 2]);
+            self.write(stream, &bytes);
+            return false;
+        }
+        self.send(stream, 200, &[("X-Gentianwheel-Request-Id", id)], body.as_bytes())
+    }
+
+    fn run_stream(&self, id: &str, after: u64, stream: &mut WireStream) -> bool {
+        let head = ResponseHead::new(200)
+            .with_header("Content-Type", "text/event-stream")
+            .with_header("X-Gentianwheel-Request-Id", id)
+            .with_header("X-Gentianwheel-Server-Stamp", self.id.clone())
+            .with_header("Transfer-Encoding", "chunked");
+        if !self.write(stream, &head.to_bytes()) {
+            return false;
+        }
+        for event in after + 1..=self.settings.events {
+            std::thread::sleep(self.settings.event_time.into());
+            let text = format!("id: {event}\ndata: {id} {event}\n\n");
+            if self.faults.strikes(FaultName::CutAnswer) {
+                self.write(stream, &chunk_of(&text[..text.len() / 2]));
+                return false;
+            }
+            if !self.write(stream, &chunk_of(&text)) {
+                return false;
+            }
+        }
+        self.write(stream, b"0\r\n\r\n")
+    }
+
+    fn is_misdirected(&self, request: &WireRequest) -> bool {
+        let expected = request.header("X-Gentianwheel-Expect-Instance");
+        !expected.is_empty() && expected != self.id
+    }
+
+    fn send(
+        &self,
+        stream: &mut WireStream,
+        status: u16,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> bool {
+        let mut bytes = self.head(status, headers, body.len()).to_bytes();
+        bytes.extend_from_slice(body);
+        self.write(stream, &bytes)
+    }
+
+    fn head(&self, status: u16, headers: &[(&str, &str)], length: usize) -> ResponseHead {
+        let mut head = ResponseHead::new(status)
+            .with_header("Content-Length", length.to_string())
+            .with_header("X-Gentianwheel-Server-Stamp", self.id.clone())
+            .with_header("Keep-Alive", "timeout=5");
+        for (name, value) in headers {
+            head = head.with_header(*name, *value);
+        }
+        head
+    }
+
+    fn write(&self, stream: &mut WireStream, bytes: &[u8]) -> bool {
+        stream.write_all(bytes, self.clock.now() + WRITE_LIMIT).is_ok()
+    }
+
+    /// Writes the registration under a lease of its own.
+    fn register(&self) {
+        let mut record = self.orders().holdings(Instant::now());
+        if self.settings.memory == 0 {
+            record = json!({});
+        }
+        let zone = self.settings.zone.as_str();
+        record["service"] = json!(self.settings.service);
+        record["address"] = json!(self.settings.announce.unwrap_or(self.settings.address));
+        record["zone"] = json!(zone);
+        record["version"] = json!("v1");
+        record["slots"] = json!(self.settings.slots);
+        record["state"] = json!("ready");
+        record["cold_remaining_ms"] = json!(0);
+        record["born"] = json!(self.born);
+        record["sequence"] = json!(0);
+        if let Err(error) = self.write_registration(&record) {
+            log::debug!("no heartbeat: {error:#}");
+        }
+    }
+
+    fn write_registration(&self, record: &Value) -> eyre::Result<()> {
+        let agent = CallAgent::new(self.settings.store, STORE_LIMIT);
+        let lease = json!({ "ttl_ms": LEASE_MILLIS }).to_string();
+        let (_, body) = agent.call_whole("POST", "/-/kv-lease", lease.as_bytes(), ANSWER_LIMIT)?;
+        let lease: Value = serde_json::from_slice(&body)?;
+        let write = json!({
+            "key": format!("servers/{}", self.id),
+            "value": STANDARD.encode(record.to_string()),
+            "lease": lease["lease"],
+        });
+        let change = json!({ "expected": [], "writes": [write], "remove": [] }).to_string();
+        agent.call_whole("POST", "/-/kv-txn", change.as_bytes(), ANSWER_LIMIT)?;
+        Ok(())
+    }
+
+    fn note(&self, event: &str, id: &str, detail: &str) {
+        let line = format!("{event}\t{id}\t{}\t{detail}\n", self.id);
+        let mut journal = self.journal.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Err(error) = journal.write_all(line.as_bytes()) {
+            log::error!("journal not written: {error}");
+        }
+    }
+
+    fn orders(&self) -> std::sync::MutexGuard<'_, ReplicaOrders> {
+        self.orders.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn chunk_of(text: &str) -> Vec<u8> {
+    format!("{:x}\r\n{text}\r\n", text.len()).into_bytes()
+}
--- /dev/null
+++ b/crates/gentian-standin/src/commands/fleet_store.rs
@@ -0,0 +1,202 @@
+//! Command: the metadata store of the users' platform.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use argh::FromArgs;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use gentian_http::HttpRequest;
+use gentian_wire::generated::key_value::{
+    CompareTarget, CompareTargetResult, CompareTargetTarget, DeleteRequest, PutRequest,
+    RangeRequest, RequestOp, StoreRecord, TxnRequest, WatchCreate, WatchEventType, WatchResponse,
+};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::key_value::MemoryStore;
+use crate::shared::{FaultName, StandinPort, read_json, reply_json};
+
+/// Longest wait of a watch for which a thread is kept.
+const WATCH_LIMIT: u64 = 30_000;
+const WATCH_STEP: Duration = Duration::from_millis(250);
+
+/// The metadata store of the users' platform.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fleet-store")]
+pub(crate) struct FleetStoreCommand {
+    /// address of the HTTP port
+    #[argh(option)]
+    address: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct TransactionBody {
+    #[serde(default)]
+    expected: Vec<ExpectedRow>,
+    #[serde(default)]
+    writes: Vec<WriteRow>,
+    #[serde(default)]
+    remove: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct ExpectedRow {
+    key: String,
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct WriteRow {
+    key: String,
+    value: String,
+    #[serde(default)]
+    lease: u64,
+}
+
+/// Runs the store.
+pub(crate) fn run_fleet_store(command: FleetStoreCommand) -> eyre::Result<()> {
+    let store = Arc::new(MemoryStore::new());
+    StandinPort::serve(command.address, move |port, request| {
+        store.count_call();
+        let path = request.path().to_owned();
+        match path.as_str() {
+            "/-/kv-key" => answer_key(&store, request),
+            "/-/kv-range" => answer_range(&store, request),
+            "/-/kv-watch" => answer_watch(&store, port, request),
+            "/-/kv-txn" => answer_transaction(&store, port, request),
+            "/-/kv-lease" => answer_lease(&store, request),
+            _ => match path.rsplit_once('/') {
+                Some(("/-/kv-keep", id)) => {
+                    let is_there = id.parse().is_ok_and(|id| store.keep_lease(id).is_some());
+                    reply_json(request, if is_there { 200 } else { 404 }, &json!({}));
+                }
+                Some(("/-/kv-lease-end", id)) => {
+                    let is_there = id.parse().is_ok_and(|id| store.end_lease(id));
+                    reply_json(request, if is_there { 200 } else { 404 }, &json!({}));
+                }
+                _ => reply_json(request, 400, &json!({ "error": "unknown call" })),
+            },
+        }
+    })
+}
+
+fn answer_key(store: &MemoryStore, request: HttpRequest) {
+    let key = request.query("key").unwrap_or("");
+    let range = store.range(&RangeRequest { key: STANDARD.encode(key), range_end: None });
+    match range.kvs.first().map(item_of) {
+        Some(item) => reply_json(request, 200, &item),
+        None => reply_json(request, 404, &json!({})),
+    }
+}
+
+fn answer_range(store: &MemoryStore, request: HttpRequest) {
+    let prefix = request.query("path_prefix").unwrap_or("").to_owned();
+    let range_end = Some(STANDARD.encode(prefix_end(&prefix)));
+    let range = store.range(&RangeRequest { key: STANDARD.encode(&prefix), range_end });
+    let at = range.header.and_then(|header| header.revision).unwrap_or_default();
+    let items: Vec<Value> = range.kvs.iter().map(item_of).collect();
+    let at: u64 = at.parse().unwrap_or(0);
+    reply_json(request, 200, &json!({ "items": items, "truncated": false, "at": at }));
+}
+
+fn answer_watch(store: &MemoryStore, port: &StandinPort, request: HttpRequest) {
+    let prefix = request.query("path_prefix").unwrap_or("").to_owned();
+    let number = |name| request.query(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+    let (after, wait) = (number("after"), number("wait_ms").min(WATCH_LIMIT));
+    let watch = WatchCreate {
+        key: STANDARD.encode(&prefix),
+        range_end: Some(STANDARD.encode(prefix_end(&prefix))),
+        start_revision: None,
+    };
+    let mut next = after + 1;
+    let mut events = Vec::new();
+    let steps = wait / WATCH_STEP.as_millis() as u64;
+    for _ in 0..=steps {
+        let batch = store.wait_changes(&watch, next, WATCH_STEP);
+        next = batch.next;
+        if let Some(line) = batch.line {
+            events = events_of(&line);
+            break;
+        }
+        if port.faults.strikes(FaultName::Down) {
+            return reply_json(request, 503, &json!({}));
+        }
+    }
+    reply_json(request, 200, &json!({ "events": events, "at": next.saturating_sub(1) }));
+}
+
+fn events_of(line: &str) -> Vec<Value> {
+    let Ok(response) = serde_json::from_str::<WatchResponse>(line) else { return Vec::new() };
+    let events = response.result.events.iter().map(|event| {
+        let mut item = item_of(&event.kv);
+        if event.type_ == Some(WatchEventType::Delete) {
+            item = json!({ "key": item["key"], "revision": item["revision"], "removed": true });
+        }
+        item
+    });
+    events.collect()
+}
+
+fn answer_transaction(store: &MemoryStore, port: &StandinPort, mut request: HttpRequest) {
+    let Some(body) = read_json::<TransactionBody>(&mut request) else {
+        return reply_json(request, 400, &json!({}));
+    };
+    let compare = body.expected.iter().map(|row| CompareTarget {
+        key: STANDARD.encode(&row.key),
+        target: CompareTargetTarget::Mod,
+        result: CompareTargetResult::Equal,
+        mod_revision: row.revision.to_string(),
+    });
+    let empty = RequestOp { request_put: None, request_range: None, request_delete_range: None };
+    let writes = body.writes.iter().map(|row| {
+        let lease = (row.lease > 0).then(|| row.lease.to_string());
+        let (key, value) = (STANDARD.encode(&row.key), Some(row.value.clone()));
+        RequestOp { request_put: Some(PutRequest { key, value, lease }), ..empty.clone() }
+    });
+    let removals = body.remove.iter().map(|key| {
+        let request = DeleteRequest { key: STANDARD.encode(key) };
+        RequestOp { request_delete_range: Some(request), ..empty.clone() }
+    });
+    let success = writes.chain(removals).collect();
+    let response =
+        store.transact(&TxnRequest { compare: compare.collect(), success, failure: Vec::new() });
+    if port.faults.strikes(FaultName::LostAnswer) {
+        port.journal.note("lost-answer", "", "txn", 0);
+        return drop(request.into_writer());
+    }
+    let revision = response.header.and_then(|header| header.revision).unwrap_or_default();
+    let revision: u64 = revision.parse().unwrap_or(0);
+    let status = if response.succeeded == Some(true) { 200 } else { 412 };
+    reply_json(request, status, &json!({ "revision": revision, "items": [] }));
+}
+
+fn answer_lease(store: &MemoryStore, mut request: HttpRequest) {
+    let body: Value = read_json(&mut request).unwrap_or_default();
+    let millis = body["ttl_ms"].as_u64().unwrap_or(1_000).max(1_000);
+    let lease = store.grant_lease(Duration::from_millis(millis));
+    reply_json(request, 200, &json!({ "lease": lease, "ttl_ms": millis }));
+}
+
+fn item_of(record: &StoreRecord) -> Value {
+    let key = STANDARD.decode(&record.key).unwrap_or_default();
+    let number = |text: &Option<String>| -> u64 {
+        text.as_deref().and_then(|text| text.parse().ok()).unwrap_or(0)
+    };
+    json!({
+        "key": String::from_utf8_lossy(&key),
+        "value": record.value,
+        "revision": number(&record.mod_revision),
+        "lease": number(&record.lease),
+    })
+}
+
+/// The first key behind every key with `prefix`.
+fn prefix_end(prefix: &str) -> Vec<u8> {
+    let mut end = prefix.as_bytes().to_vec();
+    if let Some(last) = end.last_mut() {
+        *last = last.saturating_add(1);
+    }
+    end
+}
--- a/crates/gentian-standin/src/key_value/memory_store.rs
+++ b/crates/gentian-standin/src/key_value/memory_store.rs
@@ -124,6 +124,16 @@
         Some(life.as_secs())
     }
 
+    /// Ends a lease and deletes its records; returns whether it was there.
+    pub(crate) fn end_lease(&self, id: u64) -> bool {
+        let mut state = self.lock();
+        let lease = state.leases.get_mut(&id);
+        let is_there = lease.map(|(_, end)| *end = Instant::now()).is_some();
+        state.expire_leases();
+        self.changed.notify_all();
+        is_there
+    }
+
     /// Returns the first line of a watch.
     pub(crate) fn watch_created(&self) -> Option<String> {
         let result = WatchResult {
--- a/crates/gentian-standin/src/main.rs
+++ b/crates/gentian-standin/src/main.rs
@@ -2,15 +2,20 @@
 
 mod commands;
 mod engine;
+mod fleet;
 mod key_value;
 mod shared;
 
 use argh::FromArgs;
 
-use commands::{EngineCommand, KeyValueCommand, ServiceCommand, VmListCommand, WeightStoreCommand};
+use commands::{
+    EngineCommand, FleetStoreCommand, KeyValueCommand, ServiceCommand, VmListCommand,
+    WeightStoreCommand,
+};
+use fleet::ReplicaSettings;
 
-/// Stand-ins for the key-value service, the list of VMs, the weight store, model engines and plain
-/// services. Each keeps a journal of what it really did (GET /control/journal) and takes faults
+/// Stand-ins for the key-value service, the list of VMs, the weight store, model engines, plain
+/// services, and the store and replicas of the users' platform. Each keeps a journal of what it really did (GET /control/journal) and takes faults
 /// (POST /control/fault?name=NAME&millis=N or &count=N).
 #[derive(FromArgs)]
 struct Arguments {
@@ -26,6 +31,8 @@
     WeightStore(WeightStoreCommand),
     Engine(EngineCommand),
     Service(ServiceCommand),
+    FleetStore(FleetStoreCommand),
+    FleetReplica(ReplicaSettings),
 }
 
 fn main() -> eyre::Result<()> {
@@ -37,5 +44,7 @@
         StandinCommand::WeightStore(command) => commands::run_weight_store(command),
         StandinCommand::Engine(command) => commands::run_engine(command),
         StandinCommand::Service(command) => commands::run_service(command),
+        StandinCommand::FleetStore(command) => commands::run_fleet_store(command),
+        StandinCommand::FleetReplica(settings) => commands::run_fleet_replica(settings),
     }
 }
