--- a/crates/gentian-gateway/src/io/record_follower.rs
+++ b/crates/gentian-gateway/src/io/record_follower.rs
@@ -22,6 +22,8 @@
 const OWN_SKIPS: u32 = 4;
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+/// Longest pause after failed calls in a row; well within the time that a change may take.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
 /// Time between two writes of this entry's record, well within its life.
 const MEMBER_EVERY: TimeSpan = TimeSpan::from_secs(240);
 
@@ -115,15 +117,19 @@
     follower.spawn("operators", move |follower| {
         let mut contact = ContactLog::new("watch");
         let mut known: Option<SequenceNumber> = None;
+        let mut pause = FAILURE_PAUSE;
         while !follower.is_ended() {
             let step = match known {
                 None => read_operators(&follower, &prefix),
                 Some(revision) => watch_operators(&follower, &prefix, revision),
             };
             known = contact.note(&follower.metrics, step);
-            if known.is_none() {
-                std::thread::sleep(FAILURE_PAUSE);
+            if known.is_some() {
+                pause = FAILURE_PAUSE;
+                continue;
             }
+            std::thread::sleep(pause);
+            pause = (pause * 2).min(LONGEST_PAUSE);
         }
     })
 }
--- a/crates/gentian-http/src/forward/connection_pool.rs
+++ b/crates/gentian-http/src/forward/connection_pool.rs
@@ -43,7 +43,8 @@
         Self { kept: Arc::default(), clock }
     }
 
-    /// Takes a kept connection to `address`, or connects within `limit`.
+    /// Takes a kept connection to `address`, or connects within `limit`. Unless it is kept again, the
+    /// connection is reset when it is dropped, so that a call that was given up does not arrive later.
     ///
     /// # Errors
     ///
@@ -52,15 +53,17 @@
         if let Some(stream) = self.take_kept(address) {
             return Ok(PooledStream { stream, is_reused: true });
         }
-        let stream = WireStream::connect(address, limit, self.clock)?;
+        let mut stream = WireStream::connect(address, limit, self.clock)?;
+        stream.set_abortive(true);
         Ok(PooledStream { stream, is_reused: false })
     }
 
     /// Keeps a connection whose last answer is complete; `keep_alive` is what its server said.
-    pub fn keep(&self, address: SocketAddr, stream: WireStream, keep_alive: Option<TimeSpan>) {
+    pub fn keep(&self, address: SocketAddr, mut stream: WireStream, keep_alive: Option<TimeSpan>) {
         if !stream.buffered().is_empty() || stream.is_ended() {
             return;
         }
+        stream.set_abortive(false);
         let span = keep_alive.unwrap_or(KEEP_DEFAULT).saturating_sub(CLOSE_MARGIN);
         let usable_until = self.clock.now() + span;
         self.lock().entry(address).or_default().push(KeptStream { stream, usable_until });
@@ -79,9 +82,10 @@
         let now = self.clock.now();
         let mut kept = self.lock();
         let streams = kept.get_mut(&address)?;
-        while let Some(KeptStream { stream, usable_until }) = streams.pop() {
+        while let Some(KeptStream { mut stream, usable_until }) = streams.pop() {
             // Unasked bytes or a close disqualify a connection.
             if usable_until > now && matches!(stream.has_input(), Ok(false)) {
+                stream.set_abortive(true);
                 return Some(stream);
             }
         }
--- a/crates/gentian-http/src/forward/wire_stream.rs
+++ b/crates/gentian-http/src/forward/wire_stream.rs
@@ -36,6 +36,7 @@
     buffer: Vec<u8>,
     start: usize,
     is_ended: bool,
+    is_abortive: bool,
     clock: ProcessClock,
 }
 
@@ -53,7 +54,14 @@
         let probes = TcpKeepalive::new();
         let probes = probes.with_time(PROBE_TIME).with_interval(PROBE_TIME);
         options.set_tcp_keepalive(&probes.with_retries(PROBE_COUNT))?;
-        Ok(Self { socket, buffer: Vec::new(), start: 0, is_ended: false, clock })
+        Ok(Self {
+            socket,
+            buffer: Vec::new(),
+            start: 0,
+            is_ended: false,
+            is_abortive: false,
+            clock,
+        })
     }
 
     /// Connects to `address` within `limit`.
@@ -66,6 +74,12 @@
         Self::new(TcpStream::connect_timeout(&address, limit)?, clock)
     }
 
+    /// Sets whether the connection is reset when it is dropped: bytes that were written and have not
+    /// left yet are thrown away then, instead of reaching the peer later.
+    pub fn set_abortive(&mut self, is_abortive: bool) {
+        self.is_abortive = is_abortive;
+    }
+
     /// Returns the bytes that were read and not used yet.
     pub fn buffered(&self) -> &[u8] {
         &self.buffer[self.start..]
@@ -241,3 +255,13 @@
         }
     }
 }
+
+impl Drop for WireStream {
+    fn drop(&mut self) {
+        if self.is_abortive
+            && let Err(error) = SockRef::from(&self.socket).set_linger(Some(Duration::ZERO))
+        {
+            log::debug!("connection closed without a reset: {error}");
+        }
+    }
+}
