--- a/crates/gentian-decide/src/serving/call_desk.rs
+++ b/crates/gentian-decide/src/serving/call_desk.rs
@@ -290,7 +290,8 @@
                 Ok(())
             }
             QuotaOutcome::Exceeded(wait) => {
-                let message = "the organisation's tokens are used up";
+                let message =
+                    format!("the organisation's tokens are used up: {}", gate.describe(now));
                 Err(Refusal::new(RefusalCode::RateLimited, message).with_retry_after(wait))
             }
         }
@@ -312,7 +313,8 @@
             PickOutcome::Cold => "the upstreams have just started and bear no more",
             PickOutcome::Send(_) | PickOutcome::NoUpstream => "no upstream takes work",
         };
-        self.refuse(call, message)
+        let target = call.target.as_ref().map_or_else(String::new, |it| format!(" for {it}"));
+        self.refuse(call, &format!("{message}{target}"))
     }
 
     fn refuse_repeat(&self, call: &ServingCall) -> Refusal {
--- a/crates/gentian-decide/src/serving/quota_gate.rs
+++ b/crates/gentian-decide/src/serving/quota_gate.rs
@@ -171,6 +171,18 @@
         self.note_use(-(cost.get() as f64), now);
     }
 
+    /// Describes the use that refused a request, for logs and answers.
+    pub fn describe(&self, now: MonoTime) -> String {
+        let most = self.limit.map_or(0.0, |limit| limit.most);
+        let window = self.limit.map_or(TimeSpan::ZERO, |limit| limit.window);
+        let (heard, all) = (self.part.heard, self.part.all);
+        let (used, untold) = (self.sum, self.untold(now));
+        format!(
+            "{used:.0} and about {untold:.0} more of {most:.0} tokens were used within {window}, \
+             by {heard} of {all} entries"
+        )
+    }
+
     /// Returns the tokens spent at this entry since the process started.
     pub fn spent(&self) -> u64 {
         self.spent
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -31,6 +31,10 @@
     pub upstream: UpstreamId,
     /// Its address.
     pub address: SocketAddr,
+    /// Work of all entries there when it was chosen.
+    pub work: UpstreamWork,
+    /// Upstreams that could have taken the request.
+    pub candidates: usize,
 }
 
 /// Outcome of a choice.
@@ -181,13 +185,16 @@
             .filter(holds)
             .map(|row| (self.delay_of(row, call, now), row.entry.id.clone()))
             .collect();
+        let candidates = ranked.len();
         if ranked.is_empty() {
             return PickOutcome::NotHeld;
         }
         self.keep_sample(&mut ranked, call);
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (_, id) in ranked {
-            if let Some(pick) = self.take_room(&id, service.as_deref(), now) {
+            if let Some(address) = self.take_room(&id, service.as_deref(), now) {
+                let work = self.rows.get(&id).map(UpstreamRow::work).unwrap_or_default();
+                let pick = UpstreamPick { upstream: id, address, work, candidates };
                 return PickOutcome::Send(pick);
             }
         }
@@ -225,7 +232,7 @@
         id: &UpstreamId,
         service: Option<&ServiceSpec>,
         now: MonoTime,
-    ) -> Option<UpstreamPick> {
+    ) -> Option<SocketAddr> {
         let (bounds, rank) = (self.bounds, self.rank);
         let row = self.rows.get_mut(id)?;
         let cold_rate = service.map_or(0.0, |service| service.cold_rate);
@@ -235,7 +242,7 @@
                 return None;
             }
         }
-        Some(UpstreamPick { upstream: id.clone(), address: row.entry.address })
+        Some(row.entry.address)
     }
 
     /// Keeps a random sample in a large fleet. What is known of the other entries' work is old there,
--- a/crates/gentian-gateway/src/chain/forward_call.rs
+++ b/crates/gentian-gateway/src/chain/forward_call.rs
@@ -137,8 +137,8 @@
 fn log_routed(handles: &CallHandles, call: &CallContext, pick: &UpstreamPick) {
     let now = handles.clock.now();
     log::info!(
-        "{} request={} route={} organisation={} cost={} target={} upstream={} address={} config={} \
-         waited={} left={} tried={}",
+        "{} request={} route={} organisation={} cost={} target={} upstream={} address={} \
+         candidates={} running={} unread={} config={} waited={} left={} tried={}",
         EventCode::REQUEST_ROUTED,
         call.marks.label,
         call.route.as_ref().map_or("-", |route| route.id.as_str()),
@@ -147,6 +147,9 @@
         call.marks.target.as_ref().map_or_else(|| "-".to_owned(), ToString::to_string),
         pick.upstream,
         pick.address,
+        pick.candidates,
+        pick.work.running,
+        pick.work.unread_tokens,
         call.config.version,
         now.since(call.received),
         call.time_left(now),
