--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -76,6 +76,10 @@
             return AttemptResult::Unrun(AttemptEnd::Unreachable, cause);
         }
     };
+    // A request may be read long after it was sent, and an attempt may come long after the first.
+    if call.client.is_peer_gone() {
+        return AttemptResult::CallerGone;
+    }
     let bytes = request_bytes(handles, call, pick);
     let is_whole = match stream.write_request(&bytes, call.deadline) {
         Ok(is_whole) => is_whole,
--- a/crates/gentian-http/tests/forward.rs
+++ b/crates/gentian-http/tests/forward.rs
@@ -222,6 +222,29 @@
     upstream_thread.join().unwrap();
 }
 
+/// A request can be read long after it was sent, with its caller gone behind it.
+#[test]
+fn a_caller_that_left_behind_its_request_is_noticed() {
+    let (mut stream, clock, thread) = stream_of(b"GET / HTTP/1.1\r\n\r\n");
+    thread.join().unwrap();
+    assert!(stream.fill(soon(clock)).unwrap() > 0);
+    assert!(stream.is_peer_gone());
+}
+
+#[test]
+fn a_caller_that_waits_is_not_gone() {
+    let (address, thread) = serve(1, |mut peer| {
+        peer.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+        assert_eq!(peer.read(&mut [0; 10]).unwrap(), 0);
+    });
+    let clock = ProcessClock::new();
+    let mut stream = WireStream::connect(address, LIMIT, clock).unwrap();
+    assert!(stream.fill(soon(clock)).unwrap() > 0);
+    assert!(!stream.is_peer_gone());
+    drop(stream);
+    thread.join().unwrap();
+}
+
 /// A request that was given up must not arrive later: without a reset the system would go on
 /// sending what is still in its buffers.
 #[test]
