--- a/crates/gentian-decide/src/serving/quota_gate.rs
+++ b/crates/gentian-decide/src/serving/quota_gate.rs
@@ -153,7 +153,7 @@
     /// Charges a request.
     pub fn charge(&mut self, cost: TokenCount, now: MonoTime) -> QuotaOutcome {
         let tokens = cost.get() as f64;
-        let Some(limit) = self.limit.filter(|limit| limit.most.is_finite()) else {
+        let Some(limit) = self.limit.filter(QuotaLimit::is_limited) else {
             self.spent += cost.get();
             return QuotaOutcome::Charged;
         };
@@ -173,7 +173,7 @@
 
     /// Describes the use that refused a request, for logs and answers.
     pub fn describe(&self, now: MonoTime) -> String {
-        let most = self.limit.map_or(0.0, |limit| limit.most);
+        let most = self.limit.map_or(0.0, |limit| limit.most(self.part));
         let window = self.limit.map_or(TimeSpan::ZERO, |limit| limit.window);
         let (heard, all) = (self.part.heard, self.part.all);
         let (used, untold) = (self.sum, self.untold(now));
@@ -190,7 +190,7 @@
 
     /// Tells whether the use comes near the limit and the hub was not told of all that was spent here.
     pub fn has_hot_news(&self) -> bool {
-        let is_hot = self.limit.is_some_and(|limit| self.sum > limit.most * HOT_PART);
+        let is_hot = self.limit.is_some_and(|limit| self.sum > limit.most(self.part) * HOT_PART);
         is_hot && self.spent != self.told
     }
 
@@ -201,7 +201,8 @@
 
     /// Returns how long a request has to wait; `None` if it fits now.
     fn find_wait(&self, limit: &QuotaLimit, tokens: f64, now: MonoTime) -> Option<TimeSpan> {
-        let mut excess = self.sum + self.untold(now) + tokens.min(limit.most) - limit.most;
+        let most = limit.most(self.part);
+        let mut excess = self.sum + self.untold(now) + tokens.min(most) - most;
         if excess > 0.0 {
             for (time, used) in &self.used {
                 excess -= used;
@@ -233,7 +234,7 @@
     }
 
     fn add_use(&mut self, tokens: f64, time: MonoTime) {
-        if self.limit.is_some_and(|limit| limit.most.is_finite()) {
+        if self.limit.is_some_and(|limit| limit.is_limited()) {
             self.used.push_back((time, tokens));
             self.sum += tokens;
         }
--- a/crates/gentian-decide/src/serving/quota_limit.rs
+++ b/crates/gentian-decide/src/serving/quota_limit.rs
@@ -3,17 +3,23 @@
 use gentian_config::serving::{ChargeUnit, OrganisationShare};
 use gentian_core::TimeSpan;
 
-use super::ServingBounds;
+use super::{FleetPart, ServingBounds};
 
 /// Part of the allowed excess that is used, so that a request within the rate is never refused; the
-/// rest covers what other entries use before the hub has told of it.
-const EXCESS_PART: f64 = 0.6;
+/// rest covers what other entries use before the hub has told of it: less in a small fleet that
+/// hears of all its use within a tenth of a second.
+const SMALL_EXCESS_PART: f64 = 0.6;
+const LARGE_EXCESS_PART: f64 = 0.25;
+/// Entries of a small fleet at most.
+const SMALL_FLEET: u32 = 16;
 
 /// Tokens, or requests, that an organisation may use within any window over all entries.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaLimit {
-    /// Most use within `window`; infinite without a limit.
-    pub most: f64,
+    /// Use within `window` that is within rate and burst; infinite without a limit.
+    pub owed: f64,
+    /// Use beyond that which the promised bounds allow.
+    pub excess: f64,
     /// Length of the window.
     pub window: TimeSpan,
     /// Configured rate a second.
@@ -34,7 +40,19 @@
         };
         let owed = rate * window.as_secs_f64() + burst;
         let excess = owed * bounds.quota_overshoot + slack;
-        let most = if rate > 0.0 { owed + excess * EXCESS_PART } else { f64::INFINITY };
-        Self { most, window, rate, burst }
+        let owed = if rate > 0.0 { owed } else { f64::INFINITY };
+        Self { owed, excess, window, rate, burst }
+    }
+
+    /// Tells whether there is a limit at all.
+    pub fn is_limited(&self) -> bool {
+        self.owed.is_finite()
+    }
+
+    /// Returns the most use within the window that entries allow which hear `part` of the fleet.
+    pub fn most(&self, part: FleetPart) -> f64 {
+        let is_small = part.all <= SMALL_FLEET && part.is_whole();
+        let used = if is_small { SMALL_EXCESS_PART } else { LARGE_EXCESS_PART };
+        self.owed + self.excess * used
     }
 }
--- a/crates/gentian-decide/tests/quota_gate.rs
+++ b/crates/gentian-decide/tests/quota_gate.rs
@@ -7,7 +7,7 @@
 const WINDOW: TimeSpan = TimeSpan::from_secs(8);
 const COST: TokenCount = TokenCount::new(100);
 const LIMIT: QuotaLimit =
-    QuotaLimit { most: 10_000.0, window: WINDOW, rate: 1_000.0, burst: 2_000.0 };
+    QuotaLimit { owed: 10_000.0, excess: 0.0, window: WINDOW, rate: 1_000.0, burst: 2_000.0 };
 const WHOLE: FleetPart = FleetPart { heard: 4, all: 4 };
 
 fn gate(part: FleetPart, now: MonoTime) -> QuotaGate {
@@ -46,6 +46,16 @@
     }
 }
 
+/// In a large fleet counts are old, so more of the allowed excess is left for what is not told yet.
+#[test]
+fn a_large_fleet_uses_less_of_the_excess() {
+    let limit = QuotaLimit { excess: 1_000.0, ..LIMIT };
+    let large = FleetPart { heard: 90, all: 90 };
+    assert!(limit.most(large) <= 10_300.0 && limit.most(large) > 10_000.0);
+    assert!(limit.most(WHOLE) > limit.most(large));
+    assert!(limit.most(FleetPart { heard: 3, all: 4 }) <= 10_300.0);
+}
+
 /// Others went on spending while their counts did not come.
 #[test]
 fn a_gap_counts_as_used_by_the_others() {
