--- /dev/null
+++ b/crates/gentian-decide/src/orders/known_state.rs
@@ -0,0 +1,33 @@
+//! The certain state of an engine.
+
+use gentian_core::{AdapterId, FastMap, FastSet, ModelId, SequenceNumber};
+
+use super::EngineStateReport;
+
+/// What an engine holds for certain after a number of orders.
+#[derive(Clone, Debug, Default)]
+pub(super) struct KnownState {
+    pub(super) sequence: SequenceNumber,
+    pub(super) loaded: FastMap<ModelId, FastSet<AdapterId>>,
+    pub(super) in_host: Vec<ModelId>,
+    pub(super) on_disk: Vec<ModelId>,
+}
+
+impl KnownState {
+    /// Creates the state that a report shows.
+    pub(super) fn new(report: EngineStateReport) -> Self {
+        let mut loaded: FastMap<ModelId, FastSet<AdapterId>> = FastMap::default();
+        for model in report.holdings.loaded {
+            loaded.entry(model.id).or_default().extend(model.adapters);
+        }
+        for (model, adapter) in report.incoming {
+            loaded.entry(model).or_default().insert(adapter);
+        }
+        Self {
+            sequence: report.sequence,
+            loaded,
+            in_host: report.holdings.in_host,
+            on_disk: report.holdings.on_disk,
+        }
+    }
+}
--- a/crates/gentian-decide/src/orders/mod.rs
+++ b/crates/gentian-decide/src/orders/mod.rs
@@ -5,9 +5,11 @@
 mod engine_report;
 mod fleet_planner;
 mod holder_lease;
+mod known_state;
 mod load_ceiling;
 mod order_lane;
 mod placement_choice;
+mod plan_step;
 
 pub use engine_order::{EngineOrder, OrderAction, OrderReply};
 pub use engine_report::EngineStateReport;
--- a/crates/gentian-decide/src/orders/order_lane.rs
+++ b/crates/gentian-decide/src/orders/order_lane.rs
@@ -5,10 +5,10 @@
 use gentian_config::serving::EngineSpec;
 use gentian_core::peer::TargetId;
 use gentian_core::{
-    AdapterId, ByteSize, FastMap, FastSet, FenceNumber, ModelId, MonoTime, SequenceNumber,
-    TimeSpan, UpstreamId,
+    AdapterId, ByteSize, FastSet, FenceNumber, ModelId, MonoTime, TimeSpan, UpstreamId,
 };
 
+use super::known_state::KnownState;
 use super::{EngineOrder, EngineStateReport, OrderAction, OrderReply};
 
 /// Time after the last order before a report that is to tell its effect is asked for: reports lag.
@@ -39,15 +39,6 @@
     expected_end: MonoTime,
 }
 
-/// What an engine holds for certain after a number of orders.
-#[derive(Clone, Debug, Default)]
-pub(super) struct KnownState {
-    pub(super) sequence: SequenceNumber,
-    pub(super) loaded: FastMap<ModelId, FastSet<AdapterId>>,
-    pub(super) in_host: Vec<ModelId>,
-    pub(super) on_disk: Vec<ModelId>,
-}
-
 /// Account of one engine. The planner sees it as free only while its state is certain: each order
 /// names the number of orders before it, so none takes effect on another state than it was planned
 /// for.
@@ -338,21 +329,3 @@
         !self.is_asked && (is_running || self.known.is_none())
     }
 }
-
-impl KnownState {
-    fn new(report: EngineStateReport) -> Self {
-        let mut loaded: FastMap<ModelId, FastSet<AdapterId>> = FastMap::default();
-        for model in report.holdings.loaded {
-            loaded.entry(model.id).or_default().extend(model.adapters);
-        }
-        for (model, adapter) in report.incoming {
-            loaded.entry(model).or_default().insert(adapter);
-        }
-        Self {
-            sequence: report.sequence,
-            loaded,
-            in_host: report.holdings.in_host,
-            on_disk: report.holdings.on_disk,
-        }
-    }
-}
--- a/crates/gentian-decide/src/orders/placement_choice.rs
+++ b/crates/gentian-decide/src/orders/placement_choice.rs
@@ -4,7 +4,7 @@
 use gentian_core::{FastMap, ModelId, MonoTime, TimeSpan, UpstreamId};
 
 use super::OrderLane;
-use super::order_lane::KnownState;
+use super::known_state::KnownState;
 
 /// Time that an unload before a load takes.
 const UNLOAD_TIME: TimeSpan = TimeSpan::from_millis(150);
--- a/crates/gentian-decide/src/serving/call_desk.rs
+++ b/crates/gentian-decide/src/serving/call_desk.rs
@@ -310,7 +310,7 @@
         }
         let message = match outcome {
             PickOutcome::NotHeld => "no upstream could load the model in time",
-            PickOutcome::Cold => "the upstreams have just started and bear no more",
+            PickOutcome::Full => "the upstreams bear no more now",
             PickOutcome::Send(_) | PickOutcome::NoUpstream => "no upstream takes work",
         };
         let target = call.target.as_ref().map_or_else(String::new, |it| format!(" for {it}"));
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -44,8 +44,8 @@
     Send(UpstreamPick),
     /// No usable upstream holds what the request needs.
     NotHeld,
-    /// The upstreams that hold it are cold and have got all that they bear.
-    Cold,
+    /// The upstreams that hold it bear no more from this entry now.
+    Full,
     /// No upstream of the service is usable.
     NoUpstream,
 }
@@ -198,7 +198,7 @@
                 return PickOutcome::Send(pick);
             }
         }
-        PickOutcome::Cold
+        PickOutcome::Full
     }
 
     /// Notes that a request was sent.
@@ -235,6 +235,11 @@
     ) -> Option<SocketAddr> {
         let (bounds, rank) = (self.bounds, self.rank);
         let row = self.rows.get_mut(id)?;
+        let connections = service.map_or(u64::MAX, |service| service.connection_limit.get());
+        let share = (connections / u64::from(rank.1.max(1))).max(1);
+        if connections > 0 && u64::from(row.own.running) >= share {
+            return None;
+        }
         let cold_rate = service.map_or(0.0, |service| service.cold_rate);
         if cold_rate > 0.0 && row.is_cold(now) {
             let seed = hash_of(&row.entry.id) as u32;
--- a/crates/gentian-decide/tests/fleet_planner.rs
+++ b/crates/gentian-decide/tests/fleet_planner.rs
@@ -249,7 +249,7 @@
         let entries = (0..ENGINES).map(|number| self.entry(number)).collect();
         self.table.take_entries(entries, SequenceNumber::new(step), now);
         self.planner.sync(&self.table, now);
-        if step % 5 == 0 {
+        if step.is_multiple_of(5) {
             self.ask(step, now);
         }
         let uses = self.hub.target_uses(now);
--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -3,7 +3,7 @@
 use gentian_core::{MonoTime, TimeSpan};
 use gentian_decide::serving::{AttemptEnd, UpstreamPick};
 use gentian_http::forward::{
-    BodyFraming, BodyReader, BodyStep, PeerWait, PooledStream, ResponseHead, WireStream,
+    BodyFraming, BodyReader, BodyStep, PeerWait, ResponseHead, WireStream,
 };
 
 use super::call_context::HeldAnswer;
@@ -69,8 +69,8 @@
 ) -> AttemptResult {
     let now = handles.clock.now();
     let limit = CONNECT_LIMIT.min(call.time_left(now));
-    let PooledStream { mut stream, .. } = match handles.connections.take(pick.address, limit) {
-        Ok(pooled) => pooled,
+    let mut stream = match handles.connections.take(pick.address, limit) {
+        Ok(stream) => stream,
         Err(error) => {
             let cause = format!("no connection: {error}");
             return AttemptResult::Unrun(AttemptEnd::Unreachable, cause);
--- a/crates/gentian-http/src/forward/connection_pool.rs
+++ b/crates/gentian-http/src/forward/connection_pool.rs
@@ -15,14 +15,8 @@
 /// cross the close.
 const CLOSE_MARGIN: TimeSpan = TimeSpan::from_millis(600);
 
-/// A connection, and whether it was used before.
-#[derive(Debug)]
-pub struct PooledStream {
-    /// The connection.
-    pub stream: WireStream,
-    /// Whether an earlier request used it.
-    pub is_reused: bool,
-}
+/// Time between two searches for connections that are too old.
+const PRUNE_EVERY: TimeSpan = TimeSpan::from_secs(1);
 
 #[derive(Debug)]
 struct KeptStream {
@@ -30,10 +24,16 @@
     usable_until: MonoTime,
 }
 
+#[derive(Debug, Default)]
+struct KeptStreams {
+    by_server: FastMap<SocketAddr, Vec<KeptStream>>,
+    pruned: MonoTime,
+}
+
 /// Kept connections by server.
 #[derive(Clone, Debug)]
 pub struct ConnectionPool {
-    kept: Arc<Mutex<FastMap<SocketAddr, Vec<KeptStream>>>>,
+    kept: Arc<Mutex<KeptStreams>>,
     clock: ProcessClock,
 }
 
@@ -49,13 +49,13 @@
     /// # Errors
     ///
     /// Returns an error if no connection comes about; not a byte was written then.
-    pub fn take(&self, address: SocketAddr, limit: TimeSpan) -> io::Result<PooledStream> {
+    pub fn take(&self, address: SocketAddr, limit: TimeSpan) -> io::Result<WireStream> {
         if let Some(stream) = self.take_kept(address) {
-            return Ok(PooledStream { stream, is_reused: true });
+            return Ok(stream);
         }
         let mut stream = WireStream::connect(address, limit, self.clock)?;
         stream.set_abortive(true);
-        Ok(PooledStream { stream, is_reused: false })
+        Ok(stream)
     }
 
     /// Keeps a connection whose last answer is complete; `keep_alive` is what its server said.
@@ -65,23 +65,17 @@
         }
         stream.set_abortive(false);
         let span = keep_alive.unwrap_or(KEEP_DEFAULT).saturating_sub(CLOSE_MARGIN);
-        let usable_until = self.clock.now() + span;
-        self.lock().entry(address).or_default().push(KeptStream { stream, usable_until });
-    }
-
-    /// Closes the kept connections to servers other than `is_wanted`, and those that are too old.
-    pub fn retain(&self, is_wanted: impl Fn(&SocketAddr) -> bool) {
         let now = self.clock.now();
-        self.lock().retain(|address, streams| {
-            streams.retain(|kept| kept.usable_until > now);
-            !streams.is_empty() && is_wanted(address)
-        });
+        let kept_stream = KeptStream { stream, usable_until: now + span };
+        let mut kept = self.lock();
+        kept.prune(now);
+        kept.by_server.entry(address).or_default().push(kept_stream);
     }
 
     fn take_kept(&self, address: SocketAddr) -> Option<WireStream> {
         let now = self.clock.now();
         let mut kept = self.lock();
-        let streams = kept.get_mut(&address)?;
+        let streams = kept.by_server.get_mut(&address)?;
         while let Some(KeptStream { mut stream, usable_until }) = streams.pop() {
             // Unasked bytes or a close disqualify a connection.
             if usable_until > now && matches!(stream.has_input(), Ok(false)) {
@@ -92,7 +86,21 @@
         None
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, FastMap<SocketAddr, Vec<KeptStream>>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, KeptStreams> {
         self.kept.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl KeptStreams {
+    /// Closes connections that are too old, also those to servers that are gone.
+    fn prune(&mut self, now: MonoTime) {
+        if now.since(self.pruned) < PRUNE_EVERY {
+            return;
+        }
+        self.pruned = now;
+        self.by_server.retain(|_, streams| {
+            streams.retain(|kept| kept.usable_until > now);
+            !streams.is_empty()
+        });
+    }
+}
--- a/crates/gentian-http/src/forward/mod.rs
+++ b/crates/gentian-http/src/forward/mod.rs
@@ -16,7 +16,7 @@
 pub use body_framing::{BodyFraming, FramingError};
 pub use body_reader::{BodyError, BodyReader, BodyStep, read_request_body, read_response_body};
 pub use chunk_decoder::{ChunkDecoder, ChunkError};
-pub use connection_pool::{ConnectionPool, PooledStream};
+pub use connection_pool::ConnectionPool;
 pub use event_splitter::EventSplitter;
 pub use header_list::HeaderList;
 pub use request_head::{HeadError, RequestHead};
--- a/crates/gentian-http/src/forward/wire_caller.rs
+++ b/crates/gentian-http/src/forward/wire_caller.rs
@@ -72,7 +72,7 @@
         let not_sent = |cause: &dyn fmt::Display| WireCallError::NotSent(cause.to_string());
         let unknown = |cause: &dyn fmt::Display| WireCallError::Unknown(cause.to_string());
         let pooled = self.connections.take(address, limits.connect);
-        let mut stream = pooled.map_err(|error| not_sent(&error))?.stream;
+        let mut stream = pooled.map_err(|error| not_sent(&error))?;
         let now = self.clock.now();
         if limits.send_until.is_some_and(|limit| now > limit) {
             return Err(not_sent(&"the call is too old"));
--- a/crates/gentian-http/tests/forward.rs
+++ b/crates/gentian-http/tests/forward.rs
@@ -256,7 +256,7 @@
     });
     let clock = ProcessClock::new();
     let pool = ConnectionPool::new(clock);
-    let mut stream = pool.take(address, LIMIT).unwrap().stream;
+    let mut stream = pool.take(address, LIMIT).unwrap();
     let short = clock.now() + TimeSpan::from_millis(50);
     assert!(stream.write_all(&vec![b'x'; 32 << 20], short).is_err());
     drop(stream);
