--- a/crates/gentian-decide/src/serving/quota_gate.rs
+++ b/crates/gentian-decide/src/serving/quota_gate.rs
@@ -17,7 +17,7 @@
 /// Part of the limit in use from which entries tell each other at once of what they spend.
 const HOT_PART: f64 = 0.6;
 /// Part of its share of the burst that an entry has at once when it begins to count alone.
-const ALONE_START: f64 = 0.5;
+const ALONE_START: f64 = 0.25;
 
 /// Part of the fleet that shares one count with this entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -109,8 +109,10 @@
     /// what they spent meanwhile is not known.
     pub fn note_gap(&mut self, now: MonoTime) {
         let Some(limit) = self.limit else { return };
-        let others = limit.rate * (1.0 - FleetPart::alone(self.part.all).share());
-        self.presume(others, now.since(self.others_at).min(limit.window), now);
+        let others = 1.0 - FleetPart::alone(self.part.all).share();
+        self.presume(limit.rate * others, now.since(self.others_at).min(limit.window), now);
+        // Each of them also had its part of the burst at once.
+        self.add_use(limit.burst * others * ALONE_START, now);
         self.others_at = now;
     }
 
--- a/crates/gentian-decide/tests/quota_gate.rs
+++ b/crates/gentian-decide/tests/quota_gate.rs
@@ -63,8 +63,9 @@
     let later = START + TimeSpan::from_secs(20);
     gate.note_others(0, later - TimeSpan::from_secs(4));
     gate.note_gap(later);
-    // Three of four entries at the rate for four seconds.
-    assert_eq!(charge_all(&mut gate, later), 7_000);
+    // Of 10,000: three of four entries used 3,000 in four seconds, and 375 of their burst; in
+    // requests of 100 tokens.
+    assert_eq!(charge_all(&mut gate, later), 6_600);
 }
 
 /// Counts of others are old when they come: what they spend goes on meanwhile.
