--- a/crates/gentian-gateway/src/io/record_follower.rs
+++ b/crates/gentian-gateway/src/io/record_follower.rs
@@ -8,17 +8,17 @@
 use flume::Sender;
 use gentian_core::{EventCode, SequenceNumber, TimeSpan};
 use gentian_http::ProcessClock;
-use gentian_process::{KeyValueService, ServiceError};
+use gentian_process::{KeyValueService, ReadFreshness, ServiceError};
 
 use super::{MemberEntry, write_member};
 use crate::control::{ControlEvent, StoreChange};
 use crate::gateway_metrics::GatewayMetrics;
 
 /// Time between two reads of the registrations of upstreams, and of the system's own records.
-const UPSTREAM_EVERY: Duration = Duration::from_millis(400);
+const UPSTREAM_EVERY: Duration = Duration::from_millis(600);
 const OWN_EVERY: Duration = Duration::from_millis(700);
 /// Reads of each that are left out while the hub tells of changes.
-const UPSTREAM_SKIPS: u32 = 12;
+const UPSTREAM_SKIPS: u32 = 8;
 const OWN_SKIPS: u32 = 4;
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
@@ -53,6 +53,15 @@
         self.ended.load(Ordering::Acquire)
     }
 
+    /// Returns how old reads may be. Stale reads can lag by seconds while everything else is in order,
+    /// so whoever is not told by the hub, and the hub itself, reads fresh.
+    fn freshness(&self) -> ReadFreshness {
+        match self.is_told.load(Ordering::Acquire) {
+            true => ReadFreshness::MayBeStale,
+            false => ReadFreshness::Fresh,
+        }
+    }
+
     /// Waits until the next read is due: one `span`, or `skips` more while the hub tells of changes.
     fn wait_read(&self, span: Duration, skips: u32) {
         std::thread::sleep(span);
@@ -155,9 +164,9 @@
     Ok(revision)
 }
 
-/// Reads the registrations of upstreams at a steady pace, by reads that may be a little old: each
-/// upstream writes again at every heartbeat, so a watch would cost a call for each. While the hub
-/// tells of changes, only the hub itself reads often.
+/// Reads the registrations of upstreams at a steady pace: each upstream writes again at every
+/// heartbeat, so a watch would cost a call for each. While the hub tells of changes, only the hub
+/// itself reads often.
 ///
 /// # Errors
 ///
@@ -170,7 +179,7 @@
         let mut contact = ContactLog::new("read-upstreams");
         let mut newest = SequenceNumber::default();
         while !follower.is_ended() {
-            let read = follower.service.read_stale(&prefix);
+            let read = follower.service.read_as(&prefix, follower.freshness());
             if let Some((values, revision)) = contact.note(&follower.metrics, read)
                 && revision >= newest
             {
@@ -204,7 +213,7 @@
                 let write = write_member(&follower.service, &prefix, &member);
                 written = write_contact.note(&follower.metrics, write).map(|()| now).or(written);
             }
-            let read = follower.service.read_stale(&prefix);
+            let read = follower.service.read_as(&prefix, follower.freshness());
             if let Some((values, revision)) = read_contact.note(&follower.metrics, read)
                 && revision >= newest
             {
--- a/crates/gentian-process/src/key_value_service.rs
+++ b/crates/gentian-process/src/key_value_service.rs
@@ -89,6 +89,15 @@
 
 impl std::error::Error for ServiceError {}
 
+/// How old a read may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadFreshness {
+    /// It shows every write that was confirmed before it began.
+    Fresh,
+    /// It may be seconds old, longer while the service has trouble.
+    MayBeStale,
+}
+
 /// Values with the revision at which they were read.
 pub type ReadResult = Result<(Vec<StoredValue>, SequenceNumber), ServiceError>;
 type ReadFn = Box<dyn Fn(&str) -> ReadResult + Send + Sync>;
@@ -205,14 +214,16 @@
         (self.read_prefix)(prefix)
     }
 
-    /// Reads every record below `prefix`, as they were up to some seconds ago if the service has a
-    /// cheaper read for that.
+    /// Reads every record below `prefix`; a read that may be stale is cheaper if the service has one.
     ///
     /// # Errors
     ///
     /// Returns an error if the service gives no answer.
-    pub fn read_stale(&self, prefix: &str) -> ReadResult {
-        self.read_stale.as_ref().unwrap_or(&self.read_prefix)(prefix)
+    pub fn read_as(&self, prefix: &str, freshness: ReadFreshness) -> ReadResult {
+        match (&self.read_stale, freshness) {
+            (Some(read_stale), ReadFreshness::MayBeStale) => read_stale(prefix),
+            _ => self.read_prefix(prefix),
+        }
     }
 
     /// Writes all changes together if every condition holds; returns the new revision, or `None`
--- a/crates/gentian-process/src/lib.rs
+++ b/crates/gentian-process/src/lib.rs
@@ -23,8 +23,8 @@
 pub use etcd_gateway::connect_etcd;
 pub use gentian_http::ProcessClock;
 pub use key_value_service::{
-    KeyValueService, LeaseCalls, ReadResult, ServiceError, StoredValue, TakeBatch, ValueChange,
-    WatchBatch, WriteCondition, WriteResult,
+    KeyValueService, LeaseCalls, ReadFreshness, ReadResult, ServiceError, StoredValue, TakeBatch,
+    ValueChange, WatchBatch, WriteCondition, WriteResult,
 };
 pub use log_gate::{GateOutcome, LogGate};
 pub use log_setup::start_logs;
--- /dev/null
+++ b/crates/gentian-process/tests/read_freshness.rs
@@ -0,0 +1,29 @@
+//! A fresh read is never answered by the cheaper one that may be stale.
+
+#![allow(clippy::unwrap_used)]
+
+use gentian_core::SequenceNumber;
+use gentian_process::{KeyValueService, ReadFreshness};
+
+fn service() -> KeyValueService {
+    KeyValueService::new(
+        |_| Ok((Vec::new(), SequenceNumber::new(9))),
+        |_| Ok((Vec::new(), SequenceNumber::new(9))),
+        |_, _| Ok(None),
+        |_, _, _| Ok(()),
+    )
+}
+
+#[test]
+fn only_a_read_that_may_be_stale_is_stale() {
+    let service = service().with_stale_reads(|_| Ok((Vec::new(), SequenceNumber::new(2))));
+    let read = |freshness| service.read_as("servers/", freshness).unwrap().1.get();
+    assert_eq!(read(ReadFreshness::Fresh), 9);
+    assert_eq!(read(ReadFreshness::MayBeStale), 2);
+}
+
+#[test]
+fn a_service_without_stale_reads_reads_fresh() {
+    let read = service().read_as("servers/", ReadFreshness::MayBeStale);
+    assert_eq!(read.unwrap().1.get(), 9);
+}
