--- a/crates/gentian-process/src/etcd_gateway.rs
+++ b/crates/gentian-process/src/etcd_gateway.rs
@@ -181,8 +181,8 @@
     STANDARD.encode(bytes)
 }
 
-/// The first key behind every key with `prefix`.
-fn prefix_end(prefix: &str) -> Vec<u8> {
+/// Returns the first key behind every key with `prefix`.
+pub fn prefix_end(prefix: &str) -> Vec<u8> {
     let mut end = prefix.as_bytes().to_vec();
     if let Some(last) = end.last_mut() {
         *last = last.saturating_add(1);
--- a/crates/gentian-process/src/lib.rs
+++ b/crates/gentian-process/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use config_head::ConfigHead;
 pub use config_store::{ConfigStore, PublishError, StoredConfig};
-pub use etcd_gateway::connect_etcd;
+pub use etcd_gateway::{connect_etcd, prefix_end};
 pub use gentian_http::ProcessClock;
 pub use key_value_service::{
     KeyValueService, LeaseCalls, ReadFreshness, ReadResult, ServiceError, StoredValue, TakeBatch,
--- a/crates/gentian-standin/src/commands/fleet_store.rs
+++ b/crates/gentian-standin/src/commands/fleet_store.rs
@@ -8,6 +8,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use gentian_http::HttpRequest;
+use gentian_process::prefix_end;
 use gentian_wire::generated::key_value::{
     CompareTarget, CompareTargetResult, CompareTargetTarget, DeleteRequest, PutRequest,
     RangeRequest, RequestOp, StoreRecord, TxnRequest, WatchCreate, WatchEventType, WatchResponse,
@@ -191,12 +192,3 @@
         "lease": number(&record.lease),
     })
 }
-
-/// The first key behind every key with `prefix`.
-fn prefix_end(prefix: &str) -> Vec<u8> {
-    let mut end = prefix.as_bytes().to_vec();
-    if let Some(last) = end.last_mut() {
-        *last = last.saturating_add(1);
-    }
-    end
-}
