Log how far a broken attempt got and what its prompt holds

When engines crashed one after the other, the logs could not tell whether requests, overload or orders were the cause: a broken attempt was logged without its prompt's parts and without how far its answer had got, and one that was not repeated without its upstream.

GW1108 names them.

--- a/crates/gentian-core/src/event_code.rs
+++ b/crates/gentian-core/src/event_code.rs
@@ -61,6 +61,7 @@
     1105 REQUEST_BROKEN "request-broken": "A streamed response failed after it had begun; it ended with an error event, or the connection was closed without the end of the response."; "Check the upstream to which the request was routed."
     1106 REQUEST_RETRIED "request-retried": "An attempt failed and the request waits for another one; the failed attempt was not executed, or the request may be executed more than once."; "Check the named upstream if this repeats."
     1107 CALLER_GONE "caller-gone": "The caller closed its connection or stopped reading before the whole response was sent; the request was ended."; "None."
+    1108 ATTEMPT_BROKEN "attempt-broken": "The connection to an upstream broke during an attempt, or its response was malformed; the line gives how far the attempt got and the parts of the prompt."; "Check the named upstream; if several upstreams are named with one part in common, check what that part makes them do."
     1201 CONFIG_IN_FORCE "config-in-force": "A configuration version took effect in this process."; "None."
     1202 CONFIG_STALE "config-stale": "Neither the key-value service nor a peer confirms the configuration."; "Check the key-value service and the network of this VM."
     1203 CONFIG_PUBLISHED "config-published": "An operator published a configuration."; "None."
--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt to serve a request at one upstream.
 
 use gentian_core::{MonoTime, TimeSpan};
-use gentian_decide::serving::{AttemptOutcome, UpstreamPick};
+use gentian_decide::serving::{AttemptOutcome, AttemptProgress, UpstreamPick};
 use gentian_http::forward::{
     BodyFraming, BodyProgress, BodyReader, BufferedStream, ResponseHead, WaitOutcome,
 };
@@ -72,6 +72,7 @@
     pick: &UpstreamPick,
 ) -> AttemptResult {
     let now = handles.clock.now();
+    call.progress = AttemptProgress::Unsent;
     let limit = CONNECT_TIMEOUT.min(call.time_left(now));
     let mut stream = match handles.connections.acquire(pick.address, limit) {
         Ok(stream) => stream,
@@ -86,6 +87,7 @@
         return AttemptResult::CallerGone;
     }
     let bytes = encode_request(handles, call, pick);
+    call.progress = AttemptProgress::Sent;
     let is_request_complete = match stream.write_request(&bytes, call.deadline) {
         Ok(is_request_complete) => is_request_complete,
         Err(error) => {
@@ -100,6 +102,7 @@
         Err(error) => return error.into(),
     };
     let time_to_head = handles.clock.now().since(now);
+    call.progress = AttemptProgress::HeadReceived;
     handles.send_event(ControlEvent::Head(call.id));
     let response = UpstreamResponse { head, metadata, time_to_head, is_request_complete };
     handle_response(handles, call, pick, stream, response)
@@ -240,6 +243,9 @@
     loop {
         let mut bytes = Vec::new();
         let step = reader.read_buffered(stream, &mut bytes);
+        if !bytes.is_empty() {
+            call.progress = AttemptProgress::BodyReceived;
+        }
         if !send_events(handles, call, &bytes) {
             return AttemptResult::CallerGone;
         }
--- a/crates/gentian-gateway/src/chain/call_context.rs
+++ b/crates/gentian-gateway/src/chain/call_context.rs
@@ -6,7 +6,7 @@
 use flume::Sender;
 use gentian_config::serving::{ServingConfig, ServingOrganisation, ServingRoute};
 use gentian_core::{MonoTime, RequestId, ServiceId, TimeSpan, TokenCount, UpstreamId};
-use gentian_decide::serving::ServingCall;
+use gentian_decide::serving::{AttemptProgress, ServingCall};
 use gentian_http::ProcessClock;
 use gentian_http::forward::{
     BufferedStream, ConnectionPool, EventSplitter, RequestHead, ResponseHead,
@@ -81,6 +81,8 @@
     pub(crate) possible_executions: u32,
     /// Whether the organisation has been charged.
     pub(crate) is_charged: bool,
+    /// How far the latest attempt got.
+    pub(crate) progress: AttemptProgress,
     /// Response that the caller gets if no retry succeeds.
     pub(crate) saved_response: Option<SavedResponse>,
     /// Splits the streamed response into events; `Some` once the response has begun.
@@ -114,6 +116,7 @@
             tried: Vec::new(),
             possible_executions: 0,
             is_charged: false,
+            progress: AttemptProgress::Unsent,
             saved_response: None,
             event_splitter: None,
             is_connection_broken: false,
--- a/crates/gentian-gateway/src/chain/forward_call.rs
+++ b/crates/gentian-gateway/src/chain/forward_call.rs
@@ -35,8 +35,12 @@
             AssignmentResult::CallerGone => return handle_caller_gone(call),
         };
         log_routed(handles, call, &pick);
+        let sent = handles.clock.now();
         let result = run_attempt(handles, call, &pick);
         let outcome = result.outcome();
+        if outcome == AttemptOutcome::Broken {
+            log_broken(call, &pick, handles.clock.now().since(sent));
+        }
         handles.metrics.attempts.with_label_values(&[outcome_name(outcome)]).inc();
         handles.send_event(ControlEvent::EndAttempt(call.id, outcome));
         match result {
@@ -176,6 +180,21 @@
     );
 }
 
+/// Logs an attempt whose connection broke. The parts of the prompt tell which requests have one in
+/// common that ends upstreams.
+fn log_broken(call: &CallContext, pick: &UpstreamPick, elapsed: TimeSpan) {
+    let parts: Vec<String> =
+        call.metadata.prompt_prefix.iter().map(|(digest, _)| format!("{digest:x}")).collect();
+    log::info!(
+        "{} request={} upstream={} progress={} after={elapsed} parts={}",
+        EventCode::ATTEMPT_BROKEN,
+        call.metadata.request_id,
+        pick.upstream,
+        call.progress,
+        parts.join(",")
+    );
+}
+
 fn outcome_name(outcome: AttemptOutcome) -> &'static str {
     match outcome {
         AttemptOutcome::Served(_) => "served",
