Reproduce engines crashing one after the other in the soak

Engines of the soak exit when they begin to answer a prompt with a certain part; callers send it in a given percentage of streams, beside sound streams that share the other parts.

--- a/crates/gentian-soak/src/call_record.rs
+++ b/crates/gentian-soak/src/call_record.rs
@@ -47,6 +47,8 @@
     pub(crate) entry: usize,
     /// When it was sent.
     pub(crate) sent: Instant,
+    /// Whether its prompt holds the part on which engines crash.
+    pub(crate) has_crash_part: bool,
     /// How it ended.
     pub(crate) outcome: CallOutcome,
 }
--- a/crates/gentian-soak/src/fleet_layout.rs
+++ b/crates/gentian-soak/src/fleet_layout.rs
@@ -15,6 +15,8 @@
 pub(crate) const KEYS: [(&str, &str); 2] =
     [("club", "key-of-the-club"), ("crew", "key-of-the-crew")];
 pub(crate) const MODELS: [&str; 6] = ["m0", "m1", "m2", "m3", "m4", "m5"];
+/// Part of a prompt on which engines crash.
+pub(crate) const CRASH_PART: &str = "dead0";
 /// Timeout of each route.
 pub(crate) const ROUTE_TIMEOUT_MILLIS: u64 = 4_000;
 
--- a/crates/gentian-soak/src/main.rs
+++ b/crates/gentian-soak/src/main.rs
@@ -24,6 +24,9 @@
     /// callers (default 8)
     #[argh(option, default = "8")]
     callers: usize,
+    /// percentage of streams with a part on which engines crash (default 2)
+    #[argh(option, default = "2")]
+    crash_percent: u32,
     /// folder with the programs (default target/release)
     #[argh(option, default = "PathBuf::from(\"target/release\")")]
     programs: PathBuf,
@@ -41,6 +44,7 @@
             seconds: arguments.seconds,
             entries: arguments.entries,
             callers: arguments.callers,
+            crash_percent: arguments.crash_percent,
             programs: arguments.programs.clone(),
             folder: arguments.folder.join(format!("seed-{seed}")),
         };
--- a/crates/gentian-soak/src/soak_caller.rs
+++ b/crates/gentian-soak/src/soak_caller.rs
@@ -13,7 +13,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::call_record::{CallKind, CallOutcome, CallRecord};
-use crate::fleet_layout::{FleetLayout, HOST, KEYS, MODELS, ROUTE_TIMEOUT_MILLIS};
+use crate::fleet_layout::{CRASH_PART, FleetLayout, HOST, KEYS, MODELS, ROUTE_TIMEOUT_MILLIS};
 
 /// Events of a complete streamed response.
 const EVENTS_PER_STREAM: u64 = 8;
@@ -23,6 +23,8 @@
 const CALL_PAUSE: Duration = Duration::from_millis(30);
 /// Percentage of calls whose caller closes the connection early.
 const LEAVE_EARLY_PERCENT: u32 = 4;
+/// Parts of prompts that callers share. Each prompt begins with the first one and one of the others.
+const SHARED_PARTS: [&str; 4] = ["a0", "b1", "b2", "b3"];
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
 
 /// A caller that makes one random call after the other.
@@ -31,6 +33,7 @@
     entries: usize,
     random: StdRng,
     number: u64,
+    crash_percent: u32,
     clock: ProcessClock,
     kept_connection: Option<(usize, BufferedStream)>,
 }
@@ -39,7 +42,20 @@
     /// Creates caller `number` of a run.
     pub(crate) fn new(layout: FleetLayout, entries: usize, seed: u64, number: u64) -> Self {
         let random = StdRng::seed_from_u64(seed.wrapping_mul(1_000) + number);
-        Self { layout, entries, random, number, clock: ProcessClock::new(), kept_connection: None }
+        Self {
+            layout,
+            entries,
+            random,
+            number,
+            crash_percent: 0,
+            clock: ProcessClock::new(),
+            kept_connection: None,
+        }
+    }
+
+    /// Sets the percentage of streams whose prompt holds the part on which engines crash.
+    pub(crate) fn with_crash_percent(self, crash_percent: u32) -> Self {
+        Self { crash_percent, ..self }
     }
 
     /// Makes calls until `stop` is set and returns their records.
@@ -76,7 +92,10 @@
             .with("X-Gentianwheel-Deadline-Ms", ROUTE_TIMEOUT_MILLIS.to_string())
             .with("X_Gentianwheel_Tenant", "another")
             .with("X-Gentianwheel-Pin-Ms", "4000");
+        let mut has_crash_part = false;
         if kind == CallKind::Advice {
+            has_crash_part = self.random.random_range(0..100) < self.crash_percent;
+            headers.push("X-Gentianwheel-Prompt-Prefix", self.prompt_prefix(has_crash_part, count));
             let model = MODELS[self.random.random_range(0..MODELS.len())];
             let adapter = ["", "/a1", "/a2", "/a3"][self.random.random_range(0..4)];
             headers.push("X-Gentianwheel-Model", format!("{model}{adapter}"));
@@ -99,10 +118,18 @@
             body_bytes,
             entry,
             sent,
+            has_crash_part,
             outcome,
         }
     }
 
+    fn prompt_prefix(&mut self, has_crash_part: bool, count: u64) -> String {
+        let second = SHARED_PARTS[self.random.random_range(1..SHARED_PARTS.len())];
+        let crash_part = if has_crash_part { format!("{CRASH_PART}:40,") } else { String::new() };
+        let own = self.number << 32 | count;
+        format!("{}:80,{second}:40,{crash_part}{own:x}:40", SHARED_PARTS[0])
+    }
+
     fn send(
         &mut self,
         entry: usize,
--- a/crates/gentian-soak/src/soak_check.rs
+++ b/crates/gentian-soak/src/soak_check.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::path::Path;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use gentian_core::FastMap;
 
@@ -12,6 +13,13 @@
 /// Minimum percentage of calls that are served at the end, when no fault is active.
 const MIN_SERVED_PERCENT: usize = 90;
 
+/// Crashes after which a part of a prompt must be recognised as their cause.
+const CRASHES_TO_RECOGNISE: usize = 5;
+/// Time after the last of these crashes by which every entry must refuse requests with the part.
+const RECOGNITION_TIME: Duration = Duration::from_secs(3);
+/// Requests with the part that may reach replicas even so.
+const MAX_LATER_CRASHES: usize = 3;
+
 /// Result of a run.
 #[derive(Clone, Debug, Default)]
 pub struct SoakReport {
@@ -60,6 +68,8 @@
 ) -> eyre::Result<SoakReport> {
     let journal = read_journals(folder)?;
     let is_served = |record: &&CallRecord| record.outcome == CallOutcome::Served;
+    let final_records: Vec<&CallRecord> =
+        final_records.iter().filter(|record| !record.has_crash_part).collect();
     let served = records.iter().filter(is_served).count();
     let mut report = SoakReport { calls: records.len(), served, faults, violations: Vec::new() };
     let calls: FastMap<&str, &CallRecord> =
@@ -82,7 +92,7 @@
         report.violations.extend(check_record(record, executions.get(record.id.as_str()).copied()));
     }
     report.violations.extend(check_fences(&journal));
-    let served_at_end = final_records.iter().filter(is_served).count();
+    let served_at_end = final_records.iter().copied().filter(is_served).count();
     if served_at_end * 100 < final_records.len() * MIN_SERVED_PERCENT {
         report.violations.push(format!(
             "only {served_at_end} of {} calls were served after the faults",
@@ -92,6 +102,31 @@
     Ok(report)
 }
 
+/// Checks that few requests with the part that crashes engines reach them once it has been
+/// recognised; the time for that starts at `faults_ended_at` at the earliest.
+pub(crate) fn check_crashes(
+    folder: &Path,
+    faults_ended_at: SystemTime,
+) -> eyre::Result<Option<String>> {
+    let journal = read_journals(folder)?;
+    let mut times: Vec<u128> = journal
+        .iter()
+        .filter(|line| line.event == "crash")
+        .filter_map(|line| line.detail.strip_prefix("at=")?.parse().ok())
+        .collect();
+    times.sort_unstable();
+    let Some(fifth) = times.get(CRASHES_TO_RECOGNISE - 1) else { return Ok(None) };
+    let faults_ended = faults_ended_at.duration_since(UNIX_EPOCH)?.as_millis();
+    let limit = (*fifth).max(faults_ended) + RECOGNITION_TIME.as_millis();
+    let later = times.iter().filter(|time| **time > limit).count();
+    Ok((later > MAX_LATER_CRASHES).then(|| {
+        format!(
+            "one part crashed engines {later} times after it had to be recognised; {} in all",
+            times.len()
+        )
+    }))
+}
+
 fn check_execution(record: &CallRecord, line: &JournalLine) -> Option<String> {
     let has = |field: &str| line.detail.split(' ').any(|word| word == field);
     let expected = [
--- a/crates/gentian-soak/src/soak_run.rs
+++ b/crates/gentian-soak/src/soak_run.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use eyre::eyre;
 use gentian_core::TimeSpan;
@@ -14,11 +14,11 @@
 
 use crate::SoakReport;
 use crate::call_record::{CallOutcome, CallRecord};
-use crate::fleet_layout::{FleetLayout, MODELS, zone_name};
+use crate::fleet_layout::{CRASH_PART, FleetLayout, MODELS, zone_name};
 use crate::loopback_proxy::{LinkMode, LoopbackProxy};
 use crate::process_set::ProcessSet;
 use crate::soak_caller::SoakCaller;
-use crate::soak_check::check_run;
+use crate::soak_check::{check_crashes, check_run};
 use crate::soak_fault::{PlannedFault, SoakFault, draw_faults};
 
 /// The first `ENGINES` replicas are model engines, the others plain services.
@@ -43,6 +43,8 @@
     pub entries: usize,
     /// Number of concurrent callers.
     pub callers: usize,
+    /// Percentage of streams whose prompt holds a part on which engines crash.
+    pub crash_percent: u32,
     /// Folder with the compiled programs.
     pub programs: PathBuf,
     /// Folder for settings, logs and journals; its previous content is deleted.
@@ -85,7 +87,8 @@
     let callers: Vec<JoinHandle<Vec<CallRecord>>> = (0..settings.callers as u64)
         .map(|number| {
             let (layout, stop) = (fleet.layout, Arc::clone(&stop));
-            let caller = SoakCaller::new(layout, settings.entries, settings.seed, number);
+            let caller = SoakCaller::new(layout, settings.entries, settings.seed, number)
+                .with_crash_percent(settings.crash_percent);
             std::thread::spawn(move || caller.run(&stop))
         })
         .collect();
@@ -94,6 +97,7 @@
     for planned in &faults {
         fleet.inject(planned)?;
     }
+    let faults_ended_at = SystemTime::now();
     fleet.run_for(RECOVERY_TIME)?;
     let recovered_at = Instant::now();
     fleet.run_for(FINAL_PHASE)?;
@@ -113,6 +117,7 @@
         records.iter().filter(|record| record.sent >= recovered_at).cloned().collect();
     fleet.stop();
     let mut report = check_run(&records, &final_records, &settings.folder, faults.len())?;
+    report.violations.extend(check_crashes(&settings.folder, faults_ended_at)?);
     report.violations.extend(overdue);
     Ok(report)
 }
@@ -315,6 +320,7 @@
     if is_engine {
         command.extend(option("memory", "150000".to_owned()));
         command.extend(option("holds", holds.to_owned()));
+        command.extend(option("crash-part", CRASH_PART.to_owned()));
     }
     command
 }
--- a/crates/gentian-soak/tests/short_soak.rs
+++ b/crates/gentian-soak/tests/short_soak.rs
@@ -18,8 +18,15 @@
 #[case::short_run(1)]
 fn guarantees_hold_under_faults(#[case] seed: u64) {
     let folder = std::env::temp_dir().join(format!("gentian-soak-{}-{seed}", std::process::id()));
-    let settings =
-        SoakSettings { seed, seconds: 8, entries: 3, callers: 6, programs: programs(), folder };
+    let settings = SoakSettings {
+        seed,
+        seconds: 8,
+        entries: 3,
+        callers: 6,
+        crash_percent: 2,
+        programs: programs(),
+        folder,
+    };
     let report = run_soak(&settings).unwrap();
     assert!(report.is_clean(), "seed {seed}: {report}; logs in {}", settings.folder.display());
     std::fs::remove_dir_all(&settings.folder).unwrap();
--- a/crates/gentian-standin/src/commands/fleet_replica.rs
+++ b/crates/gentian-standin/src/commands/fleet_replica.rs
@@ -22,7 +22,8 @@
 const STORE_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
 const WRITE_TIMEOUT: TimeSpan = TimeSpan::from_secs(5);
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
-/// Exit code of a replica that was ordered to load more than fits.
+/// Exit code of a replica that was ordered to load more than fits, or that began to respond to a
+/// request on which it crashes.
 const CRASH_EXIT_CODE: i32 = 9;
 
 struct Replica {
@@ -147,7 +148,10 @@
         }
         match self.settings.memory {
             0 => self.run_plain(id, stream),
-            _ => self.run_stream(id, after.parse().unwrap_or(0), stream),
+            _ => {
+                let is_crashing = self.is_crashing(request.header("X-Gentianwheel-Prompt-Prefix"));
+                self.run_stream(id, after.parse().unwrap_or(0), is_crashing, stream)
+            }
         }
     }
 
@@ -164,7 +168,22 @@
         self.send(stream, 200, &[("X-Gentianwheel-Request-Id", id)], body.as_bytes())
     }
 
-    fn run_stream(&self, id: &str, after: u64, stream: &mut BufferedStream) -> bool {
+    /// Returns whether a prompt holds the part on which the replica crashes, other than as its last
+    /// part.
+    fn is_crashing(&self, prompt_prefix: &str) -> bool {
+        let Some(crash_part) = &self.settings.crash_part else { return false };
+        let shared = prompt_prefix.rsplit_once(',').map_or("", |(shared, _)| shared);
+        let digests = shared.split(',').filter_map(|part| part.split_once(':'));
+        digests.into_iter().any(|(digest, _)| digest == crash_part)
+    }
+
+    fn run_stream(
+        &self,
+        id: &str,
+        after: u64,
+        is_crashing: bool,
+        stream: &mut BufferedStream,
+    ) -> bool {
         let head = ResponseHead::new(200)
             .with_header("Content-Type", "text/event-stream")
             .with_header("X-Gentianwheel-Request-Id", id)
@@ -173,6 +192,10 @@
         if !self.write(stream, &head.to_bytes()) {
             return false;
         }
+        if is_crashing {
+            self.record("crash", id, &format!("at={}", unix_millis()));
+            std::process::exit(CRASH_EXIT_CODE);
+        }
         for event in after + 1..=self.settings.events {
             std::thread::sleep(self.settings.event_time.into());
             let text = format!("id: {event}\ndata: {id} {event}\n\n");
@@ -269,6 +292,10 @@
     }
 }
 
+fn unix_millis() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_millis())
+}
+
 fn encode_chunk(text: &str) -> Vec<u8> {
     format!("{:x}\r\n{text}\r\n", text.len()).into_bytes()
 }
--- a/crates/gentian-standin/src/fleet/replica_settings.rs
+++ b/crates/gentian-standin/src/fleet/replica_settings.rs
@@ -49,6 +49,9 @@
     /// time between two events, and time of a plain response
     #[argh(option, default = "TimeSpan::from_millis(15)")]
     pub(crate) event_time: TimeSpan,
+    /// part of a prompt, in hexadecimal, on which the replica crashes when it begins to respond
+    #[argh(option)]
+    pub(crate) crash_part: Option<String>,
     /// file to which each executed request and each order is appended
     #[argh(option)]
     pub(crate) journal: PathBuf,
