Give processes of the fleet tests ports that nothing else takes

holder_killed_under_load failed once in a run of all tests: entry-1 ended at its start with 'Address already in use' for its metrics port. The harness asked the system for a free port, closed it and passed it on; an outgoing connection, or another process of the fleet, could get the port in between. The same race failed another test earlier.

Ports now come from a range that the system doesn't use for outgoing connections, and each is handed out once. The 17 tests of the crate pass; that the race is gone follows from the ranges, not from this run.

--- a/crates/gentian-proof/tests/fleet/mod.rs
+++ b/crates/gentian-proof/tests/fleet/mod.rs
@@ -10,6 +10,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -28,6 +29,13 @@
 const CALL_TIMEOUT: TimeSpan = TimeSpan::from_secs(5);
 const STOP_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Ports of the processes.
+const FIRST_PORT: u16 = 10_000;
+const PORTS: u16 = 20_000;
+
+/// Number of ports handed out so far.
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
 /// Lets the tests of one binary run only one fleet at a time.
 static FLEET_LOCK: Mutex<()> = Mutex::new(());
 
@@ -54,12 +62,17 @@
     pub(crate) link: Option<Link>,
 }
 
+/// Returns an address that no other process of this fleet gets. Its port lies outside the range from
+/// which the system chooses ports of outgoing connections, so that none of these can take it before
+/// the process opens it.
 fn free_port() -> SocketAddr {
-    // The port must be free for both TCP and UDP.
+    let first = std::process::id() % u32::from(PORTS);
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        if UdpSocket::bind(address).is_ok() {
+        let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed) + first;
+        let port = FIRST_PORT + (number % u32::from(PORTS)) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        // The port must be free for both TCP and UDP.
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
