Refuse prompts with a part that makes engines end

Cause: an engine ends when it begins to answer a prompt with a certain part. Callers repeat such requests, entries sent them to the next engine by themselves, and nothing remembered what they had in common. The class: work that destroys its worker is repeated, and no evidence is kept.

An entry whose attempt breaks before or just after its answer begins finds out whether the engine ended, and tells all entries which parts the prompt holds. The entry that reported a crash decides 200 ms later, when the others have said which of the parts they served: three engines that ended in the moment of a part's answer, and no good answer since, make it the cause. Requests with it are refused at once with 400, queued ones too, and the hub stores the part for entries that start later. A served request clears a part; a trial a minute later, then rarer, releases one that does no more harm. A request that was just being answered when its engine ended isn't sent to another engine. All memory is bounded.

--- a/crates/gentian-core/src/ids.rs
+++ b/crates/gentian-core/src/ids.rs
@@ -102,6 +102,11 @@
     PublicationId,
     "publication id"
 );
+hex_newtype!(
+    /// Identifies a part of a prompt, which many requests may share.
+    PartId,
+    "part id"
+);
 hex_newtype!(
     /// Identifies one request of a caller.
     RequestId,
--- a/crates/gentian-core/src/lib.rs
+++ b/crates/gentian-core/src/lib.rs
@@ -17,8 +17,8 @@
 pub use fast_map::{FastMap, FastSet};
 pub use ids::{
     AdapterId, BootId, ConfigVersion, DomainId, FenceNumber, InstanceId, KeyDigest, KeyId, LeaseId,
-    ModelId, OrderId, OrganisationId, PublicationId, RequestId, RouteId, SequenceNumber, ServiceId,
-    ShardNumber, UpstreamId, VmId,
+    ModelId, OrderId, OrganisationId, PartId, PublicationId, RequestId, RouteId, SequenceNumber,
+    ServiceId, ShardNumber, UpstreamId, VmId,
 };
 pub use mono_time::MonoTime;
 pub use parse_error::ParseError;
--- a/crates/gentian-core/src/peer/fleet_message.rs
+++ b/crates/gentian-core/src/peer/fleet_message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::TargetId;
+use super::{CrashReport, QuarantineNotice, ServedNotice, TargetId};
 use crate::{
     DomainId, FenceNumber, InstanceId, ModelId, OrganisationId, SequenceNumber, ServiceId,
     SlotCount, TimeSpan, UpstreamId, VmId,
@@ -24,6 +24,12 @@
     Announcement(HubAnnouncement),
     /// States that a hub sends no more orders.
     Handover(HubHandover),
+    /// An upstream ended while an entry had a request there that may be the cause.
+    Crash(CrashReport),
+    /// Answers on some parts of prompts ended well.
+    Served(ServedNotice),
+    /// A part of prompts was quarantined or released.
+    Quarantine(QuarantineNotice),
 }
 
 /// Announces that a process has become the hub.
--- a/crates/gentian-core/src/peer/mod.rs
+++ b/crates/gentian-core/src/peer/mod.rs
@@ -7,8 +7,10 @@
 
 mod config_query;
 mod config_reply;
+mod crash_report;
 mod fleet_message;
 mod member_record;
+mod part_notice;
 mod peer_message;
 mod placement_reply;
 mod placement_request;
@@ -23,11 +25,13 @@
 
 pub use config_query::ConfigQuery;
 pub use config_reply::ConfigReply;
+pub use crash_report::{CrashReport, SuspicionGrade};
 pub use fleet_message::{
     EntryReport, FleetMessage, FleetSummary, HubAnnouncement, HubHandover, ResidentModels,
     ServingDemand, UpstreamListing, UpstreamWork,
 };
 pub use member_record::{MemberRecord, MemberRole};
+pub use part_notice::{QuarantineNotice, ServedNotice};
 pub use peer_message::PeerMessage;
 pub use placement_reply::PlacementReply;
 pub use placement_request::{PlacementRequest, TargetDemand};
--- a/crates/gentian-decide/src/lib.rs
+++ b/crates/gentian-decide/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 pub mod orders;
 pub mod placement;
+pub mod quarantine;
 pub mod request;
 pub mod seat;
 pub mod serving;
--- a/crates/gentian-decide/src/request/refusal.rs
+++ b/crates/gentian-decide/src/request/refusal.rs
@@ -36,6 +36,8 @@
     KeyReused,
     /// The call cannot be recorded under its idempotency key at the moment.
     RecordUnavailable,
+    /// A part of the prompt makes upstreams end.
+    PromptQuarantined,
     /// An upstream failed after the request was sent, and may have executed it.
     UpstreamFailed,
 }
@@ -57,6 +59,7 @@
             Self::OutcomeUnknown => "outcome_unknown",
             Self::KeyReused => "idempotency_key_reused",
             Self::RecordUnavailable => "record_unavailable",
+            Self::PromptQuarantined => "prompt_quarantined",
             Self::UpstreamFailed => "upstream_failed",
         })
     }
--- a/crates/gentian-decide/src/serving/attempt_progress.rs
+++ b/crates/gentian-decide/src/serving/attempt_progress.rs
@@ -13,6 +13,8 @@
     HeadReceived,
     /// A part of the body of the response arrived.
     BodyReceived,
+    /// The whole response arrived, and it was a success.
+    Complete,
 }
 
 impl fmt::Display for AttemptProgress {
@@ -22,6 +24,7 @@
             Self::Sent => "sent",
             Self::HeadReceived => "head-received",
             Self::BodyReceived => "body-received",
+            Self::Complete => "complete",
         })
     }
 }
--- a/crates/gentian-decide/src/serving/call_scheduler.rs
+++ b/crates/gentian-decide/src/serving/call_scheduler.rs
@@ -206,18 +206,35 @@
         }
     }
 
-    /// Records the outcome of an attempt and removes its call. A request that is sent again is
-    /// admitted as a new call.
+    /// Records the outcome of an attempt, and removes its call and returns it with the upstream. A
+    /// request that is sent again is admitted as a new call.
     pub fn end_attempt(
         &mut self,
         id: RequestId,
         outcome: AttemptOutcome,
         table: &mut UpstreamTable,
         now: MonoTime,
-    ) {
+    ) -> Option<(ServingCall, UpstreamId)> {
         self.record_prefill_end(id, table);
-        let Some(RunningCall { upstream, .. }) = self.running.remove(&id) else { return };
+        let RunningCall { call, upstream, .. } = self.running.remove(&id)?;
         table.record_outcome(&upstream, outcome, now);
+        Some((call, upstream))
+    }
+
+    /// Removes the queued requests for which `is_refused` returns `true`, and refunds those that no
+    /// upstream can have executed.
+    pub fn remove_waiting(
+        &mut self,
+        is_refused: impl FnMut(&ServingCall) -> bool,
+        now: MonoTime,
+    ) -> Vec<ServingCall> {
+        let (removed, kept) = std::mem::take(&mut self.waiting).into_iter().partition(is_refused);
+        self.waiting = kept;
+        let removed: Vec<ServingCall> = removed;
+        for call in removed.iter().filter(|call| call.possible_executions == 0) {
+            self.refund(call, now);
+        }
+        removed
     }
 
     /// Removes a request whose caller is gone, and refunds it if it was still queued.
--- a/crates/gentian-decide/src/serving/mod.rs
+++ b/crates/gentian-decide/src/serving/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions of an entry in a serving fleet: quotas, load balancing, retries, and the exchange with
 //! the hub, which aggregates use over all entries.
 
+mod attempt_end;
 mod attempt_progress;
 mod call_scheduler;
 mod cold_limiter;
@@ -18,6 +19,7 @@
 mod upstream_row;
 mod upstream_table;
 
+pub use attempt_end::AttemptEnd;
 pub use attempt_progress::AttemptProgress;
 pub use call_scheduler::{CallScheduler, ScheduleDecision};
 pub use cold_limiter::ColdLimiter;
--- a/crates/gentian-decide/tests/engine_fleet/mod.rs
+++ b/crates/gentian-decide/tests/engine_fleet/mod.rs
@@ -327,6 +327,7 @@
                 cost: TokenCount::new(1),
                 prompt_tokens: kind.tokens.0 as u32,
                 shared_prefix: None,
+                shared_parts: Vec::new(),
                 received: self.now,
                 deadline: self.now + kind.deadline,
                 tried: Vec::new(),
--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -1,5 +1,7 @@
 //! One attempt to serve a request at one upstream.
 
+use std::io::ErrorKind;
+
 use gentian_core::{MonoTime, TimeSpan};
 use gentian_decide::serving::{AttemptOutcome, AttemptProgress, UpstreamPick};
 use gentian_http::forward::{
@@ -12,6 +14,8 @@
 use crate::control::ControlEvent;
 use crate::{ForwardMetadata, ResponseMetadata};
 
+/// Longest wait for a connection that shows whether an upstream has ended, and for its close.
+const END_CHECK_TIMEOUT: TimeSpan = TimeSpan::from_millis(100);
 /// Longest wait for a connection to an upstream.
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_millis(400);
 /// Size limit in bytes of the body of a response that is not streamed.
@@ -103,11 +107,25 @@
     };
     let time_to_head = handles.clock.now().since(now);
     call.progress = AttemptProgress::HeadReceived;
+    call.time_to_head = time_to_head;
     handles.send_event(ControlEvent::Head(call.id));
     let response = UpstreamResponse { head, metadata, time_to_head, is_request_complete };
     handle_response(handles, call, pick, stream, response)
 }
 
+/// Returns whether the upstream accepts no connections, or closes them at once as a proxy does for
+/// a server that has ended.
+pub(super) fn has_upstream_ended(handles: &CallHandles, pick: &UpstreamPick) -> bool {
+    let connected = BufferedStream::connect(pick.address, END_CHECK_TIMEOUT, handles.clock);
+    let read = connected.map(|mut stream| stream.fill(handles.clock.now() + END_CHECK_TIMEOUT));
+    match read {
+        Ok(Ok(count)) => count == 0,
+        Ok(Err(error)) | Err(error) => {
+            matches!(error.kind(), ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset)
+        }
+    }
+}
+
 struct UpstreamResponse {
     head: ResponseHead,
     metadata: ResponseMetadata,
@@ -218,6 +236,9 @@
         .metrics
         .first_byte_seconds
         .observe(handles.clock.now().since(call.received).as_secs_f64());
+    if is_success {
+        call.progress = AttemptProgress::Complete;
+    }
     send_response(handles, call, &head, &body);
     AttemptResult::Responded(AttemptOutcome::Served(time_to_head))
 }
@@ -251,6 +272,7 @@
         }
         match step {
             Ok(BodyProgress::Complete) => {
+                call.progress = AttemptProgress::Complete;
                 end_stream(call, true);
                 return AttemptResult::Responded(AttemptOutcome::Served(time_to_head));
             }
@@ -299,7 +321,7 @@
                 return Err(ReadError::Broken("the connection ended".to_owned()));
             }
             Ok(_) => return Ok(()),
-            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
             Err(error) => return Err(ReadError::Broken(error.to_string())),
         }
         match stream.wait_for_input_or_close(caller_stream, deadline) {
--- a/crates/gentian-gateway/src/chain/call_context.rs
+++ b/crates/gentian-gateway/src/chain/call_context.rs
@@ -5,7 +5,7 @@
 use arc_swap::ArcSwap;
 use flume::Sender;
 use gentian_config::serving::{ServingConfig, ServingOrganisation, ServingRoute};
-use gentian_core::{MonoTime, RequestId, ServiceId, TimeSpan, TokenCount, UpstreamId};
+use gentian_core::{MonoTime, PartId, RequestId, ServiceId, TimeSpan, TokenCount, UpstreamId};
 use gentian_decide::serving::{AttemptProgress, ServingCall};
 use gentian_http::ProcessClock;
 use gentian_http::forward::{
@@ -16,6 +16,9 @@
 use crate::gateway_metrics::GatewayMetrics;
 use crate::{PlatformCodec, RequestMetadata};
 
+/// Largest number of parts of a prompt that are looked at.
+const MAX_SHARED_PARTS: usize = 64;
+
 /// Handles that all filters share.
 #[derive(Clone)]
 pub(crate) struct CallHandles {
@@ -83,6 +86,8 @@
     pub(crate) is_charged: bool,
     /// How far the latest attempt got.
     pub(crate) progress: AttemptProgress,
+    /// Time from the start of the latest attempt to the head of its response.
+    pub(crate) time_to_head: TimeSpan,
     /// Response that the caller gets if no retry succeeds.
     pub(crate) saved_response: Option<SavedResponse>,
     /// Splits the streamed response into events; `Some` once the response has begun.
@@ -117,6 +122,7 @@
             possible_executions: 0,
             is_charged: false,
             progress: AttemptProgress::Unsent,
+            time_to_head: TimeSpan::ZERO,
             saved_response: None,
             event_splitter: None,
             is_connection_broken: false,
@@ -144,6 +150,7 @@
             cost: self.cost(),
             prompt_tokens: self.metadata.tokens.map_or(0, |(prompt, _)| prompt),
             shared_prefix: self.shared_prefix(),
+            shared_parts: self.shared_parts(),
             received: self.received,
             deadline: self.deadline,
             tried: self.tried.clone(),
@@ -171,6 +178,12 @@
         }
     }
 
+    /// Returns the parts of the prompt that other requests may share, in their order.
+    pub(crate) fn shared_parts(&self) -> Vec<PartId> {
+        let shared = self.metadata.prompt_prefix.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().take(MAX_SHARED_PARTS).map(|(digest, _)| PartId::new(*digest)).collect()
+    }
+
     /// Returns the token count and a combined digest of the parts of the prompt that other requests
     /// may share; `None` if there are none.
     fn shared_prefix(&self) -> Option<(u32, u64)> {
--- a/crates/gentian-gateway/src/chain/forward_call.rs
+++ b/crates/gentian-gateway/src/chain/forward_call.rs
@@ -4,9 +4,9 @@
 
 use gentian_core::{EventCode, MonoTime, TimeSpan};
 use gentian_decide::request::{FilterOutcome, Refusal, RefusalCode};
-use gentian_decide::serving::{AttemptOutcome, UpstreamPick};
+use gentian_decide::serving::{AttemptEnd, AttemptOutcome, AttemptProgress, UpstreamPick};
 
-use super::attempt::{AttemptResult, run_attempt};
+use super::attempt::{AttemptResult, has_upstream_ended, run_attempt};
 use super::relay::{end_stream, send_response};
 use super::{CallContext, CallHandles};
 use crate::control::{CallAssignment, ControlEvent};
@@ -16,6 +16,9 @@
 /// Number of attempts that are allowed in addition to the route's maximum, since upstreams may
 /// refuse some without executing the request.
 const EXTRA_ATTEMPTS: usize = 2;
+/// Time from the head of an answer during which its request may be the cause of the end of the
+/// upstream, even if some of the body has arrived.
+const JUST_BEGUN_TIME: TimeSpan = TimeSpan::from_millis(250);
 /// Time that must be left for another attempt to be worth making.
 const MIN_RETRY_TIME: TimeSpan = TimeSpan::from_millis(20);
 
@@ -38,11 +41,9 @@
         let sent = handles.clock.now();
         let result = run_attempt(handles, call, &pick);
         let outcome = result.outcome();
-        if outcome == AttemptOutcome::Broken {
-            log_broken(call, &pick, handles.clock.now().since(sent));
-        }
         handles.metrics.attempts.with_label_values(&[outcome_name(outcome)]).inc();
-        handles.send_event(ControlEvent::EndAttempt(call.id, outcome));
+        let end = end_attempt(handles, call, &pick, outcome, sent);
+        handles.send_event(ControlEvent::EndAttempt(end));
         match result {
             AttemptResult::Responded(_) => return FilterOutcome::Responded,
             AttemptResult::CallerGone => return handle_caller_gone(call),
@@ -61,8 +62,9 @@
             AttemptResult::Failed(_, cause) => {
                 call.possible_executions += 1;
                 call.tried.push(pick.upstream.clone());
-                let is_idempotent = call.route.as_ref().is_some_and(|it| it.kind.is_idempotent());
-                if !is_idempotent || !may_retry(call, handles.clock.now()) {
+                let is_repeatable = call.route.as_ref().is_some_and(|it| it.kind.is_idempotent())
+                    && !is_likely_cause(&end);
+                if !is_repeatable || !may_retry(call, handles.clock.now()) {
                     return finish_unserved(handles, call, unserved_refusal(call, &cause));
                 }
                 log_retry(call, &pick, &cause);
@@ -71,6 +73,43 @@
     }
 }
 
+/// Returns how the attempt ended; if its connection broke, logs it and finds out whether the upstream
+/// ended.
+fn end_attempt(
+    handles: &CallHandles,
+    call: &CallContext,
+    pick: &UpstreamPick,
+    outcome: AttemptOutcome,
+    sent: MonoTime,
+) -> AttemptEnd {
+    let elapsed = handles.clock.now().since(sent);
+    let mut end =
+        AttemptEnd { id: call.id, outcome, progress: call.progress, has_upstream_ended: false };
+    if outcome == AttemptOutcome::Broken {
+        let may_be_cause = call.metadata.prompt_prefix.len() > 1 && is_early(call, elapsed);
+        end.has_upstream_ended = may_be_cause && has_upstream_ended(handles, pick);
+        log_broken(call, pick, &end, elapsed);
+    }
+    end
+}
+
+/// Returns whether the answer had not begun yet, or just begun.
+fn is_early(call: &CallContext, elapsed: TimeSpan) -> bool {
+    match call.progress {
+        AttemptProgress::Sent | AttemptProgress::HeadReceived => true,
+        AttemptProgress::BodyReceived => {
+            elapsed.saturating_sub(call.time_to_head) < JUST_BEGUN_TIME
+        }
+        AttemptProgress::Unsent | AttemptProgress::Complete => false,
+    }
+}
+
+/// Returns whether the request is the likely cause of the end of its upstream. It is not sent to
+/// another one then, which might end as well.
+fn is_likely_cause(end: &AttemptEnd) -> bool {
+    end.has_upstream_ended && end.progress == AttemptProgress::HeadReceived
+}
+
 fn wait_for_upstream(handles: &CallHandles, call: &mut CallContext) -> AssignmentResult {
     let Some(serving) = call.serving_call() else {
         let message = "the route has no service";
@@ -182,15 +221,16 @@
 
 /// Logs an attempt whose connection broke. The parts of the prompt tell which requests have one in
 /// common that ends upstreams.
-fn log_broken(call: &CallContext, pick: &UpstreamPick, elapsed: TimeSpan) {
+fn log_broken(call: &CallContext, pick: &UpstreamPick, end: &AttemptEnd, elapsed: TimeSpan) {
     let parts: Vec<String> =
         call.metadata.prompt_prefix.iter().map(|(digest, _)| format!("{digest:x}")).collect();
     log::info!(
-        "{} request={} upstream={} progress={} after={elapsed} parts={}",
+        "{} request={} upstream={} progress={} ended={} after={elapsed} parts={}",
         EventCode::ATTEMPT_BROKEN,
         call.metadata.request_id,
         pick.upstream,
-        call.progress,
+        end.progress,
+        end.has_upstream_ended,
         parts.join(",")
     );
 }
--- a/crates/gentian-gateway/src/control/call_controller.rs
+++ b/crates/gentian-gateway/src/control/call_controller.rs
@@ -3,6 +3,7 @@
 use gentian_core::{EventCode, MonoTime};
 use gentian_decide::serving::ScheduleDecision;
 
+use super::quarantine_controller::{check_quarantine, record_attempt_end};
 use super::{CallAssignment, ControlEvent, ControlState};
 
 /// Handles events of traffic threads.
@@ -10,6 +11,10 @@
     match event {
         ControlEvent::Admit { call, reply } => {
             let id = call.id;
+            if let Some(refusal) = check_quarantine(state, call, now) {
+                send_assignment(reply, CallAssignment::Refuse(refusal));
+                return;
+            }
             match state.scheduler.admit((**call).clone(), now) {
                 Ok(()) => {
                     state.assignment_senders.insert(id, reply.clone());
@@ -20,8 +25,11 @@
             }
         }
         ControlEvent::Head(id) => state.scheduler.record_response_start(*id, &mut state.table, now),
-        ControlEvent::EndAttempt(id, outcome) => {
-            state.scheduler.end_attempt(*id, *outcome, &mut state.table, now);
+        ControlEvent::EndAttempt(end) => {
+            let ended = state.scheduler.end_attempt(end.id, end.outcome, &mut state.table, now);
+            if let Some((call, upstream)) = ended {
+                record_attempt_end(state, &call, upstream, end, now);
+            }
         }
         ControlEvent::Cancel(id) => {
             state.assignment_senders.remove(id);
@@ -44,7 +52,7 @@
     }
 }
 
-fn send_assignment(reply: &flume::Sender<CallAssignment>, assignment: CallAssignment) {
+pub(super) fn send_assignment(reply: &flume::Sender<CallAssignment>, assignment: CallAssignment) {
     // The traffic thread stops waiting when its caller closes the connection; it cancels the
     // request in that case.
     if reply.send(assignment).is_err() {
--- a/crates/gentian-gateway/src/control/control_event.rs
+++ b/crates/gentian-gateway/src/control/control_event.rs
@@ -5,7 +5,7 @@
 use gentian_core::{MonoTime, RequestId, SequenceNumber, UpstreamId};
 use gentian_decide::orders::{EngineOrder, EngineStateReport, LeaseReply, OrderReply};
 use gentian_decide::request::Refusal;
-use gentian_decide::serving::{AttemptOutcome, ServingCall, UpstreamPick};
+use gentian_decide::serving::{AttemptEnd, ServingCall, UpstreamPick};
 use gentian_process::StoredValue;
 
 /// Reply of the control thread to a traffic thread that needs an upstream for a request.
@@ -46,7 +46,7 @@
     /// The head of a request's response has arrived.
     Head(RequestId),
     /// An attempt of a request ended.
-    EndAttempt(RequestId, AttemptOutcome),
+    EndAttempt(AttemptEnd),
     /// A traffic thread no longer waits for an assignment.
     Cancel(RequestId),
     /// A datagram of another process arrived.
--- a/crates/gentian-gateway/src/control/control_state.rs
+++ b/crates/gentian-gateway/src/control/control_state.rs
@@ -6,15 +6,16 @@
 use flume::Sender;
 use gentian_config::serving::ServingConfig;
 use gentian_core::peer::HubHandover;
-use gentian_core::{FastMap, FastSet, FenceNumber, InstanceId, MonoTime, RequestId, VmId};
+use gentian_core::{FastMap, FastSet, FenceNumber, InstanceId, MonoTime, PartId, RequestId, VmId};
 use gentian_decide::orders::{FleetPlanner, HolderLease, LeaseTask};
+use gentian_decide::quarantine::{MessageRepeats, PartQuarantine};
 use gentian_decide::serving::{CallScheduler, FleetHub, HubClient, ServingBounds, UpstreamTable};
 use gentian_process::PeerSocket;
 
 use super::CallAssignment;
 use crate::PlatformCodec;
 use crate::gateway_metrics::GatewayMetrics;
-use crate::io::{EngineCalls, EntryRecord, HubUpdateExpiry};
+use crate::io::{EngineCalls, EntryRecord, HubUpdateExpiry, QuarantineWrite};
 
 /// What the control thread publishes for traffic threads.
 #[derive(Clone, Debug, Default)]
@@ -50,6 +51,7 @@
     pub(crate) view: Arc<ArcSwap<TrafficView>>,
     pub(crate) socket: PeerSocket,
     pub(crate) lease_tasks: Sender<LeaseTask>,
+    pub(crate) quarantine_writes: Sender<QuarantineWrite>,
     pub(crate) engine_calls: EngineCalls,
     pub(crate) hub_update_expiry: HubUpdateExpiry,
     pub(crate) metrics: GatewayMetrics,
@@ -93,6 +95,14 @@
     pub(crate) drained: FastSet<gentian_core::DomainId>,
     /// Channels to the traffic threads of requests that wait for an assignment.
     pub(crate) assignment_senders: FastMap<RequestId, Sender<CallAssignment>>,
+    /// Parts of prompts that make upstreams end.
+    pub(crate) quarantine: PartQuarantine,
+    /// Parts of which the key-value service has a record, as far as this process knows.
+    pub(crate) stored_parts: FastSet<PartId>,
+    /// Queue of the thread that writes these records.
+    pub(crate) quarantine_writes: Sender<QuarantineWrite>,
+    /// Messages that are sent again in case a datagram is lost.
+    pub(crate) message_repeats: MessageRepeats,
     /// View that traffic threads read.
     pub(crate) view: Arc<ArcSwap<TrafficView>>,
     /// Datagram socket for the other processes.
@@ -111,6 +121,7 @@
         Self {
             scheduler: CallScheduler::new(parts.bounds),
             hub_client: HubClient::new(parts.vm.clone(), parts.instance),
+            quarantine: PartQuarantine::new(parts.vm.clone()),
             lease: HolderLease::new(parts.bounds.takeover_delay),
             codec: parts.codec,
             vm: parts.vm,
@@ -126,6 +137,9 @@
             entries: FastMap::default(),
             known_hub: None,
             drained: FastSet::default(),
+            stored_parts: FastSet::default(),
+            quarantine_writes: parts.quarantine_writes,
+            message_repeats: MessageRepeats::new(),
             assignment_senders: FastMap::default(),
             view: parts.view,
             socket: parts.socket,
--- a/crates/gentian-gateway/src/control/control_thread.rs
+++ b/crates/gentian-gateway/src/control/control_thread.rs
@@ -44,6 +44,8 @@
         calls_due,
         round_due,
         Some(state.hub_client.due(&state.scheduler)),
+        state.quarantine.due(),
+        state.message_repeats.due(),
     ];
     dues.into_iter().flatten().min().unwrap_or(now + IDLE_WAIT)
 }
--- a/crates/gentian-gateway/src/control/hub_controller.rs
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -29,7 +29,7 @@
             Some(FleetRecord::Holder(record)) => {
                 holder = Some((record.vm, FenceNumber::new(value.revision.get())));
             }
-            Some(FleetRecord::PastHolder) => {}
+            Some(FleetRecord::PastHolder | FleetRecord::QuarantinedPart(_)) => {}
             None => log::warn!("ignored malformed record {}", value.key),
         }
     }
@@ -75,6 +75,8 @@
                 now,
             );
         }
+        // The quarantine controller handles these.
+        FleetMessage::Crash(_) | FleetMessage::Served(_) | FleetMessage::Quarantine(_) => {}
     }
 }
 
--- a/crates/gentian-gateway/src/control/mod.rs
+++ b/crates/gentian-gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod gateway_controllers;
 mod hub_controller;
 mod lease_controller;
+mod quarantine_controller;
 mod upstream_controller;
 
 pub(crate) use control_event::{CallAssignment, ControlEvent, StoreRecords};
--- /dev/null
+++ b/crates/gentian-gateway/src/control/quarantine_controller.rs
@@ -0,0 +1,182 @@
+//! Controller of the parts of prompts that make upstreams end.
+
+use gentian_core::peer::{FleetMessage, QuarantineNotice, ServedNotice, SuspicionGrade};
+use gentian_core::{EventCode, FastSet, MonoTime, PartId, UpstreamId, VmId};
+use gentian_decide::request::{Refusal, RefusalCode};
+use gentian_decide::serving::{AttemptEnd, AttemptProgress, ServingCall};
+
+use super::call_controller::send_assignment;
+use super::{CallAssignment, ControlEvent, ControlState, StoreRecords};
+use crate::io::{FleetRecord, QuarantineWrite, decode_fleet_record};
+
+/// Handles notices of other entries and stored records, decides on crashes, and has the hub store
+/// what was decided.
+pub(super) fn handle_quarantine(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
+    match event {
+        ControlEvent::Peer(message) => handle_message(state, message, now),
+        ControlEvent::Store(StoreRecords::Fleet(values)) => {
+            let prefix = state.codec.record_layout.fleet_prefix.clone();
+            let parts =
+                values.iter().filter_map(|value| match decode_fleet_record(&prefix, value) {
+                    Some(FleetRecord::QuarantinedPart(part)) => Some(part),
+                    _ => None,
+                });
+            state.stored_parts = parts.collect();
+            for part in state.quarantine.restore(state.stored_parts.iter().copied(), now) {
+                log::warn!("{} part={part} cause=stored", EventCode::PART_QUARANTINED);
+                refuse_waiting(state, now);
+            }
+        }
+        _ => {}
+    }
+    for part in state.quarantine.decide(now) {
+        log::warn!("{} part={part} cause=crashes", EventCode::PART_QUARANTINED);
+        let notice = QuarantineNotice { part, is_quarantined: true };
+        broadcast(state, FleetMessage::Quarantine(notice), now);
+        refuse_waiting(state, now);
+    }
+    repeat_messages(state, now);
+    store_parts(state);
+}
+
+/// Returns the refusal of a request whose prompt holds a quarantined part.
+pub(super) fn check_quarantine(
+    state: &mut ControlState,
+    call: &ServingCall,
+    now: MonoTime,
+) -> Option<Refusal> {
+    // Trials need one entry in the fleet; only the hub is one.
+    let may_try = state.hub.is_some();
+    let part = state.quarantine.check(&call.shared_parts, may_try, now)?;
+    let message = format!("upstreams end when they answer a prompt with the part {part}");
+    let refusal = Refusal::new(RefusalCode::PromptQuarantined, message);
+    Some(if call.possible_executions > 0 { refusal.with_unknown_run() } else { refusal })
+}
+
+/// Records what the end of an attempt shows of the parts of the prompt, and tells the other entries.
+pub(super) fn record_attempt_end(
+    state: &mut ControlState,
+    call: &ServingCall,
+    upstream: UpstreamId,
+    end: &AttemptEnd,
+    now: MonoTime,
+) {
+    let parts = &call.shared_parts;
+    if end.progress == AttemptProgress::Complete {
+        let Some(notice) = state.quarantine.record_served(parts, now) else { return };
+        release_served(state, &notice, now);
+        broadcast(state, FleetMessage::Served(notice), now);
+    } else if end.has_upstream_ended {
+        let grade = match end.progress {
+            AttemptProgress::HeadReceived => SuspicionGrade::Strong,
+            _ => SuspicionGrade::Weak,
+        };
+        log::info!(
+            "{} upstream={upstream} request={} grade={grade:?} parts={}",
+            EventCode::UPSTREAM_CRASHED,
+            call.id,
+            join_parts(parts)
+        );
+        state.metrics.upstream_crashes.inc();
+        let report = state.quarantine.record_crash(upstream, grade, parts, now);
+        broadcast(state, FleetMessage::Crash(report), now);
+    }
+}
+
+fn handle_message(state: &mut ControlState, message: &FleetMessage, now: MonoTime) {
+    match message {
+        FleetMessage::Crash(report) => {
+            let reply = state.quarantine.handle_crash(report, now);
+            if let Some(notice) = reply {
+                send(state, &FleetMessage::Served(notice), &report.vm);
+            }
+        }
+        FleetMessage::Served(notice) => state.quarantine.handle_served(notice, now),
+        FleetMessage::Quarantine(notice) => {
+            if !state.quarantine.handle_notice(*notice, now) {
+                return;
+            }
+            let code = match notice.is_quarantined {
+                true => EventCode::PART_QUARANTINED,
+                false => EventCode::PART_RELEASED,
+            };
+            log::warn!("{code} part={} cause=notice", notice.part);
+            refuse_waiting(state, now);
+        }
+        _ => {}
+    }
+}
+
+/// Releases the quarantined parts that were served all the same.
+fn release_served(state: &mut ControlState, notice: &ServedNotice, now: MonoTime) {
+    for (part, _) in &notice.parts {
+        if state.quarantine.is_quarantined(*part) {
+            state.quarantine.release(*part, now);
+            log::warn!("{} part={part} cause=served", EventCode::PART_RELEASED);
+            let notice = QuarantineNotice { part: *part, is_quarantined: false };
+            broadcast(state, FleetMessage::Quarantine(notice), now);
+        }
+    }
+}
+
+/// Refuses the queued requests whose prompt holds a quarantined part.
+fn refuse_waiting(state: &mut ControlState, now: MonoTime) {
+    let quarantine = &state.quarantine;
+    let is_refused =
+        |call: &ServingCall| call.shared_parts.iter().any(|part| quarantine.is_quarantined(*part));
+    for call in state.scheduler.remove_waiting(is_refused, now) {
+        let refusal = check_quarantine(state, &call, now);
+        let reply = state.assignment_senders.remove(&call.id);
+        if let (Some(reply), Some(refusal)) = (reply, refusal) {
+            send_assignment(&reply, CallAssignment::Refuse(refusal));
+        }
+    }
+}
+
+/// Sends a message to all other entries, and again later in case a datagram is lost.
+fn broadcast(state: &mut ControlState, message: FleetMessage, now: MonoTime) {
+    send_to_all(state, &message);
+    state.message_repeats.add(message, now);
+}
+
+fn repeat_messages(state: &mut ControlState, now: MonoTime) {
+    for message in state.message_repeats.take_due(now) {
+        send_to_all(state, &message);
+    }
+}
+
+fn send_to_all(state: &ControlState, message: &FleetMessage) {
+    for entry in state.entries.values().filter(|entry| entry.vm != state.vm) {
+        state.socket.send(message, entry.address);
+    }
+}
+
+fn send(state: &ControlState, message: &FleetMessage, vm: &VmId) {
+    if let Some(entry) = state.entries.get(vm) {
+        state.socket.send(message, entry.address);
+    }
+}
+
+/// Has the hub write the records of quarantined parts, by which entries that start later know them,
+/// and delete those of released ones.
+fn store_parts(state: &mut ControlState) {
+    let parts: FastSet<PartId> = state.quarantine.parts().collect();
+    state.metrics.quarantined_parts.set(i64::try_from(parts.len()).unwrap_or(i64::MAX));
+    if state.hub.is_none() || parts == state.stored_parts {
+        return;
+    }
+    let added = parts.difference(&state.stored_parts).map(|part| QuarantineWrite::Put(*part));
+    let removed = state.stored_parts.difference(&parts).map(|part| QuarantineWrite::Delete(*part));
+    for write in added.chain(removed) {
+        if state.quarantine_writes.send(write).is_err() {
+            log::error!(
+                "the thread that writes quarantine records ended before the control thread"
+            );
+        }
+    }
+    state.stored_parts = parts;
+}
+
+fn join_parts(parts: &[PartId]) -> String {
+    parts.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
+}
--- a/crates/gentian-gateway/src/gateway_metrics.rs
+++ b/crates/gentian-gateway/src/gateway_metrics.rs
@@ -1,6 +1,8 @@
 //! Prometheus metrics of a gateway.
 
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
 
 const FIRST_BYTE_BUCKETS_SECONDS: [f64; 12] =
     [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.6, 1.0, 2.5, 5.0, 20.0];
@@ -20,6 +22,10 @@
     /// Time in seconds from the arrival of a request until its response can be sent: to the head of
     /// a streamed response, to the end of a whole one.
     pub(crate) first_byte_seconds: Histogram,
+    /// Number of upstreams found to have ended under a request that may be the cause.
+    pub(crate) upstream_crashes: IntCounter,
+    /// Number of parts of prompts with which requests are refused.
+    pub(crate) quarantined_parts: IntGauge,
     /// Number of open requests.
     pub(crate) open_requests: IntGauge,
     /// Version of the configuration in force.
@@ -61,6 +67,14 @@
             first_byte_seconds: Histogram::with_opts(
                 first_byte_options.buckets(FIRST_BYTE_BUCKETS_SECONDS.to_vec()),
             )?,
+            upstream_crashes: IntCounter::new(
+                "gentian_gateway_upstream_crashes_total",
+                "Upstreams that ended under a request that may be the cause.",
+            )?,
+            quarantined_parts: IntGauge::new(
+                "gentian_gateway_quarantined_parts",
+                "Parts of prompts with which requests are refused.",
+            )?,
             open_requests: IntGauge::new(
                 "gentian_gateway_open_requests",
                 "Requests that are open.",
@@ -75,6 +89,8 @@
         metrics.registry.register(Box::new(metrics.orders.clone()))?;
         metrics.registry.register(Box::new(metrics.store_calls.clone()))?;
         metrics.registry.register(Box::new(metrics.first_byte_seconds.clone()))?;
+        metrics.registry.register(Box::new(metrics.upstream_crashes.clone()))?;
+        metrics.registry.register(Box::new(metrics.quarantined_parts.clone()))?;
         metrics.registry.register(Box::new(metrics.open_requests.clone()))?;
         metrics.registry.register(Box::new(metrics.config_version.clone()))?;
         Ok(metrics)
--- a/crates/gentian-gateway/src/gateway_process.rs
+++ b/crates/gentian-gateway/src/gateway_process.rs
@@ -19,7 +19,7 @@
 use crate::gateway_metrics::GatewayMetrics;
 use crate::io::{
     EngineCalls, EntryRecord, HubUpdateExpiry, LeaseWorker, RecordReader, start_fleet_reader,
-    start_lease_worker, start_operator_watch, start_upstream_reader,
+    start_lease_worker, start_operator_watch, start_quarantine_writer, start_upstream_reader,
 };
 use crate::{GatewaySettings, PlatformCodec};
 
@@ -62,6 +62,7 @@
     let hub_update_expiry = HubUpdateExpiry::default();
     let (control, events) = flume::unbounded();
     let (lease_tasks, tasks) = flume::unbounded();
+    let (quarantine_writes, writes) = flume::unbounded();
     let socket = PeerSocket::new(settings.peer, settings.cluster_key.clone())?;
     let stop_events = control.clone();
     let on_stop = move || {
@@ -88,6 +89,7 @@
         view: Arc::clone(&view),
         socket: socket.clone(),
         lease_tasks,
+        quarantine_writes,
         engine_calls,
         hub_update_expiry: hub_update_expiry.clone(),
         metrics: metrics.clone(),
@@ -107,6 +109,13 @@
         metrics: metrics.clone(),
     };
     threads.push(start_lease_worker(worker, tasks, control.clone(), clock)?);
+    let fleet_prefix = codec.record_layout.fleet_prefix.clone();
+    threads.push(start_quarantine_writer(
+        Arc::clone(&service),
+        fleet_prefix,
+        writes,
+        metrics.clone(),
+    )?);
     let reader = RecordReader {
         service,
         events: control.clone(),
--- a/crates/gentian-gateway/src/io/fleet_records.rs
+++ b/crates/gentian-gateway/src/io/fleet_records.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use gentian_core::{FenceNumber, LeaseId, SequenceNumber, TimeSpan, VmId};
+use gentian_core::{FenceNumber, LeaseId, PartId, SequenceNumber, TimeSpan, VmId};
 use gentian_decide::orders::HolderRecord;
 use gentian_process::{KeyValueError, KeyValueService, StoredValue, ValueChange, WriteCondition};
 use gentian_wire::{decode_record, encode_record};
@@ -13,6 +13,7 @@
 /// Time after the last write at which an entry's record expires; more than two intervals between
 /// writes.
 const ENTRY_TTL: TimeSpan = TimeSpan::from_secs(600);
+const QUARANTINE_PREFIX: &str = "quarantine/";
 const PAST_HOLDER_KEY: &str = "past-holder";
 
 /// Record in which an entry makes itself known to the others.
@@ -36,6 +37,8 @@
     /// Exists once the lease has had a holder. It names the latest one and stays when the lease
     /// ends.
     PastHolder,
+    /// A part of prompts with which requests are refused.
+    QuarantinedPart(PartId),
 }
 
 /// Decodes a record under `prefix`; returns `None` if it is malformed or of an unknown kind.
@@ -46,10 +49,43 @@
         HOLDER_KEY => decode_record(bytes).ok().map(FleetRecord::Holder),
         PAST_HOLDER_KEY => Some(FleetRecord::PastHolder),
         _ if name.starts_with(ENTRY_PREFIX) => decode_record(bytes).ok().map(FleetRecord::Entry),
-        _ => None,
+        _ => {
+            let part = name.strip_prefix(QUARANTINE_PREFIX)?.parse();
+            part.ok().map(FleetRecord::QuarantinedPart)
+        }
     }
 }
 
+/// Writes the record of a quarantined part.
+///
+/// # Errors
+///
+/// Returns an error if the call to the service fails.
+pub(super) fn write_quarantined_part(
+    service: &KeyValueService,
+    prefix: &str,
+    part: PartId,
+) -> Result<(), KeyValueError> {
+    let key = format!("{prefix}{QUARANTINE_PREFIX}{part}");
+    service.write(&[], &[ValueChange::put(key, encode(&part)?)])?;
+    Ok(())
+}
+
+/// Deletes the record of a part that is no longer quarantined.
+///
+/// # Errors
+///
+/// Returns an error if the call to the service fails.
+pub(super) fn delete_quarantined_part(
+    service: &KeyValueService,
+    prefix: &str,
+    part: PartId,
+) -> Result<(), KeyValueError> {
+    let key = format!("{prefix}{QUARANTINE_PREFIX}{part}");
+    service.write(&[], &[ValueChange::Delete { key }])?;
+    Ok(())
+}
+
 /// Writes the record of an entry.
 ///
 /// # Errors
--- a/crates/gentian-process/src/refusal_response.rs
+++ b/crates/gentian-process/src/refusal_response.rs
@@ -6,7 +6,8 @@
 /// Returns the HTTP status code of a refusal.
 pub fn refusal_status(code: RefusalCode) -> u16 {
     match code {
-        RefusalCode::BadRequest | RefusalCode::ExceedsBurst => 400,
+        // Callers do not repeat a request after 400, and a repeat could not succeed.
+        RefusalCode::BadRequest | RefusalCode::ExceedsBurst | RefusalCode::PromptQuarantined => 400,
         RefusalCode::InvalidKey => 401,
         RefusalCode::Forbidden => 403,
         RefusalCode::NotFound => 404,
