Take answers that end with their connection for whole ones

Callers of non-idempotent routes got 502 although the upstream had answered, and streams were run a second time: an answer with neither a length nor chunks ends with its connection, and the entry took any end of a connection while it waited for bytes for a failure. The reader of the body, which knows the framing, was never asked.

The end of the connection now goes to the reader. A stream that ends inside an event, or has none, was broken off and is resumed where its route allows it. Since a crash closes connections too, an answer of this kind counts as whole only if the upstream still accepts connections.

--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -5,7 +5,7 @@
 use gentian_core::{MonoTime, TimeSpan};
 use gentian_decide::serving::{AttemptOutcome, AttemptProgress, UpstreamPick};
 use gentian_http::forward::{
-    BodyFraming, BodyProgress, BodyReader, BufferedStream, ResponseHead, WaitOutcome,
+    BodyFraming, BodyProgress, BodyReader, BufferedStream, EventSplitter, ResponseHead, WaitOutcome,
 };
 
 use super::call_context::SavedResponse;
@@ -113,6 +113,12 @@
     handle_response(handles, call, pick, stream, response)
 }
 
+/// Returns whether the upstream refuses connections, as it does when its process has ended.
+fn is_refusing(handles: &CallHandles, pick: &UpstreamPick) -> bool {
+    let connected = BufferedStream::connect(pick.address, END_CHECK_TIMEOUT, handles.clock);
+    connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// Returns whether the upstream accepts no connections, or closes them at once as a proxy does for
 /// a server that has ended.
 pub(super) fn has_upstream_ended(handles: &CallHandles, pick: &UpstreamPick) -> bool {
@@ -167,6 +173,9 @@
     loop {
         let parsed = ResponseHead::parse(stream.buffered());
         match parsed.map_err(|error| ReadError::Broken(error.to_string()))? {
+            None if stream.is_at_eof() => {
+                return Err(ReadError::Broken("the connection ended".to_owned()));
+            }
             None => wait_for_bytes(stream, &call.caller_stream, call.deadline)?,
             Some((head, length)) => {
                 stream.consume(length);
@@ -196,28 +205,33 @@
     mut stream: BufferedStream,
     response: UpstreamResponse,
 ) -> AttemptResult {
-    let UpstreamResponse { head, metadata, time_to_head, is_request_complete } = response;
-    let is_success = (200..300).contains(&head.status);
-    if is_success && !metadata.has_upstream_stamp {
+    let is_success = (200..300).contains(&response.head.status);
+    let is_request_complete = response.is_request_complete;
+    if is_success && !response.metadata.has_upstream_stamp {
         let cause = "a success without a signature".to_owned();
         return AttemptResult::Failed(AttemptOutcome::Broken, cause);
     }
     let is_stream = call.route.as_ref().is_some_and(|route| route.kind.is_stream());
-    if is_success && is_stream && !metadata.is_not_executed {
+    if is_success && is_stream && !response.metadata.is_not_executed {
         handles
             .metrics
             .first_byte_seconds
             .observe(handles.clock.now().since(call.received).as_secs_f64());
-        let result = relay_stream(handles, call, &mut stream, &head, time_to_head);
+        let result = relay_stream(handles, call, pick, &mut stream, &response);
+        let head = response.head;
         if matches!(result, AttemptResult::Responded(_)) && is_request_complete {
             keep_connection(handles, pick, stream, &head);
         }
         return result;
     }
+    let UpstreamResponse { head, metadata, time_to_head, .. } = response;
     let body = match read_body(call, &mut stream, &head) {
         Ok(body) => body,
         Err(error) => return error.into(),
     };
+    if ends_with_connection(&head) && is_refusing(handles, pick) {
+        return ReadError::Broken("the upstream ended".to_owned()).into();
+    }
     if is_request_complete {
         keep_connection(handles, pick, stream, &head);
     }
@@ -246,10 +260,11 @@
 fn relay_stream(
     handles: &CallHandles,
     call: &mut CallContext,
+    pick: &UpstreamPick,
     stream: &mut BufferedStream,
-    head: &ResponseHead,
-    time_to_head: TimeSpan,
+    response: &UpstreamResponse,
 ) -> AttemptResult {
+    let head = &response.head;
     let framing = match BodyFraming::of_response(head.status, &head.headers) {
         Ok(framing) => framing,
         Err(error) => return ReadError::Broken(error.to_string()).into(),
@@ -271,10 +286,13 @@
             return AttemptResult::CallerGone;
         }
         match step {
+            Ok(BodyProgress::Complete) if !is_whole_stream(handles, call, pick, framing) => {
+                return ReadError::Broken("the stream was broken off".to_owned()).into();
+            }
             Ok(BodyProgress::Complete) => {
                 call.progress = AttemptProgress::Complete;
                 end_stream(call, true);
-                return AttemptResult::Responded(AttemptOutcome::Served(time_to_head));
+                return AttemptResult::Responded(AttemptOutcome::Served(response.time_to_head));
             }
             Ok(BodyProgress::Incomplete) => {}
             Err(error) => return ReadError::Broken(error.to_string()).into(),
@@ -285,6 +303,28 @@
     }
 }
 
+/// Returns whether a stream whose body has ended is whole. Where only the end of the connection ends
+/// the body, it may also have been the end of the upstream.
+fn is_whole_stream(
+    handles: &CallHandles,
+    call: &CallContext,
+    pick: &UpstreamPick,
+    framing: BodyFraming,
+) -> bool {
+    if framing != BodyFraming::UntilClose {
+        return true;
+    }
+    let splitter = call.event_splitter.as_ref();
+    let is_inside_event = splitter.is_some_and(EventSplitter::has_partial);
+    let is_resumed = splitter.is_some_and(|splitter| splitter.last_id().is_some());
+    let is_empty = call.progress < AttemptProgress::BodyReceived && !is_resumed;
+    !(is_inside_event || is_empty || is_refusing(handles, pick))
+}
+
+fn ends_with_connection(head: &ResponseHead) -> bool {
+    BodyFraming::of_response(head.status, &head.headers) == Ok(BodyFraming::UntilClose)
+}
+
 fn read_body(
     call: &CallContext,
     stream: &mut BufferedStream,
@@ -309,7 +349,8 @@
     }
 }
 
-/// Waits until the upstream sends bytes or closes its side; fails if the caller leaves meanwhile.
+/// Waits until the upstream sends bytes or closes its side, which the next read of the stream shows;
+/// fails if the caller leaves meanwhile.
 fn wait_for_bytes(
     stream: &mut BufferedStream,
     caller_stream: &BufferedStream,
@@ -317,9 +358,6 @@
 ) -> Result<(), ReadError> {
     loop {
         match stream.read_available() {
-            Ok(0) if stream.buffered().is_empty() => {
-                return Err(ReadError::Broken("the connection ended".to_owned()));
-            }
             Ok(_) => return Ok(()),
             Err(error) if error.kind() == ErrorKind::WouldBlock => {}
             Err(error) => return Err(ReadError::Broken(error.to_string())),
--- a/crates/gentian-http/src/forward/event_splitter.rs
+++ b/crates/gentian-http/src/forward/event_splitter.rs
@@ -33,6 +33,11 @@
         self.pending.clear();
     }
 
+    /// Returns whether the bytes so far end inside an event.
+    pub fn has_partial(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
     /// Returns the id of the last complete event that has one.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
--- a/crates/gentian-soak/src/fleet_layout.rs
+++ b/crates/gentian-soak/src/fleet_layout.rs
@@ -17,6 +17,8 @@
 pub(crate) const MODELS: [&str; 6] = ["m0", "m1", "m2", "m3", "m4", "m5"];
 /// Part of a prompt on which engines crash.
 pub(crate) const CRASH_PART: &str = "dead0";
+/// Memory that an entry may use.
+pub(crate) const ENTRY_MEMORY_MB: u64 = 160;
 /// Timeout of each route.
 pub(crate) const ROUTE_TIMEOUT_MILLIS: u64 = 4_000;
 
@@ -85,7 +87,7 @@
             "node_name = \"vm-{entry}\"\nzone = \"{zone}\"\nip = \"{ip}\"\n\
              internal_ports = [{PEER_PORT}, {PEER_PORT}]\n\
              [listen]\nfront = \"{front}\"\nready = \"{ready}\"\n\
-             [limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = 260\nfile_descriptors = 4100\n\
+             [limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = {ENTRY_MEMORY_MB}\nfile_descriptors = 4100\n\
              [bounds]\nbudget_extra_attempts = 60\nquota_slack = 100000\ngrace_s = 8\n\
              [platform]\naddress = \"{store}\"\n"
         );
--- a/crates/gentian-soak/src/main.rs
+++ b/crates/gentian-soak/src/main.rs
@@ -45,6 +45,7 @@
             entries: arguments.entries,
             callers: arguments.callers,
             crash_percent: arguments.crash_percent,
+            answer_fault: None,
             programs: arguments.programs.clone(),
             folder: arguments.folder.join(format!("seed-{seed}")),
         };
--- a/crates/gentian-soak/src/process_set.rs
+++ b/crates/gentian-soak/src/process_set.rs
@@ -52,6 +52,16 @@
         }
     }
 
+    /// Returns the largest amount of memory in bytes that a process has used, as far as it is known.
+    pub(crate) fn peak_memory(&self, name: &str) -> Option<u64> {
+        let process = self.processes.get(name)?;
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", process.child.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kilobytes: u64 = line.trim().trim_end_matches("kB").trim().parse().ok()?;
+        Some(kilobytes << 10)
+    }
+
     /// Restarts the processes that have exited; returns their names and exit statuses.
     pub(crate) fn restart_ended(&mut self) -> eyre::Result<Vec<(String, String)>> {
         let mut ended = Vec::new();
--- a/crates/gentian-soak/src/soak_check.rs
+++ b/crates/gentian-soak/src/soak_check.rs
@@ -27,6 +27,8 @@
     pub calls: usize,
     /// Number of calls served.
     pub served: usize,
+    /// Number of calls that ended with an error that leaves open whether they were executed.
+    pub failed: usize,
     /// Number of faults injected.
     pub faults: usize,
     /// Violated guarantees, one description each.
@@ -71,7 +73,10 @@
     let final_records: Vec<&CallRecord> =
         final_records.iter().filter(|record| !record.has_crash_part).collect();
     let served = records.iter().filter(is_served).count();
-    let mut report = SoakReport { calls: records.len(), served, faults, violations: Vec::new() };
+    let is_failed = |record: &&CallRecord| matches!(record.outcome, CallOutcome::Failed(_));
+    let failed = records.iter().filter(is_failed).count();
+    let mut report =
+        SoakReport { calls: records.len(), served, failed, faults, violations: Vec::new() };
     let calls: FastMap<&str, &CallRecord> =
         records.iter().map(|record| (record.id.as_str(), record)).collect();
     let mut executions: FastMap<&str, usize> = FastMap::default();
--- a/crates/gentian-soak/src/soak_run.rs
+++ b/crates/gentian-soak/src/soak_run.rs
@@ -14,7 +14,7 @@
 
 use crate::SoakReport;
 use crate::call_record::{CallOutcome, CallRecord};
-use crate::fleet_layout::{CRASH_PART, FleetLayout, MODELS, zone_name};
+use crate::fleet_layout::{CRASH_PART, ENTRY_MEMORY_MB, FleetLayout, MODELS, zone_name};
 use crate::loopback_proxy::{LinkMode, LoopbackProxy};
 use crate::process_set::ProcessSet;
 use crate::soak_caller::SoakCaller;
@@ -24,6 +24,8 @@
 /// The first `ENGINES` replicas are model engines, the others plain services.
 const ENGINES: usize = 4;
 const REPLICAS: usize = 6;
+/// Answers of each replica that have the fault of the settings.
+const FAULTY_ANSWERS: u64 = 8;
 /// Longest wait for every entry to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time after the last fault in which the fleet may recover.
@@ -45,6 +47,8 @@
     pub callers: usize,
     /// Percentage of streams whose prompt holds a part on which engines crash.
     pub crash_percent: u32,
+    /// Fault that the first answers of each replica have.
+    pub answer_fault: Option<String>,
     /// Folder with the compiled programs.
     pub programs: PathBuf,
     /// Folder for settings, logs and journals; its previous content is deleted.
@@ -83,6 +87,7 @@
     std::fs::create_dir_all(&settings.folder)?;
     let mut fleet = SoakFleet::start(settings)?;
     fleet.wait_ready()?;
+    fleet.set_answer_fault();
     let stop = Arc::new(AtomicBool::new(false));
     let callers: Vec<JoinHandle<Vec<CallRecord>>> = (0..settings.callers as u64)
         .map(|number| {
@@ -115,10 +120,12 @@
         .collect();
     let final_records: Vec<CallRecord> =
         records.iter().filter(|record| record.sent >= recovered_at).cloned().collect();
+    let over_memory = fleet.check_memory();
     fleet.stop();
     let mut report = check_run(&records, &final_records, &settings.folder, faults.len())?;
     report.violations.extend(check_crashes(&settings.folder, faults_ended_at)?);
     report.violations.extend(overdue);
+    report.violations.extend(over_memory);
     Ok(report)
 }
 
@@ -249,6 +256,24 @@
         Ok(())
     }
 
+    fn set_answer_fault(&self) {
+        let Some(name) = &self.settings.answer_fault else { return };
+        for replica in 0..REPLICAS {
+            let address = self.layout.replica_address(replica);
+            self.set_fault(address, name, ("count", FAULTY_ANSWERS));
+        }
+    }
+
+    /// Returns a description of each entry that has used more memory than its settings allow.
+    fn check_memory(&self) -> Vec<String> {
+        let entries = (0..self.settings.entries).map(entry_name);
+        let peaks = entries.filter_map(|name| Some((self.processes.peak_memory(&name)?, name)));
+        peaks
+            .filter(|(bytes, _)| *bytes > ENTRY_MEMORY_MB << 20)
+            .map(|(bytes, name)| format!("{name} used {} MB", bytes >> 20))
+            .collect()
+    }
+
     fn kill_entry(&mut self, entry: usize) {
         self.disturbed_until[entry] = Instant::now() + POLL_INTERVAL * 4;
         self.processes.signal(&entry_name(entry), Signal::KILL);
--- a/crates/gentian-soak/tests/crashing_part.rs
+++ b/crates/gentian-soak/tests/crashing_part.rs
@@ -21,6 +21,7 @@
         entries: 3,
         callers: 6,
         crash_percent: 10,
+        answer_fault: None,
         programs: programs(),
         folder,
     };
--- a/crates/gentian-soak/tests/short_soak.rs
+++ b/crates/gentian-soak/tests/short_soak.rs
@@ -24,6 +24,7 @@
         entries: 3,
         callers: 6,
         crash_percent: 2,
+        answer_fault: None,
         programs: programs(),
         folder,
     };
--- a/crates/gentian-standin/src/commands/fleet_replica.rs
+++ b/crates/gentian-standin/src/commands/fleet_replica.rs
@@ -26,6 +26,12 @@
 /// request on which it crashes.
 const CRASH_EXIT_CODE: i32 = 9;
 
+/// Size of a chunk of a body without end, and of a write of it.
+const ENDLESS_CHUNK_BYTES: usize = 1_000;
+const ENDLESS_BLOCK_BYTES: usize = 64 << 10;
+/// Bytes that a truncated event lacks.
+const TRUNCATED_BYTES: usize = 5;
+
 struct Replica {
     settings: ReplicaSettings,
     id: String,
@@ -146,6 +152,9 @@
             std::thread::sleep(self.settings.event_time.into());
             return false;
         }
+        if let Some(is_kept) = self.send_faulty(id, stream) {
+            return is_kept;
+        }
         match self.settings.memory {
             0 => self.run_plain(id, stream),
             _ => {
@@ -155,6 +164,53 @@
         }
     }
 
+    /// Sends a response with one of the faults of framing, if one is set; returns whether the
+    /// connection stays open.
+    fn send_faulty(&self, id: &str, stream: &mut BufferedStream) -> Option<bool> {
+        if self.faults.consume(FaultName::EndlessHead) {
+            return Some(self.send_endless(stream, "", "HTTP/1.1 100 Continue\r\n\r\n"));
+        }
+        let head = ResponseHead::new(200)
+            .with_header("X-Gentianwheel-Request-Id", id)
+            .with_header("X-Gentianwheel-Server-Stamp", self.id.clone());
+        let chunked = head.clone().with_header("Transfer-Encoding", "chunked");
+        let chunked = String::from_utf8_lossy(&chunked.to_bytes()).into_owned();
+        if self.faults.consume(FaultName::EndlessBody) {
+            return Some(self.send_endless(
+                stream,
+                &chunked,
+                &encode_text(&"x".repeat(ENDLESS_CHUNK_BYTES)),
+            ));
+        }
+        if self.faults.consume(FaultName::EndlessTrailer) {
+            return Some(self.send_endless(stream, &format!("{chunked}0\r\n"), "Trailer: x\r\n"));
+        }
+        let is_whole = self.faults.consume(FaultName::UnframedResponse);
+        if !is_whole && !self.faults.consume(FaultName::UnframedTruncation) {
+            return None;
+        }
+        let body = match self.settings.memory {
+            0 => json!({ "done": id }).to_string(),
+            _ => (1..=self.settings.events).map(|event| event_text(id, event)).collect(),
+        };
+        // Without its last bytes a plain body cannot be told from a whole one.
+        let cut = if is_whole || self.settings.memory == 0 { 0 } else { TRUNCATED_BYTES };
+        let mut bytes = head.to_bytes();
+        bytes.extend_from_slice(&body.as_bytes()[..body.len() - cut]);
+        self.write(stream, &bytes);
+        Some(false)
+    }
+
+    /// Sends `start`, then `text` again and again until the peer closes the connection.
+    fn send_endless(&self, stream: &mut BufferedStream, start: &str, text: &str) -> bool {
+        let mut is_open = self.write(stream, start.as_bytes());
+        let block = text.repeat(ENDLESS_BLOCK_BYTES.div_ceil(text.len()));
+        while is_open {
+            is_open = self.write(stream, block.as_bytes());
+        }
+        false
+    }
+
     fn run_plain(&self, id: &str, stream: &mut BufferedStream) -> bool {
         std::thread::sleep(self.settings.event_time.into());
         let body = json!({ "done": id }).to_string();
@@ -198,7 +254,7 @@
         }
         for event in after + 1..=self.settings.events {
             std::thread::sleep(self.settings.event_time.into());
-            let text = format!("id: {event}\ndata: {id} {event}\n\n");
+            let text = event_text(id, event);
             if self.faults.consume(FaultName::TruncatedResponse) {
                 self.write(stream, &encode_chunk(&text[..text.len() / 2]));
                 return false;
@@ -292,10 +348,18 @@
     }
 }
 
+fn event_text(id: &str, event: u64) -> String {
+    format!("id: {event}\ndata: {id} {event}\n\n")
+}
+
+fn encode_text(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
 fn unix_millis() -> u128 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_millis())
 }
 
 fn encode_chunk(text: &str) -> Vec<u8> {
-    format!("{:x}\r\n{text}\r\n", text.len()).into_bytes()
+    encode_text(text).into_bytes()
 }
--- a/crates/gentian-standin/src/shared/fault_switch.rs
+++ b/crates/gentian-standin/src/shared/fault_switch.rs
@@ -19,6 +19,16 @@
     LostResponse,
     /// A response ends in the middle.
     TruncatedResponse,
+    /// A response has neither a length nor chunks, and ends with its connection.
+    UnframedResponse,
+    /// The same, but the connection ends inside an event.
+    UnframedTruncation,
+    /// Interim responses come without end.
+    EndlessHead,
+    /// The body of a response has no end, nor has its only event.
+    EndlessBody,
+    /// The trailer of a chunked body has no end.
+    EndlessTrailer,
     /// A response carries the id of another request.
     WrongRequestId,
     /// A load fails after its memory was allocated.
@@ -32,6 +42,11 @@
             Self::Slow => "slow",
             Self::LostResponse => "lost-answer",
             Self::TruncatedResponse => "cut-answer",
+            Self::UnframedResponse => "unframed-answer",
+            Self::UnframedTruncation => "unframed-cut",
+            Self::EndlessHead => "endless-head",
+            Self::EndlessBody => "endless-body",
+            Self::EndlessTrailer => "endless-trailer",
             Self::WrongRequestId => "crossed-answer",
             Self::FailedLoad => "failed-load",
         })
@@ -47,6 +62,11 @@
             Self::Slow,
             Self::LostResponse,
             Self::TruncatedResponse,
+            Self::UnframedResponse,
+            Self::UnframedTruncation,
+            Self::EndlessHead,
+            Self::EndlessBody,
+            Self::EndlessTrailer,
             Self::WrongRequestId,
             Self::FailedLoad,
         ];
@@ -55,7 +75,8 @@
             ParseError::new(
                 "fault",
                 text,
-                "one of down, slow, lost-answer, cut-answer, crossed-answer, failed-load",
+                "one of down, slow, lost-answer, cut-answer, unframed-answer, unframed-cut, \
+                 endless-head, endless-body, endless-trailer, crossed-answer, failed-load",
             )
         })
     }
