Bound what an entry reads of an answer that has no end

An upstream in trouble may send bytes without end, in a head or a body. The entry then read on past the deadline: interim responses, trailers and an event that never ends had no limit, and a wait for bytes looked at the deadline only when no byte had arrived. Calls had no response in time, the entry's processor was busy with them, and few other calls were served. A head that was cut short let its thread spin.

Each read now looks at the deadline first, which also bounds lingering on a caller's connection. Interim responses, trailers and events have limits; bodies that are not streamed share a budget of memory, and engine reports a smaller limit.

The class, waits bounded by the lack of bytes, was looked for in gentian-http and the gateway; the product's own entry bounds bodies by size and single reads by time, not whole answers.

--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -5,7 +5,8 @@
 use gentian_core::{MonoTime, TimeSpan};
 use gentian_decide::serving::{AttemptOutcome, AttemptProgress, UpstreamPick};
 use gentian_http::forward::{
-    BodyFraming, BodyProgress, BodyReader, BufferedStream, EventSplitter, ResponseHead, WaitOutcome,
+    BodyFraming, BodyProgress, BodyReader, BufferReservation, BufferedStream, EventSplitter,
+    ResponseHead, WaitOutcome,
 };
 
 use super::call_context::SavedResponse;
@@ -20,6 +21,8 @@
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_millis(400);
 /// Size limit in bytes of the body of a response that is not streamed.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Maximum number of interim responses before the response itself.
+const MAX_INTERIM_RESPONSES: u32 = 16;
 /// Maximum number of responses to other requests that are skipped on one connection.
 const MAX_STRAY_RESPONSES: u32 = 3;
 
@@ -170,6 +173,7 @@
     stream: &mut BufferedStream,
 ) -> Result<(ResponseHead, ResponseMetadata), ReadError> {
     let mut stray_count = 0;
+    let mut interim_count = 0;
     loop {
         let parsed = ResponseHead::parse(stream.buffered());
         match parsed.map_err(|error| ReadError::Broken(error.to_string()))? {
@@ -180,6 +184,10 @@
             Some((head, length)) => {
                 stream.consume(length);
                 if (100..200).contains(&head.status) {
+                    interim_count += 1;
+                    if interim_count > MAX_INTERIM_RESPONSES {
+                        return Err(ReadError::Broken("too many interim responses".to_owned()));
+                    }
                     continue;
                 }
                 let metadata = (handles.codec.decode_response)(&head);
@@ -192,7 +200,7 @@
                 if stray_count > MAX_STRAY_RESPONSES {
                     return Err(ReadError::Broken("answers to other requests".to_owned()));
                 }
-                read_body(call, stream, &head)?;
+                read_body(handles, call, stream, &head)?;
             }
         }
     }
@@ -225,8 +233,8 @@
         return result;
     }
     let UpstreamResponse { head, metadata, time_to_head, .. } = response;
-    let body = match read_body(call, &mut stream, &head) {
-        Ok(body) => body,
+    let (body, reservation) = match read_body(handles, call, &mut stream, &head) {
+        Ok(read) => read,
         Err(error) => return error.into(),
     };
     if ends_with_connection(&head) && is_refusing(handles, pick) {
@@ -242,7 +250,7 @@
     if head.status >= 500 || call.event_splitter.is_some() {
         let cause = format!("failed with status {}", head.status);
         if call.event_splitter.is_none() {
-            call.saved_response = Some(SavedResponse { head, body });
+            call.saved_response = Some(SavedResponse { head, body, _reservation: reservation });
         }
         return AttemptResult::Failed(AttemptOutcome::Failed, cause);
     }
@@ -282,8 +290,10 @@
         if !bytes.is_empty() {
             call.progress = AttemptProgress::BodyReceived;
         }
-        if !send_events(handles, call, &bytes) {
-            return AttemptResult::CallerGone;
+        match send_events(handles, call, &bytes) {
+            Ok(true) => {}
+            Ok(false) => return AttemptResult::CallerGone,
+            Err(error) => return ReadError::Broken(error.to_string()).into(),
         }
         match step {
             Ok(BodyProgress::Complete) if !is_whole_stream(handles, call, pick, framing) => {
@@ -326,10 +336,11 @@
 }
 
 fn read_body(
+    handles: &CallHandles,
     call: &CallContext,
     stream: &mut BufferedStream,
     head: &ResponseHead,
-) -> Result<Vec<u8>, ReadError> {
+) -> Result<(Vec<u8>, BufferReservation), ReadError> {
     let broken = |error: &dyn std::fmt::Display| ReadError::Broken(error.to_string());
     let framing = match call.head.method.as_str() {
         "HEAD" => BodyFraming::Length(0),
@@ -337,12 +348,13 @@
     };
     let mut reader = BodyReader::new(framing);
     let mut body = Vec::new();
+    let mut reservation = handles.buffers.reserve();
     loop {
         let step = reader.read_buffered(stream, &mut body).map_err(|error| broken(&error))?;
         if step == BodyProgress::Complete {
-            return Ok(body);
+            return Ok((body, reservation));
         }
-        if body.len() > MAX_RESPONSE_BYTES {
+        if body.len() > MAX_RESPONSE_BYTES || !reservation.grow_to(body.len()) {
             return Err(ReadError::Broken("the answer is too large".to_owned()));
         }
         wait_for_bytes(stream, &call.caller_stream, call.deadline)?;
@@ -357,6 +369,10 @@
     deadline: MonoTime,
 ) -> Result<(), ReadError> {
     loop {
+        // Bytes may arrive faster than they are consumed, so that there is never a wait.
+        if stream.is_past(deadline) {
+            return Err(ReadError::TimedOut);
+        }
         match stream.read_available() {
             Ok(_) => return Ok(()),
             Err(error) if error.kind() == ErrorKind::WouldBlock => {}
--- a/crates/gentian-gateway/src/chain/call_context.rs
+++ b/crates/gentian-gateway/src/chain/call_context.rs
@@ -9,7 +9,8 @@
 use gentian_decide::serving::{AttemptProgress, ServingCall};
 use gentian_http::ProcessClock;
 use gentian_http::forward::{
-    BufferedStream, ConnectionPool, EventSplitter, RequestHead, ResponseHead,
+    BufferBudget, BufferReservation, BufferedStream, ConnectionPool, EventSplitter, RequestHead,
+    ResponseHead,
 };
 
 use crate::control::{ControlEvent, TrafficView};
@@ -30,6 +31,8 @@
     pub(crate) codec: Arc<PlatformCodec>,
     /// Open connections to upstreams.
     pub(crate) connections: ConnectionPool,
+    /// Memory for bodies of responses that are not streamed.
+    pub(crate) buffers: BufferBudget,
     /// Metrics.
     pub(crate) metrics: GatewayMetrics,
     /// Clock of the process.
@@ -52,6 +55,8 @@
     pub(crate) head: ResponseHead,
     /// Body of the response.
     pub(crate) body: Vec<u8>,
+    /// Keeps the memory of the body reserved.
+    pub(crate) _reservation: BufferReservation,
 }
 
 /// A request and its connection on their way through the filter chain.
--- a/crates/gentian-gateway/src/chain/relay.rs
+++ b/crates/gentian-gateway/src/chain/relay.rs
@@ -1,7 +1,7 @@
 //! Sends responses of upstreams to the caller.
 
 use gentian_core::{EventCode, TimeSpan};
-use gentian_http::forward::{EventSplitter, ResponseHead};
+use gentian_http::forward::{EventSplitter, EventTooLarge, ResponseHead};
 
 use super::{CallContext, CallHandles};
 
@@ -44,10 +44,20 @@
 
 /// Appends `bytes` to the incomplete event that was kept back so far and sends the events that are
 /// now complete; returns `false` if the write to the caller fails.
-pub(super) fn send_events(handles: &CallHandles, call: &mut CallContext, bytes: &[u8]) -> bool {
-    let Some(event_splitter) = &mut call.event_splitter else { return true };
-    let complete_events = event_splitter.push(bytes);
-    complete_events.is_empty() || write_to_caller(handles, call, &encode_chunk(&complete_events))
+///
+/// # Errors
+///
+/// Returns an error if an event is too large.
+pub(super) fn send_events(
+    handles: &CallHandles,
+    call: &mut CallContext,
+    bytes: &[u8],
+) -> Result<bool, EventTooLarge> {
+    let Some(event_splitter) = &mut call.event_splitter else { return Ok(true) };
+    let complete_events = event_splitter.push(bytes)?;
+    let is_sent = complete_events.is_empty()
+        || write_to_caller(handles, call, &encode_chunk(&complete_events));
+    Ok(is_sent)
 }
 
 /// Ends a streamed response: with the last chunk if it is complete, otherwise by closing the
--- a/crates/gentian-gateway/src/gateway_process.rs
+++ b/crates/gentian-gateway/src/gateway_process.rs
@@ -9,7 +9,7 @@
 use gentian_core::{EventCode, InstanceId, TimeSpan};
 use gentian_decide::orders::HolderRecord;
 use gentian_decide::serving::UpstreamTable;
-use gentian_http::forward::{ConnectionPool, serve_connections};
+use gentian_http::forward::{BufferBudget, ConnectionPool, serve_connections};
 use gentian_http::{AdminPages, ProcessClock, join_threads};
 use gentian_process::{KeyValueService, LeaseCalls, PeerSocket, StopSignal};
 
@@ -35,6 +35,8 @@
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// How long to wait for threads to finish by themselves; part of the shutdown margin.
 const JOIN_TIMEOUT: TimeSpan = TimeSpan::from_millis(300);
+/// Memory for the bodies of all responses that are not streamed.
+const MAX_BUFFERED_BYTES: usize = 32 << 20;
 /// Maximum number of open connections for readiness checks.
 const READINESS_CONNECTION_LIMIT: usize = 16;
 
@@ -142,8 +144,15 @@
         serve,
     )?);
 
-    let handles =
-        CallHandles { control: control.clone(), view, codec, connections, metrics, clock };
+    let handles = CallHandles {
+        control: control.clone(),
+        view,
+        codec,
+        connections,
+        buffers: BufferBudget::new(MAX_BUFFERED_BYTES),
+        metrics,
+        clock,
+    };
     let chain = build_chain(&handles);
     log::debug!("filters: {}", chain.names().collect::<Vec<_>>().join(", "));
     let context = SessionContext {
--- a/crates/gentian-http/src/forward/buffered_stream.rs
+++ b/crates/gentian-http/src/forward/buffered_stream.rs
@@ -110,9 +110,13 @@
     ///
     /// # Errors
     ///
-    /// Returns `TimedOut` at the deadline, or the I/O error of the connection.
+    /// Returns `TimedOut` after the deadline, even if bytes have arrived, so that a peer that never
+    /// stops sending cannot prolong it. Otherwise returns the I/O error of the connection.
     pub fn fill(&mut self, deadline: MonoTime) -> io::Result<usize> {
         loop {
+            if self.is_past(deadline) {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
             match self.read_available() {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     if !self.wait(PollFlags::IN, deadline)? {
@@ -124,6 +128,11 @@
         }
     }
 
+    /// Returns whether `deadline` has passed.
+    pub fn is_past(&self, deadline: MonoTime) -> bool {
+        self.clock.now() > deadline
+    }
+
     /// Reads the bytes that have arrived, without waiting.
     ///
     /// # Errors
--- a/crates/gentian-http/src/forward/chunk_decoder.rs
+++ b/crates/gentian-http/src/forward/chunk_decoder.rs
@@ -4,6 +4,8 @@
 
 /// Longest accepted chunk-size or trailer line.
 const MAX_LINE_BYTES: usize = 4_096;
+/// Largest accepted trailer in bytes.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
 /// Longest accepted chunk size in hexadecimal digits; the size always fits into a `u64`.
 const MAX_SIZE_DIGITS: usize = 15;
 
@@ -24,7 +26,8 @@
     Size,
     Data(u64),
     DataEnd,
-    Trailer,
+    /// The trailer, of which this many bytes were decoded.
+    Trailer(usize),
     Done,
 }
 
@@ -78,12 +81,14 @@
     fn next_state(&self, line: &[u8]) -> Result<ChunkState, ChunkError> {
         match self.state {
             ChunkState::Size => match parse_size(line)? {
-                0 => Ok(ChunkState::Trailer),
+                0 => Ok(ChunkState::Trailer(0)),
                 size => Ok(ChunkState::Data(size)),
             },
             ChunkState::DataEnd if line.is_empty() => Ok(ChunkState::Size),
-            ChunkState::Trailer if line.is_empty() => Ok(ChunkState::Done),
-            ChunkState::Trailer => Ok(ChunkState::Trailer),
+            ChunkState::Trailer(_) if line.is_empty() => Ok(ChunkState::Done),
+            ChunkState::Trailer(length) if length + line.len() <= MAX_TRAILER_BYTES => {
+                Ok(ChunkState::Trailer(length + line.len()))
+            }
             _ => Err(ChunkError),
         }
     }
--- a/crates/gentian-http/src/forward/event_splitter.rs
+++ b/crates/gentian-http/src/forward/event_splitter.rs
@@ -1,5 +1,22 @@
 //! Splitting of an event stream into complete events.
 
+use std::fmt;
+
+/// Largest accepted event in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// An event of a stream has no end within the limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventTooLarge;
+
+impl fmt::Display for EventTooLarge {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "an event has no end within {MAX_EVENT_BYTES} bytes")
+    }
+}
+
+impl std::error::Error for EventTooLarge {}
+
 /// Buffers the bytes of an event stream and returns complete events.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
@@ -14,13 +31,22 @@
     }
 
     /// Adds `bytes` and returns all complete events that were not returned yet.
-    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an event is too large; the stream cannot be used any further then.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventTooLarge> {
         self.pending.extend_from_slice(bytes);
-        let Some(end) = find_end(&self.pending) else { return Vec::new() };
+        let Some(end) = find_end(&self.pending) else {
+            return match self.pending.len() > MAX_EVENT_BYTES {
+                true => Err(EventTooLarge),
+                false => Ok(Vec::new()),
+            };
+        };
         let rest = self.pending.split_off(end);
         let whole = std::mem::replace(&mut self.pending, rest);
         self.last_id = find_last_id(&whole).or(self.last_id);
-        whole
+        Ok(whole)
     }
 
     /// Returns the bytes after the last complete event; for use at the end of the stream.
--- a/crates/gentian-http/src/forward/mod.rs
+++ b/crates/gentian-http/src/forward/mod.rs
@@ -4,6 +4,7 @@
 
 mod body_framing;
 mod body_reader;
+mod buffer_budget;
 mod buffered_stream;
 mod chunk_decoder;
 mod connection_listener;
@@ -16,11 +17,12 @@
 
 pub use body_framing::{BodyFraming, FramingError};
 pub use body_reader::{BodyError, BodyProgress, BodyReader, read_request_body, read_response_body};
+pub use buffer_budget::{BufferBudget, BufferReservation};
 pub use buffered_stream::{BufferedStream, WaitOutcome};
 pub use chunk_decoder::{ChunkDecoder, ChunkError};
 pub use connection_listener::serve_connections;
 pub use connection_pool::ConnectionPool;
-pub use event_splitter::EventSplitter;
+pub use event_splitter::{EventSplitter, EventTooLarge};
 pub use header_list::HeaderList;
 pub use pooled_client::{CallLimits, PooledCallError, PooledClient};
 pub use request_head::{HeadError, RequestHead};
--- a/crates/gentian-http/src/forward/pooled_client.rs
+++ b/crates/gentian-http/src/forward/pooled_client.rs
@@ -11,7 +11,7 @@
 use crate::ProcessClock;
 
 /// Largest accepted response body.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
 /// Why a call has no complete response.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/gentian-http/tests/forward.rs
+++ b/crates/gentian-http/tests/forward.rs
@@ -11,7 +11,7 @@
 use gentian_core::{MonoTime, TimeSpan};
 use gentian_http::ProcessClock;
 use gentian_http::forward::{
-    BodyError, BodyFraming, BufferedStream, CallLimits, ChunkDecoder, ConnectionPool,
+    BodyError, BodyFraming, BufferBudget, BufferedStream, CallLimits, ChunkDecoder, ConnectionPool,
     EventSplitter, FramingError, HeadError, HeaderList, PooledCallError, PooledClient, RequestHead,
     ResponseHead, WaitOutcome, read_request_body, read_response_body,
 };
@@ -131,7 +131,7 @@
     fn no_input_makes_a_decoder_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
         let heads = (RequestHead::parse(&bytes, 100).is_ok(), ResponseHead::parse(&bytes).is_ok());
         let used = ChunkDecoder::new().decode(&bytes, &mut Vec::new()).unwrap_or(0);
-        let whole = EventSplitter::new().push(&bytes);
+        let whole = EventSplitter::new().push(&bytes).unwrap();
         prop_assert!(used <= bytes.len() && whole.len() <= bytes.len(), "{:?}", heads);
     }
 }
@@ -139,11 +139,11 @@
 #[test]
 fn only_complete_events_are_returned() {
     let mut events = EventSplitter::new();
-    assert_eq!(events.push(b"id: 1\nda"), b"");
-    assert_eq!(events.push(b"ta: a\n\nid: 2\ndata"), b"id: 1\ndata: a\n\n");
+    assert_eq!(events.push(b"id: 1\nda").unwrap(), b"");
+    assert_eq!(events.push(b"ta: a\n\nid: 2\ndata").unwrap(), b"id: 1\ndata: a\n\n");
     assert_eq!(events.last_id(), Some(1));
     events.discard_partial();
-    assert_eq!(events.push(b"id: 2\ndata: b\n\n"), b"id: 2\ndata: b\n\n");
+    assert_eq!(events.push(b"id: 2\ndata: b\n\n").unwrap(), b"id: 2\ndata: b\n\n");
     assert_eq!(events.last_id(), Some(2));
     assert_eq!(events.finish(), b"");
 }
@@ -321,3 +321,49 @@
     assert!(matches!(call(&client, address), Err(PooledCallError::Unknown(_))));
     thread.join().unwrap();
 }
+
+#[test]
+fn an_event_without_end_is_an_error() {
+    let mut events = EventSplitter::new();
+    let piece = [b'x'; 64 << 10];
+    assert!((0..64).any(|_| events.push(&piece).is_err()));
+}
+
+#[test]
+fn a_trailer_without_end_is_an_error() {
+    let (mut decoder, mut body) = (ChunkDecoder::new(), Vec::new());
+    decoder.decode(b"0\r\n", &mut body).unwrap();
+    let is_error = |_| decoder.decode(b"Trailer: x\r\n", &mut body).is_err();
+    assert!((0..10_000).any(is_error));
+}
+
+/// The peer writes faster than the body is read, so that a read never has to wait.
+#[test]
+fn a_peer_that_never_stops_sending_does_not_prolong_the_deadline() {
+    let (address, thread) = serve(1, |mut peer| while peer.write_all(&[b'x'; 64 << 10]).is_ok() {});
+    let clock = ProcessClock::new();
+    let mut stream = BufferedStream::connect(address, TIMEOUT, clock).unwrap();
+    let deadline = clock.now() + TimeSpan::from_millis(200);
+    let error = loop {
+        match stream.fill(deadline) {
+            Ok(count) => stream.consume(count),
+            Err(error) => break error,
+        }
+    };
+    assert_eq!(error.kind(), std::io::ErrorKind::TimedOut);
+    assert!(clock.now() < deadline + TimeSpan::from_millis(500));
+    drop(stream);
+    thread.join().unwrap();
+}
+
+#[test]
+fn open_responses_share_a_budget_of_memory() {
+    let budget = BufferBudget::new(100);
+    let (mut first, mut second) = (budget.reserve(), budget.reserve());
+    assert!(first.grow_to(60));
+    assert!(!second.grow_to(41), "both together exceed the budget");
+    assert!(second.grow_to(40));
+    assert!(second.grow_to(40), "a reservation that does not grow takes nothing more");
+    drop(first);
+    assert!(second.grow_to(100));
+}
