Log the limits that upstreams name

The logs showed neither the limit that an upstream names in its responses nor whether an entry knows it when it sends a request there.

--- a/crates/gentian-core/src/event_code.rs
+++ b/crates/gentian-core/src/event_code.rs
@@ -87,6 +87,7 @@
     1407 UPSTREAM_RESTARTED "upstream-restarted": "An upstream has a new boot id and lost its memory contents."; "None."
     1408 ORDER_SENT "order-sent": "The hub is about to send an order to an engine."; "None."
     1409 ORDER_ENDED "order-ended": "An engine replied to an order, or the order ended without a reply."; "Check the upstream if it did not reply."
+    1410 LIMIT_CHANGED "limit-changed": "An upstream names another limit of requests per second for all entries together, or none any more."; "Check the upstream if it lasts."
     1501 GRANT_VOID "grant-void": "A grant or a placement reply arrived late, twice or from a former holder and was ignored."; "None unless frequent."
     1502 DATAGRAM_REFUSED "datagram-refused": "A datagram failed authentication or decoding."; "Check the cluster key of the sender."
     1601 PLATFORM_LOST "platform-lost": "Calls to the key-value service fail or return malformed records."; "Check the key-value service."
--- a/crates/gentian-core/src/lib.rs
+++ b/crates/gentian-core/src/lib.rs
@@ -9,6 +9,7 @@
 mod newtypes;
 mod parse_error;
 pub mod peer;
+mod request_rate;
 mod time_span;
 mod token_amounts;
 
@@ -22,5 +23,6 @@
 };
 pub use mono_time::MonoTime;
 pub use parse_error::ParseError;
+pub use request_rate::RequestRate;
 pub use time_span::TimeSpan;
 pub use token_amounts::{SlotCount, TokenCount, TokenRate};
--- a/crates/gentian-decide/src/serving/call_scheduler.rs
+++ b/crates/gentian-decide/src/serving/call_scheduler.rs
@@ -8,7 +8,8 @@
 use gentian_config::serving::ServingConfig;
 use gentian_core::peer::{ServingDemand, TargetId, UpstreamWork};
 use gentian_core::{
-    FastMap, FastSet, MonoTime, OrganisationId, RequestId, ServiceId, TimeSpan, UpstreamId,
+    FastMap, FastSet, MonoTime, OrganisationId, RequestId, RequestRate, ServiceId, TimeSpan,
+    UpstreamId,
 };
 
 use super::{
@@ -198,6 +199,20 @@
         }
     }
 
+    /// Records the limit that the response to a request names, `None` if it names none. Returns the
+    /// upstream if its limit changed.
+    pub fn record_limit(
+        &self,
+        id: RequestId,
+        limit: Option<RequestRate>,
+        table: &mut UpstreamTable,
+        now: MonoTime,
+    ) -> Option<UpstreamId> {
+        let running = self.running.get(&id)?;
+        let is_changed = table.record_limit(&running.upstream, limit, running.sent, now);
+        is_changed.then(|| running.upstream.clone())
+    }
+
     fn record_prefill_end(&mut self, id: RequestId, table: &mut UpstreamTable) {
         if let Some(running) = self.running.get_mut(&id)
             && !std::mem::replace(&mut running.is_prefilled, true)
--- a/crates/gentian-decide/src/serving/upstream_row.rs
+++ b/crates/gentian-decide/src/serving/upstream_row.rs
@@ -1,7 +1,7 @@
 //! State of one upstream at an entry.
 
 use gentian_core::peer::{ResidentModels, TargetId, UpstreamWork};
-use gentian_core::{MonoTime, TimeSpan};
+use gentian_core::{MonoTime, RequestRate, TimeSpan};
 
 use super::{AttemptOutcome, ColdLimiter, EngineModels, UpstreamRegistration, UpstreamState};
 
@@ -25,6 +25,9 @@
     pub local_work: UpstreamWork,
     /// Requests of the other entries in progress there.
     pub remote_work: UpstreamWork,
+    /// Requests that it accepts from all entries together, as its responses name it.
+    pub limit: Option<RequestRate>,
+    limit_time: MonoTime,
     /// Limits requests while the upstream is cold.
     pub cold_limiter: ColdLimiter,
     cold_until: MonoTime,
@@ -44,6 +47,8 @@
             resident_models: None,
             local_work: UpstreamWork::default(),
             remote_work: UpstreamWork::default(),
+            limit: None,
+            limit_time: MonoTime::ORIGIN,
             cold_limiter: ColdLimiter::default(),
             cold_until,
             skipped_until: MonoTime::ORIGIN,
@@ -91,6 +96,22 @@
         })
     }
 
+    /// Records the limit that a response names, to a request sent at `sent`; returns whether the
+    /// limit changed. A response without a limit ends an earlier one only if its request was sent
+    /// after that was named: responses may overtake each other.
+    pub fn record_limit(
+        &mut self,
+        limit: Option<RequestRate>,
+        sent: MonoTime,
+        now: MonoTime,
+    ) -> bool {
+        if limit.is_none() && sent <= self.limit_time {
+            return false;
+        }
+        self.limit_time = now;
+        std::mem::replace(&mut self.limit, limit) != limit
+    }
+
     /// Returns the work of all entries at this upstream.
     pub fn work(&self) -> UpstreamWork {
         UpstreamWork {
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -7,8 +7,8 @@
 use gentian_config::serving::{ServiceSpec, ServingConfig};
 use gentian_core::peer::{ResidentModels, UpstreamListing, UpstreamWork};
 use gentian_core::{
-    DomainId, FastMap, FastSet, InstanceId, MonoTime, SequenceNumber, ServiceId, TimeSpan,
-    UpstreamId,
+    DomainId, FastMap, FastSet, InstanceId, MonoTime, RequestRate, SequenceNumber, ServiceId,
+    TimeSpan, UpstreamId,
 };
 use rustc_hash::FxHasher;
 
@@ -47,6 +47,8 @@
     pub work: UpstreamWork,
     /// Number of available upstreams that have the target loaded.
     pub candidates: usize,
+    /// Limit that the upstream names.
+    pub limit: Option<RequestRate>,
 }
 
 /// Outcome of a selection.
@@ -215,8 +217,10 @@
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (_, id) in ranked {
             if let Some(address) = self.find_free_address(&id, call, service.as_deref(), now) {
-                let work = self.rows.get(&id).map(UpstreamRow::work).unwrap_or_default();
-                let pick = UpstreamPick { upstream: id, address, work, candidates };
+                let row = self.rows.get(&id);
+                let work = row.map(UpstreamRow::work).unwrap_or_default();
+                let limit = row.and_then(|row| row.limit);
+                let pick = UpstreamPick { upstream: id, address, work, candidates, limit };
                 return PickOutcome::Send(pick);
             }
         }
@@ -245,6 +249,19 @@
         self.prefill_times.entry(service.clone()).or_default().record(prefill_tokens, elapsed);
     }
 
+    /// Records the limit that a response of an upstream names; its request was sent at `sent`.
+    /// Returns whether the limit changed.
+    pub fn record_limit(
+        &mut self,
+        id: &UpstreamId,
+        limit: Option<RequestRate>,
+        sent: MonoTime,
+        now: MonoTime,
+    ) -> bool {
+        let row = self.rows.get_mut(id);
+        row.is_some_and(|row| row.record_limit(limit, sent, now))
+    }
+
     /// Records that the prefill of a prompt is no longer pending.
     pub fn record_prefill_end(&mut self, id: &UpstreamId, tokens: u32) {
         if let Some(row) = self.rows.get_mut(id) {
--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -111,7 +111,11 @@
     let time_to_head = handles.clock.now().since(now);
     call.progress = AttemptProgress::HeadReceived;
     call.time_to_head = time_to_head;
-    handles.send_event(ControlEvent::Head(call.id));
+    handles.send_event(ControlEvent::Head {
+        id: call.id,
+        request_limit: metadata.request_limit,
+        is_success: (200..300).contains(&head.status),
+    });
     let response = UpstreamResponse { head, metadata, time_to_head, is_request_complete };
     handle_response(handles, call, pick, stream, response)
 }
--- a/crates/gentian-gateway/src/control/call_controller.rs
+++ b/crates/gentian-gateway/src/control/call_controller.rs
@@ -1,6 +1,6 @@
 //! Controllers of the requests of traffic threads and their assignments to upstreams.
 
-use gentian_core::{EventCode, MonoTime};
+use gentian_core::{EventCode, MonoTime, RequestId, RequestRate};
 use gentian_decide::serving::ScheduleDecision;
 
 use super::quarantine_controller::{check_quarantine, record_attempt_end};
@@ -24,7 +24,13 @@
                 }
             }
         }
-        ControlEvent::Head(id) => state.scheduler.record_response_start(*id, &mut state.table, now),
+        ControlEvent::Head { id, request_limit, is_success } => {
+            state.scheduler.record_response_start(*id, &mut state.table, now);
+            let limit = request_limit.map(Some).or(is_success.then_some(None));
+            if let Some(limit) = limit {
+                record_limit(state, *id, limit, now);
+            }
+        }
         ControlEvent::EndAttempt(end) => {
             let ended = state.scheduler.end_attempt(end.id, end.outcome, &mut state.table, now);
             if let Some((call, upstream)) = ended {
@@ -39,6 +45,20 @@
     }
 }
 
+/// Records the limit that the response to a request names, if any, and logs a change.
+fn record_limit(
+    state: &mut ControlState,
+    id: RequestId,
+    limit: Option<RequestRate>,
+    now: MonoTime,
+) {
+    let Some(upstream) = state.scheduler.record_limit(id, limit, &mut state.table, now) else {
+        return;
+    };
+    let limit = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+    log::info!("{} upstream={upstream} limit={limit} cause=response", EventCode::LIMIT_CHANGED);
+}
+
 /// Sends traffic threads the assignments and refusals that are due.
 pub(super) fn start_calls(state: &mut ControlState, _event: &ControlEvent, now: MonoTime) {
     for decision in state.scheduler.decide(&mut state.table, now) {
--- a/crates/gentian-gateway/src/control/control_event.rs
+++ b/crates/gentian-gateway/src/control/control_event.rs
@@ -2,7 +2,7 @@
 
 use flume::Sender;
 use gentian_core::peer::FleetMessage;
-use gentian_core::{MonoTime, RequestId, SequenceNumber, UpstreamId};
+use gentian_core::{MonoTime, RequestId, RequestRate, SequenceNumber, UpstreamId};
 use gentian_decide::orders::{EngineOrder, EngineStateReport, LeaseReply, OrderReply};
 use gentian_decide::request::Refusal;
 use gentian_decide::serving::{AttemptEnd, ServingCall, UpstreamPick};
@@ -44,7 +44,14 @@
         reply: Sender<CallAssignment>,
     },
     /// The head of a request's response has arrived.
-    Head(RequestId),
+    Head {
+        /// The request.
+        id: RequestId,
+        /// Limit that the response names.
+        request_limit: Option<RequestRate>,
+        /// Whether it is a success; the response of an overloaded upstream may lack the limit.
+        is_success: bool,
+    },
     /// An attempt of a request ended.
     EndAttempt(AttemptEnd),
     /// A traffic thread no longer waits for an assignment.
--- a/crates/gentian-gateway/src/request_metadata.rs
+++ b/crates/gentian-gateway/src/request_metadata.rs
@@ -1,7 +1,7 @@
 //! Metadata from the heads of requests and responses, independent of header names.
 
 use gentian_core::peer::TargetId;
-use gentian_core::{OrganisationId, TimeSpan, UpstreamId};
+use gentian_core::{OrganisationId, RequestRate, TimeSpan, UpstreamId};
 use gentian_decide::request::CallerKey;
 
 /// Metadata of a caller's request.
@@ -50,4 +50,7 @@
     pub has_upstream_stamp: bool,
     /// Whether the upstream states that it did not execute the request.
     pub is_not_executed: bool,
+    /// Requests that the upstream accepts from all entries together, for as long as its responses
+    /// name this limit.
+    pub request_limit: Option<RequestRate>,
 }
