Reproduce requests beyond the limit that an upstream names

Replicas of the soak can name a limit of requests a second; the check counts arrivals in each window of 4 s from 3 s after the first response, against one and a half times the limit and five more, and wants half of it used.

--- a/crates/gentian-soak/src/main.rs
+++ b/crates/gentian-soak/src/main.rs
@@ -46,6 +46,7 @@
             callers: arguments.callers,
             crash_percent: arguments.crash_percent,
             answer_fault: None,
+            request_limit: None,
             programs: arguments.programs.clone(),
             folder: arguments.folder.join(format!("seed-{seed}")),
         };
--- a/crates/gentian-soak/src/soak_check.rs
+++ b/crates/gentian-soak/src/soak_check.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use gentian_core::FastMap;
+use gentian_core::{FastMap, RequestRate};
 
 use crate::call_record::{CallKind, CallOutcome, CallRecord};
 
@@ -20,6 +20,25 @@
 /// Requests with the part that may reach replicas even so.
 const MAX_LATER_CRASHES: usize = 3;
 
+/// Window in which requests to an upstream that names a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Requests in a window: the factor on what the limit allows, and what is allowed beyond it.
+const LIMIT_FACTOR: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
+/// Time from the first response that names a limit, after which it holds.
+const LIMIT_START: Duration = Duration::from_secs(3);
+/// Part of the limit that is used at the least while more requests come.
+const MIN_LIMIT_USE: f64 = 0.5;
+
+/// Whether the upstreams can serve all calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ExpectedService {
+    /// They can.
+    Full,
+    /// They name limits below what is called.
+    Limited,
+}
+
 /// Result of a run.
 #[derive(Clone, Debug, Default)]
 pub struct SoakReport {
@@ -67,6 +86,7 @@
     final_records: &[CallRecord],
     folder: &Path,
     faults: usize,
+    expected_service: ExpectedService,
 ) -> eyre::Result<SoakReport> {
     let journal = read_journals(folder)?;
     let is_served = |record: &&CallRecord| record.outcome == CallOutcome::Served;
@@ -98,7 +118,9 @@
     }
     report.violations.extend(check_fences(&journal));
     let served_at_end = final_records.iter().copied().filter(is_served).count();
-    if served_at_end * 100 < final_records.len() * MIN_SERVED_PERCENT {
+    if expected_service == ExpectedService::Full
+        && served_at_end * 100 < final_records.len() * MIN_SERVED_PERCENT
+    {
         report.violations.push(format!(
             "only {served_at_end} of {} calls were served after the faults",
             final_records.len()
@@ -132,6 +154,38 @@
     }))
 }
 
+/// Checks that no replica got more requests than the limit that all of them name allows, and that
+/// the limit is not left unused.
+pub(crate) fn check_limits(folder: &Path, limit: RequestRate) -> eyre::Result<Vec<String>> {
+    let mut arrivals: FastMap<String, Vec<u64>> = FastMap::default();
+    for line in read_journals(folder)?.iter().filter(|line| line.event == "arrival") {
+        let time = line.detail.strip_prefix("at=").and_then(|text| text.parse::<u64>().ok());
+        arrivals.entry(line.instance.clone()).or_default().extend(time);
+    }
+    let window = LIMIT_WINDOW.as_millis() as u64;
+    let allowed = limit.per_second() * LIMIT_WINDOW.as_secs_f64() * LIMIT_FACTOR + LIMIT_SLACK;
+    let mut violations = Vec::new();
+    let (mut counted, mut span) = (0, Duration::ZERO);
+    for (instance, mut times) in arrivals {
+        times.sort_unstable();
+        let start = times.first().copied().unwrap_or(0) + LIMIT_START.as_millis() as u64;
+        times.retain(|time| *time >= start);
+        counted += times.len();
+        span += Duration::from_millis(times.last().copied().unwrap_or(start) - start);
+        let count_from =
+            |from: &u64| times.iter().filter(|time| (*from..from + window).contains(time)).count();
+        let most = times.iter().map(count_from).max().unwrap_or(0);
+        if most as f64 > allowed {
+            violations
+                .push(format!("{instance} got {most} requests in 4 s with a limit of {limit}"));
+        }
+    }
+    if (counted as f64) < limit.per_second() * span.as_secs_f64() * MIN_LIMIT_USE {
+        violations.push(format!("{counted} requests in {span:?} with a limit of {limit} each"));
+    }
+    Ok(violations)
+}
+
 fn check_execution(record: &CallRecord, line: &JournalLine) -> Option<String> {
     let has = |field: &str| line.detail.split(' ').any(|word| word == field);
     let expected = [
--- a/crates/gentian-soak/src/soak_run.rs
+++ b/crates/gentian-soak/src/soak_run.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use eyre::eyre;
-use gentian_core::TimeSpan;
+use gentian_core::{RequestRate, TimeSpan};
 use gentian_http::ProcessClock;
 use gentian_http::forward::{CallLimits, ConnectionPool, HeaderList, PooledClient, RequestHead};
 use rustix::process::Signal;
@@ -18,7 +18,7 @@
 use crate::loopback_proxy::{LinkMode, LoopbackProxy};
 use crate::process_set::ProcessSet;
 use crate::soak_caller::SoakCaller;
-use crate::soak_check::{check_crashes, check_run};
+use crate::soak_check::{ExpectedService, check_crashes, check_limits, check_run};
 use crate::soak_fault::{PlannedFault, SoakFault, draw_faults};
 
 /// The first `ENGINES` replicas are model engines, the others plain services.
@@ -49,6 +49,8 @@
     pub crash_percent: u32,
     /// Fault that the first answers of each replica have.
     pub answer_fault: Option<String>,
+    /// Requests a second that each replica names as the limit for all entries together.
+    pub request_limit: Option<RequestRate>,
     /// Folder with the compiled programs.
     pub programs: PathBuf,
     /// Folder for settings, logs and journals; its previous content is deleted.
@@ -122,7 +124,15 @@
         records.iter().filter(|record| record.sent >= recovered_at).cloned().collect();
     let over_memory = fleet.check_memory();
     fleet.stop();
-    let mut report = check_run(&records, &final_records, &settings.folder, faults.len())?;
+    let expected_service = match settings.request_limit {
+        Some(_) => ExpectedService::Limited,
+        None => ExpectedService::Full,
+    };
+    let mut report =
+        check_run(&records, &final_records, &settings.folder, faults.len(), expected_service)?;
+    if let Some(limit) = settings.request_limit {
+        report.violations.extend(check_limits(&settings.folder, limit)?);
+    }
     report.violations.extend(check_crashes(&settings.folder, faults_ended_at)?);
     report.violations.extend(overdue);
     report.violations.extend(over_memory);
@@ -342,6 +352,9 @@
     command.extend(option("service", if is_engine { "engines" } else { "desk" }.to_owned()));
     command.extend(option("zone", zone_name(replica).to_owned()));
     command.extend(option("journal", journal.display().to_string()));
+    if let Some(limit) = settings.request_limit {
+        command.extend(option("request-limit", limit.to_string()));
+    }
     if is_engine {
         command.extend(option("memory", "150000".to_owned()));
         command.extend(option("holds", holds.to_owned()));
--- a/crates/gentian-soak/tests/crashing_part.rs
+++ b/crates/gentian-soak/tests/crashing_part.rs
@@ -22,6 +22,7 @@
         callers: 6,
         crash_percent: 10,
         answer_fault: None,
+        request_limit: None,
         programs: programs(),
         folder,
     };
--- a/crates/gentian-soak/tests/faulty_answers.rs
+++ b/crates/gentian-soak/tests/faulty_answers.rs
@@ -21,6 +21,7 @@
         callers,
         crash_percent: 0,
         answer_fault: Some(fault.to_owned()),
+        request_limit: None,
         programs: programs(),
         folder,
     };
--- a/crates/gentian-soak/tests/short_soak.rs
+++ b/crates/gentian-soak/tests/short_soak.rs
@@ -25,6 +25,7 @@
         callers: 6,
         crash_percent: 2,
         answer_fault: None,
+        request_limit: None,
         programs: programs(),
         folder,
     };
--- a/crates/gentian-standin/src/commands/fleet_replica.rs
+++ b/crates/gentian-standin/src/commands/fleet_replica.rs
@@ -148,6 +148,7 @@
         let fields: Vec<String> =
             fields.iter().map(|(name, value)| format!("{name}={value}")).collect();
         self.record("run", id, &fields.join(" "));
+        self.record("arrival", id, &format!("at={}", unix_millis()));
         if self.faults.consume(FaultName::LostResponse) {
             std::thread::sleep(self.settings.event_time.into());
             return false;
@@ -240,7 +241,8 @@
         is_crashing: bool,
         stream: &mut BufferedStream,
     ) -> bool {
-        let head = ResponseHead::new(200)
+        let head = self
+            .with_limit(ResponseHead::new(200))
             .with_header("Content-Type", "text/event-stream")
             .with_header("X-Gentianwheel-Request-Id", id)
             .with_header("X-Gentianwheel-Server-Stamp", self.id.clone())
@@ -284,7 +286,8 @@
     }
 
     fn head(&self, status: u16, headers: &[(&str, &str)], length: usize) -> ResponseHead {
-        let mut head = ResponseHead::new(status)
+        let mut head = self
+            .with_limit(ResponseHead::new(status))
             .with_header("Content-Length", length.to_string())
             .with_header("X-Gentianwheel-Server-Stamp", self.id.clone())
             .with_header("Keep-Alive", "timeout=5");
@@ -294,6 +297,14 @@
         head
     }
 
+    /// Adds the limit of requests, if the replica has one.
+    fn with_limit(&self, head: ResponseHead) -> ResponseHead {
+        match self.settings.request_limit {
+            Some(limit) => head.with_header("Server-Limit", limit.per_second().to_string()),
+            None => head,
+        }
+    }
+
     fn write(&self, stream: &mut BufferedStream, bytes: &[u8]) -> bool {
         stream.write_all(bytes, self.clock.now() + WRITE_TIMEOUT).is_ok()
     }
--- a/crates/gentian-standin/src/fleet/replica_settings.rs
+++ b/crates/gentian-standin/src/fleet/replica_settings.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
-use gentian_core::TimeSpan;
+use gentian_core::{RequestRate, TimeSpan};
 
 /// A replica of the users' platform: registers itself, runs requests and carries out orders.
 #[derive(FromArgs)]
@@ -49,6 +49,9 @@
     /// time between two events, and time of a plain response
     #[argh(option, default = "TimeSpan::from_millis(15)")]
     pub(crate) event_time: TimeSpan,
+    /// requests a second that responses name as the limit for all callers together
+    #[argh(option)]
+    pub(crate) request_limit: Option<RequestRate>,
     /// part of a prompt, in hexadecimal, on which the replica crashes when it begins to respond
     #[argh(option)]
     pub(crate) crash_part: Option<String>,
