Share the limits that upstreams name among all entries

Cause: nothing read the limit. The class: a bound over the whole fleet is known at each entry and enforced at none; and a mend at each entry alone would multiply it by the number of entries.

An entry tells all others when a limit is named, changed or no longer named. To send a request to such an upstream, it needs a permit of the hub, which grants them at the named rate from an account per upstream. A permit lasts 250 ms from the request for it; a reply that is lost wastes it. A new hub begins with empty accounts. A request that gets no permit goes to another upstream; if all name limits, it is refused at once when it could not start within four times its target latency, with the time after which it could.

--- a/crates/gentian-core/src/peer/fleet_message.rs
+++ b/crates/gentian-core/src/peer/fleet_message.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{CrashReport, QuarantineNotice, ServedNotice, TargetId};
+use super::{
+    CrashReport, LimitNotice, PermitReply, PermitRequest, QuarantineNotice, ServedNotice, TargetId,
+};
 use crate::{
     DomainId, FenceNumber, InstanceId, ModelId, OrganisationId, SequenceNumber, ServiceId,
     SlotCount, TimeSpan, UpstreamId, VmId,
@@ -30,6 +32,12 @@
     Served(ServedNotice),
     /// A part of prompts was quarantined or released.
     Quarantine(QuarantineNotice),
+    /// An upstream names another limit of requests, or none any more.
+    Limit(LimitNotice),
+    /// An entry needs permits to send requests to upstreams that name limits.
+    PermitRequest(PermitRequest),
+    /// Reply to a request for permits.
+    PermitReply(PermitReply),
 }
 
 /// Announces that a process has become the hub.
--- a/crates/gentian-core/src/peer/mod.rs
+++ b/crates/gentian-core/src/peer/mod.rs
@@ -12,6 +12,7 @@
 mod member_record;
 mod part_notice;
 mod peer_message;
+mod permit_message;
 mod placement_reply;
 mod placement_request;
 mod seat_id;
@@ -33,6 +34,7 @@
 pub use member_record::{MemberRecord, MemberRole};
 pub use part_notice::{QuarantineNotice, ServedNotice};
 pub use peer_message::PeerMessage;
+pub use permit_message::{LimitNotice, PermitGrant, PermitReply, PermitRequest, WantedPermits};
 pub use placement_reply::PlacementReply;
 pub use placement_request::{PlacementRequest, TargetDemand};
 pub use seat_id::{SeatId, SeatRole};
--- a/crates/gentian-core/src/request_rate.rs
+++ b/crates/gentian-core/src/request_rate.rs
@@ -1,6 +1,7 @@
 //! Rates of requests.
 
 use std::fmt;
+use std::iter::Sum;
 use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
@@ -8,6 +9,7 @@
 use crate::{ParseError, TimeSpan};
 
 const MILLIS_PER_UNIT: f64 = 1_000.0;
+const MICROS_PER_SECOND: f64 = 1e6;
 
 /// A rate in requests per second, with a resolution of a thousandth.
 #[derive(
@@ -28,12 +30,25 @@
         self.millis as f64 / MILLIS_PER_UNIT
     }
 
+    /// Returns the time in which `count` requests accrue; the longest possible time at a rate of
+    /// zero.
+    pub fn time_for(self, count: usize) -> TimeSpan {
+        let micros = count as f64 * MICROS_PER_SECOND / self.per_second();
+        TimeSpan::from_micros(micros as u64)
+    }
+
     /// Returns the number of requests within `span`.
     pub fn requests_in(self, span: TimeSpan) -> f64 {
         self.per_second() * span.as_secs_f64()
     }
 }
 
+impl Sum for RequestRate {
+    fn sum<I: Iterator<Item = Self>>(rates: I) -> Self {
+        Self { millis: rates.map(|rate| rate.millis).sum() }
+    }
+}
+
 impl fmt::Display for RequestRate {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}/s", self.per_second())
--- a/crates/gentian-decide/src/lib.rs
+++ b/crates/gentian-decide/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod control;
 pub mod entry;
+pub mod limits;
 pub mod orders;
 pub mod placement;
 pub mod quarantine;
--- /dev/null
+++ b/crates/gentian-decide/src/limits/permit_client.rs
@@ -0,0 +1,184 @@
+//! An entry's permits for upstreams that name limits.
+
+use std::collections::VecDeque;
+
+use gentian_core::peer::{PermitReply, PermitRequest, WantedPermits};
+use gentian_core::{
+    FastMap, InstanceId, MonoTime, RequestRate, SequenceNumber, TimeSpan, UpstreamId, VmId,
+};
+
+use super::PERMIT_TTL;
+
+/// Longest wait for a reply of the hub, after which requests go to other upstreams.
+const REPLY_TIMEOUT: TimeSpan = TimeSpan::from_millis(60);
+/// Time after a missing reply in which the hub isn't asked again for the same upstream.
+const MISSING_REPLY_PAUSE: TimeSpan = TimeSpan::from_millis(150);
+/// Shortest time between two requests for the same upstream of which the first was not granted.
+const MIN_PAUSE: TimeSpan = TimeSpan::from_millis(20);
+
+/// Whether a request may be sent to an upstream that names a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PermitState {
+    /// There is a permit.
+    Granted,
+    /// The hub has to be asked, or has not replied yet.
+    Unknown,
+    /// There is none at present.
+    Denied,
+}
+
+#[derive(Debug)]
+struct OpenRequest {
+    sequence: SequenceNumber,
+    sent: MonoTime,
+    wanted: Vec<(UpstreamId, u32)>,
+}
+
+/// Permits of this entry, and the requests for them.
+#[derive(Debug, Default)]
+pub struct PermitClient {
+    /// Expiry of each permit.
+    permits: FastMap<UpstreamId, VecDeque<MonoTime>>,
+    wanted: FastMap<UpstreamId, WantedPermits>,
+    open: Vec<OpenRequest>,
+    paused_until: FastMap<UpstreamId, MonoTime>,
+    /// Requests of all entries that waited for permits when the hub last replied.
+    backlogs: FastMap<UpstreamId, u32>,
+    sequence: SequenceNumber,
+    /// Whether there is a hub that grants permits.
+    has_hub: bool,
+}
+
+impl PermitClient {
+    /// Creates a client without permits.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Begins a round in which requests state anew what they need.
+    pub fn begin_round(&mut self, now: MonoTime) {
+        self.wanted.clear();
+        self.paused_until.retain(|_, until| *until > now);
+        let is_missing = |open: &mut OpenRequest| now.since(open.sent) >= REPLY_TIMEOUT;
+        for open in self.open.extract_if(.., is_missing) {
+            for (upstream, _) in open.wanted {
+                self.paused_until.insert(upstream, now + MISSING_REPLY_PAUSE);
+            }
+        }
+    }
+
+    /// Sets whether there is a hub that grants permits; without one, this entry keeps to its share.
+    pub fn update_hub(&mut self, has_hub: bool) {
+        if self.has_hub && !has_hub {
+            self.clear();
+        }
+        self.has_hub = has_hub;
+    }
+
+    /// Returns whether there is a hub that grants permits.
+    pub fn has_hub(&self) -> bool {
+        self.has_hub
+    }
+
+    /// Returns whether the hub lets a request be sent to an upstream now.
+    pub fn state(&mut self, upstream: &UpstreamId, now: MonoTime) -> PermitState {
+        if let Some(permits) = self.permits.get_mut(upstream) {
+            permits.retain(|expiry| *expiry > now);
+            if !permits.is_empty() {
+                return PermitState::Granted;
+            }
+        }
+        match self.paused_until.get(upstream).is_some_and(|until| *until > now) {
+            true => PermitState::Denied,
+            false => PermitState::Unknown,
+        }
+    }
+
+    /// Notes that a request waits for a permit.
+    pub fn want(&mut self, upstream: &UpstreamId, incarnation: u64, limit: RequestRate) {
+        let wanted = self.wanted.entry(upstream.clone()).or_insert_with(|| WantedPermits {
+            upstream: upstream.clone(),
+            incarnation,
+            limit,
+            count: 0,
+        });
+        wanted.count += 1;
+    }
+
+    /// Returns the requests of all entries that waited for permits when the hub last replied.
+    pub fn backlog(&self, upstream: &UpstreamId) -> u32 {
+        self.backlogs.get(upstream).copied().unwrap_or(0)
+    }
+
+    /// Uses a permit.
+    pub fn consume(&mut self, upstream: &UpstreamId) {
+        if let Some(permits) = self.permits.get_mut(upstream) {
+            permits.pop_front();
+        }
+    }
+
+    /// Builds a request for what is wanted and not asked for yet.
+    pub fn next_request(
+        &mut self,
+        vm: &VmId,
+        instance: InstanceId,
+        now: MonoTime,
+    ) -> Option<PermitRequest> {
+        let mut wanted = Vec::new();
+        for permits in self.wanted.values() {
+            let asked = self.open.iter().flat_map(|open| &open.wanted);
+            let asked: u32 = asked
+                .filter(|(upstream, _)| *upstream == permits.upstream)
+                .map(|(_, count)| count)
+                .sum();
+            let count = permits.count.saturating_sub(asked);
+            if count > 0 {
+                wanted.push(WantedPermits { count, ..permits.clone() });
+            }
+        }
+        if wanted.is_empty() {
+            return None;
+        }
+        self.sequence = self.sequence.next();
+        self.open.push(OpenRequest {
+            sequence: self.sequence,
+            sent: now,
+            wanted: wanted.iter().map(|it| (it.upstream.clone(), it.count)).collect(),
+        });
+        let sequence = self.sequence;
+        Some(PermitRequest { vm: vm.clone(), instance, sequence, wanted })
+    }
+
+    /// Applies a reply of the hub. A reply that comes twice, or after [`REPLY_TIMEOUT`], is ignored:
+    /// its permits stay unused.
+    pub fn handle_reply(&mut self, reply: &PermitReply, now: MonoTime) {
+        let Some(position) = self.open.iter().position(|open| open.sequence == reply.sequence)
+        else {
+            return;
+        };
+        let open = self.open.remove(position);
+        for grant in &reply.grants {
+            self.backlogs.insert(grant.upstream.clone(), grant.backlog);
+            let permits = self.permits.entry(grant.upstream.clone()).or_default();
+            permits.extend((0..grant.count).map(|_| open.sent + PERMIT_TTL));
+            let asked = open.wanted.iter().find(|(upstream, _)| *upstream == grant.upstream);
+            if asked.is_some_and(|(_, count)| *count > grant.count) {
+                let pause = grant.wait.max(MIN_PAUSE);
+                self.paused_until.insert(grant.upstream.clone(), now + pause);
+            }
+        }
+    }
+
+    fn clear(&mut self) {
+        self.permits.clear();
+        self.wanted.clear();
+        self.open.clear();
+        self.paused_until.clear();
+        self.backlogs.clear();
+    }
+
+    /// Returns when a request that waits must be looked at again.
+    pub fn due(&self) -> Option<MonoTime> {
+        self.open.iter().map(|open| open.sent + REPLY_TIMEOUT).min()
+    }
+}
--- a/crates/gentian-decide/src/quarantine/message_repeats.rs
+++ b/crates/gentian-decide/src/quarantine/message_repeats.rs
@@ -54,6 +54,7 @@
         FleetMessage::Served(notice) => {
             notice.parts.iter_mut().for_each(|(_, age)| *age = *age + delay);
         }
+        FleetMessage::Limit(notice) => notice.age = notice.age + delay,
         _ => {}
     }
     message
--- a/crates/gentian-decide/src/serving/call_scheduler.rs
+++ b/crates/gentian-decide/src/serving/call_scheduler.rs
@@ -21,6 +21,9 @@
 /// Requests that no upstream can take are refused after this fraction of the time between their
 /// arrival and their deadline, so that callers have time to retry.
 const MAX_QUEUE_FRACTION: f64 = 0.5;
+/// Requests that wait for upstreams that name limits are refused if they would start later than this
+/// many times their target latency after their arrival.
+const MAX_LIMITED_WAIT_TARGETS: u64 = 4;
 /// Number of entries assumed before the members are known.
 const DEFAULT_FLEET_ENTRIES: u32 = 16;
 /// Retry delay in refusals because no upstream is available.
@@ -151,6 +154,7 @@
     pub fn decide(&mut self, table: &mut UpstreamTable, now: MonoTime) -> Vec<ScheduleDecision> {
         let mut decisions = Vec::new();
         self.waits_for_capacity = false;
+        table.permits.begin_round(now);
         for call in std::mem::take(&mut self.waiting) {
             match table.pick(&call, now) {
                 PickOutcome::Send(pick) => {
@@ -174,8 +178,16 @@
                         self.refuse_queued(&call, &outcome, now),
                     ));
                 }
+                PickOutcome::Limited { limit, backlog }
+                    if self.is_hopeless(&call, limit, backlog, now) =>
+                {
+                    let wait = self.limited_wait(&call, limit, backlog);
+                    let refusal = self.refuse_limited(&call, limit, wait, now);
+                    decisions.push(ScheduleDecision::Refuse(call.id, refusal));
+                }
                 outcome => {
-                    self.waits_for_capacity |= outcome == PickOutcome::Full;
+                    self.waits_for_capacity |=
+                        !matches!(outcome, PickOutcome::NotLoaded | PickOutcome::NoUpstream);
                     self.waiting.push(call);
                 }
             }
@@ -405,13 +417,52 @@
         }
         let message = match outcome {
             PickOutcome::NotLoaded => "no upstream could load the model in time",
-            PickOutcome::Full => "the upstreams bear no more now",
+            PickOutcome::Full | PickOutcome::AwaitsPermit | PickOutcome::Limited { .. } => {
+                "the upstreams bear no more now"
+            }
             PickOutcome::Send(_) | PickOutcome::NoUpstream => "no upstream takes work",
         };
         let target = call.target.as_ref().map_or_else(String::new, |it| format!(" for {it}"));
         self.refuse(call, &format!("{message}{target}"))
     }
 
+    /// Returns the time after which upstreams that accept requests at the rate `limit` have taken
+    /// `call` and the requests before it, of which `backlog` are known from the hub.
+    fn limited_wait(&self, call: &ServingCall, limit: RequestRate, backlog: u32) -> TimeSpan {
+        let key = (&call.service, &call.target);
+        let before = self.waiting.iter().filter(|other| (&other.service, &other.target) == key);
+        limit.time_for((before.count() + 1).max(backlog as usize))
+    }
+
+    /// Returns whether the limits of the upstreams leave no time for `call`.
+    fn is_hopeless(
+        &self,
+        call: &ServingCall,
+        limit: RequestRate,
+        backlog: u32,
+        now: MonoTime,
+    ) -> bool {
+        let latest = call.received + call.route.target_latency * MAX_LIMITED_WAIT_TARGETS;
+        now + self.limited_wait(call, limit, backlog) > queue_deadline(call).min(latest)
+    }
+
+    fn refuse_limited(
+        &mut self,
+        call: &ServingCall,
+        limit: RequestRate,
+        wait: TimeSpan,
+        now: MonoTime,
+    ) -> Refusal {
+        if call.possible_executions == 0 {
+            self.refund(call, now);
+        }
+        let refusal = self.refuse(call, &format!("the upstreams accept only {limit} at present"));
+        match call.possible_executions {
+            0 => refusal.with_retry_after(wait),
+            _ => refusal,
+        }
+    }
+
     fn refuse_retry(&self, call: &ServingCall) -> Refusal {
         self.refuse(call, "the upstream did not serve the request and the retry budget is used up")
     }
--- a/crates/gentian-decide/src/serving/cold_limiter.rs
+++ b/crates/gentian-decide/src/serving/cold_limiter.rs
@@ -1,10 +1,9 @@
 //! Limit on requests to an upstream that is still warming up.
 
-use std::collections::VecDeque;
-
 use gentian_core::{MonoTime, TimeSpan};
 
 use super::ServingBounds;
+use crate::limits::RequestShare;
 
 /// Window in which requests are counted. It is longer than the one second of the guaranteed bound
 /// because network delays vary: requests sent further apart can arrive within one second.
@@ -15,7 +14,7 @@
 /// Limits the requests of this entry to one cold upstream.
 #[derive(Clone, Debug, Default)]
 pub struct ColdLimiter {
-    sent: VecDeque<MonoTime>,
+    share: RequestShare,
 }
 
 impl ColdLimiter {
@@ -30,19 +29,13 @@
         seed: u32,
         now: MonoTime,
     ) -> bool {
-        while self.sent.front().is_some_and(|time| now.since(*time) >= COUNT_WINDOW) {
-            self.sent.pop_front();
-        }
-        let entries = entries.max(1);
         let max_requests =
             ((rate * bounds.cold_rate_factor + bounds.cold_slack) * BOUND_FRACTION) as u32;
-        let position = entry_index.wrapping_add(seed) % entries;
-        let allowed = max_requests / entries + u32::from(position < max_requests % entries);
-        (self.sent.len() as u64) < u64::from(allowed)
+        self.share.has_capacity(max_requests, COUNT_WINDOW, (entry_index, entries), seed, now)
     }
 
     /// Counts a request that was sent.
     pub fn record_sent(&mut self, now: MonoTime) {
-        self.sent.push_back(now);
+        self.share.record_sent(now);
     }
 }
--- a/crates/gentian-decide/src/serving/upstream_row.rs
+++ b/crates/gentian-decide/src/serving/upstream_row.rs
@@ -4,6 +4,7 @@
 use gentian_core::{MonoTime, RequestRate, TimeSpan};
 
 use super::{AttemptOutcome, ColdLimiter, EngineModels, UpstreamRegistration, UpstreamState};
+use crate::limits::RequestShare;
 
 /// Time for which an upstream is skipped after a failed connection.
 const UNREACHABLE_COOLDOWN: TimeSpan = TimeSpan::from_millis(1_000);
@@ -27,6 +28,8 @@
     pub remote_work: UpstreamWork,
     /// Requests that it accepts from all entries together, as its responses name it.
     pub limit: Option<RequestRate>,
+    /// Counts the requests of this entry while it names a limit.
+    pub limit_share: RequestShare,
     limit_time: MonoTime,
     /// Limits requests while the upstream is cold.
     pub cold_limiter: ColdLimiter,
@@ -48,6 +51,7 @@
             local_work: UpstreamWork::default(),
             remote_work: UpstreamWork::default(),
             limit: None,
+            limit_share: RequestShare::default(),
             limit_time: MonoTime::ORIGIN,
             cold_limiter: ColdLimiter::default(),
             cold_until,
@@ -112,6 +116,15 @@
         std::mem::replace(&mut self.limit, limit) != limit
     }
 
+    /// Applies the limit that another entry was named at `time`; returns whether the limit changed.
+    pub fn apply_limit(&mut self, limit: Option<RequestRate>, time: MonoTime) -> bool {
+        if time <= self.limit_time {
+            return false;
+        }
+        self.limit_time = time;
+        std::mem::replace(&mut self.limit, limit) != limit
+    }
+
     /// Returns the work of all entries at this upstream.
     pub fn work(&self) -> UpstreamWork {
         UpstreamWork {
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use gentian_config::serving::{ServiceSpec, ServingConfig};
-use gentian_core::peer::{ResidentModels, UpstreamListing, UpstreamWork};
+use gentian_core::peer::{LimitNotice, ResidentModels, UpstreamListing, UpstreamWork};
 use gentian_core::{
     DomainId, FastMap, FastSet, InstanceId, MonoTime, RequestRate, SequenceNumber, ServiceId,
     TimeSpan, UpstreamId,
@@ -16,6 +16,7 @@
     AttemptOutcome, PrefillTime, ServingBounds, ServingCall, UpstreamRegistration, UpstreamRow,
     UpstreamState,
 };
+use crate::limits::{PermitClient, PermitState};
 
 /// Delays that the selection assumes for each running request, for another failure domain, for a
 /// failure rate of one and for an upstream that was already tried. The unit is the number of prompt
@@ -60,10 +61,26 @@
     NotLoaded,
     /// The upstreams that have it loaded accept no more requests from this entry now.
     Full,
+    /// The best of them names a limit, and the hub has not granted or denied a permit yet.
+    AwaitsPermit,
+    /// All of them name limits that are used up.
+    Limited {
+        /// Rate that they accept together.
+        limit: RequestRate,
+        /// Requests of all entries that wait for it.
+        backlog: u32,
+    },
     /// No upstream of the service is available.
     NoUpstream,
 }
 
+/// Whether this entry may send a request to an upstream now.
+enum UpstreamCapacity {
+    Free(SocketAddr),
+    AwaitsPermit,
+    None,
+}
+
 /// The upstreams that an entry knows.
 #[derive(Debug)]
 pub struct UpstreamTable {
@@ -78,6 +95,8 @@
     /// When the hub last reported the work of the other entries.
     remote_work_time: MonoTime,
     hub: Option<InstanceId>,
+    /// Permits for upstreams that name limits.
+    pub permits: PermitClient,
 }
 
 impl UpstreamTable {
@@ -93,6 +112,7 @@
             index_and_count: (0, 1),
             remote_work_time: MonoTime::ORIGIN,
             hub: None,
+            permits: PermitClient::new(),
         }
     }
 
@@ -213,20 +233,58 @@
         if ranked.is_empty() {
             return PickOutcome::NotLoaded;
         }
+        let limits = self.sum_limits(&ranked);
+        let backlog = ranked.iter().map(|(_, id)| self.permits.backlog(id)).sum();
+        ranked.retain(|(_, id)| !self.is_denied(id, now));
+        if let (true, Some(limit)) = (ranked.is_empty(), limits) {
+            return PickOutcome::Limited { limit, backlog };
+        }
         self.retain_sample(&mut ranked, call);
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (_, id) in ranked {
-            if let Some(address) = self.find_free_address(&id, call, service.as_deref(), now) {
-                let row = self.rows.get(&id);
-                let work = row.map(UpstreamRow::work).unwrap_or_default();
-                let limit = row.and_then(|row| row.limit);
-                let pick = UpstreamPick { upstream: id, address, work, candidates, limit };
-                return PickOutcome::Send(pick);
+            match self.find_capacity(&id, call, service.as_deref(), now) {
+                UpstreamCapacity::Free(address) => {
+                    let row = self.rows.get(&id);
+                    let work = row.map(UpstreamRow::work).unwrap_or_default();
+                    let limit = row.and_then(|row| row.limit);
+                    let pick = UpstreamPick { upstream: id, address, work, candidates, limit };
+                    return PickOutcome::Send(pick);
+                }
+                UpstreamCapacity::AwaitsPermit => return PickOutcome::AwaitsPermit,
+                UpstreamCapacity::None => {}
             }
         }
         PickOutcome::Full
     }
 
+    /// Returns the limit that an upstream names.
+    pub fn limit(&self, id: &UpstreamId) -> Option<RequestRate> {
+        self.rows.get(id)?.limit
+    }
+
+    /// Returns a notice of the limit that a response of an upstream has just named.
+    pub fn limit_notice(&self, id: &UpstreamId) -> Option<LimitNotice> {
+        let row = self.rows.get(id)?;
+        Some(LimitNotice {
+            upstream: id.clone(),
+            incarnation: row.registration.incarnation,
+            limit: row.limit,
+            age: TimeSpan::ZERO,
+        })
+    }
+
+    /// Applies the limit that another entry was named; returns whether the limit changed.
+    pub fn apply_limit(&mut self, notice: &LimitNotice, now: MonoTime) -> bool {
+        let row = self.rows.get_mut(&notice.upstream);
+        row.filter(|row| row.registration.incarnation == notice.incarnation)
+            .is_some_and(|row| row.apply_limit(notice.limit, now - notice.age))
+    }
+
+    /// Returns the number of upstreams that name a limit.
+    pub fn limited_count(&self) -> usize {
+        self.rows.values().filter(|row| row.limit.is_some()).count()
+    }
+
     /// Records that a request was sent.
     pub fn record_start(&mut self, id: &UpstreamId, tokens: u32, now: MonoTime) {
         if let Some(row) = self.rows.get_mut(id) {
@@ -235,6 +293,10 @@
             if row.is_cold(now) {
                 row.cold_limiter.record_sent(now);
             }
+            if row.limit.is_some() {
+                row.limit_share.record_limited(now);
+                self.permits.consume(id);
+            }
         }
     }
 
@@ -278,7 +340,50 @@
         }
     }
 
-    /// Returns the address of the upstream if this entry may send it `call` now.
+    /// Returns whether this entry may send `call` to the upstream now, and at which address.
+    fn find_capacity(
+        &mut self,
+        id: &UpstreamId,
+        call: &ServingCall,
+        service: Option<&ServiceSpec>,
+        now: MonoTime,
+    ) -> UpstreamCapacity {
+        let Some(address) = self.find_free_address(id, call, service, now) else {
+            return UpstreamCapacity::None;
+        };
+        let Some(row) = self.rows.get_mut(id) else { return UpstreamCapacity::None };
+        let Some(limit) = row.limit else { return UpstreamCapacity::Free(address) };
+        if !self.permits.has_hub() {
+            let seed = hash_of(&row.registration.id) as u32;
+            let share = &mut row.limit_share;
+            return match share.has_capacity_for(limit, self.index_and_count, seed, now) {
+                true => UpstreamCapacity::Free(address),
+                false => UpstreamCapacity::None,
+            };
+        }
+        match self.permits.state(id, now) {
+            PermitState::Granted => UpstreamCapacity::Free(address),
+            PermitState::Denied => UpstreamCapacity::None,
+            PermitState::Unknown => {
+                self.permits.want(id, row.registration.incarnation, limit);
+                UpstreamCapacity::AwaitsPermit
+            }
+        }
+    }
+
+    /// Returns whether an upstream names a limit and the hub grants no permit at present.
+    fn is_denied(&mut self, id: &UpstreamId, now: MonoTime) -> bool {
+        let is_limited = self.rows.get(id).is_some_and(|row| row.limit.is_some());
+        is_limited && self.permits.has_hub() && self.permits.state(id, now) == PermitState::Denied
+    }
+
+    /// Returns the sum of the limits if all of these upstreams name one.
+    fn sum_limits(&self, ranked: &[(f64, UpstreamId)]) -> Option<RequestRate> {
+        ranked.iter().map(|(_, id)| self.limit(id)).sum()
+    }
+
+    /// Returns the address of the upstream if it has capacity for `call`, apart from a limit that it
+    /// may name.
     fn find_free_address(
         &mut self,
         id: &UpstreamId,
--- a/crates/gentian-decide/tests/engine_fleet/mod.rs
+++ b/crates/gentian-decide/tests/engine_fleet/mod.rs
@@ -12,11 +12,12 @@
     CatalogueModel, EngineSpec, RetrySafety, ServiceSpec, ServiceWeight, ServingConfig,
     ServingRoute,
 };
-use gentian_core::peer::{EntryReport, TargetId};
+use gentian_core::peer::{EntryReport, LimitNotice, TargetId};
 use gentian_core::{
-    ByteSize, FastMap, FenceNumber, InstanceId, ModelId, MonoTime, RequestId, SequenceNumber,
-    ServiceId, SlotCount, TimeSpan, TokenCount, UpstreamId,
+    ByteSize, FastMap, FenceNumber, InstanceId, ModelId, MonoTime, RequestId, RequestRate,
+    SequenceNumber, ServiceId, SlotCount, TimeSpan, TokenCount, UpstreamId,
 };
+use gentian_decide::limits::PermitLedger;
 use gentian_decide::orders::{EngineCall, FleetPlanner, OrderAction, OrderReply};
 use gentian_decide::serving::{
     AttemptOutcome, CallScheduler, EngineModels, FleetHub, FleetPartition, ScheduleDecision,
@@ -89,6 +90,8 @@
     reports: BTreeMap<UpstreamId, VecDeque<gentian_decide::orders::EngineStateReport>>,
     open: FastMap<RequestId, OpenRequest>,
     next_request: u64,
+    ledger: PermitLedger,
+    sent: FastMap<UpstreamId, usize>,
     /// Outcomes of requests, by kind.
     pub(crate) counts: Vec<KindCount>,
     /// Number of loads from the weight store.
@@ -207,6 +210,8 @@
             reports: BTreeMap::new(),
             open: FastMap::default(),
             next_request: 0,
+            ledger: PermitLedger::new(MonoTime::ORIGIN),
+            sent: FastMap::default(),
             counts: Vec::new(),
             store_loads: 0,
             max_engine_requests: 0,
@@ -245,6 +250,23 @@
         self.engines.values().filter(|engine| engine.serves(&model(number))).count()
     }
 
+    /// Has an engine name a limit of requests for all entries together.
+    pub(crate) fn name_limit(&mut self, number: usize, limit: RequestRate) {
+        let (upstream, age) = (upstream(number), TimeSpan::ZERO);
+        let notice = LimitNotice { upstream, incarnation: 1, limit: Some(limit), age };
+        assert!(self.table.apply_limit(&notice, self.now));
+    }
+
+    /// Returns whether an engine serves a model.
+    pub(crate) fn serves(&self, number: usize, model_number: usize) -> bool {
+        self.engines[&upstream(number)].serves(&model(model_number))
+    }
+
+    /// Returns the requests that were sent to an engine.
+    pub(crate) fn sent(&self, number: usize) -> usize {
+        self.sent.get(&upstream(number)).copied().unwrap_or(0)
+    }
+
     fn update_table(&mut self) {
         let registrations =
             self.engines.keys().enumerate().map(|(number, id)| UpstreamRegistration {
@@ -382,9 +404,11 @@
     }
 
     fn apply_decisions(&mut self) {
+        self.table.permits.update_hub(true);
         for decision in self.scheduler.decide(&mut self.table, self.now) {
             match decision {
                 ScheduleDecision::Send(id, pick) => {
+                    *self.sent.entry(pick.upstream.clone()).or_default() += 1;
                     self.deliver_request(id, &pick.upstream);
                 }
                 ScheduleDecision::Refuse(id, _) => {
@@ -393,6 +417,11 @@
                 }
             }
         }
+        let vm = "vm-1".parse().unwrap();
+        if let Some(request) = self.table.permits.next_request(&vm, HUB, self.now) {
+            let reply = self.ledger.handle_request(&request, |_| None, self.now).unwrap();
+            self.table.permits.handle_reply(&reply, self.now);
+        }
     }
 
     fn deliver_request(&mut self, id: RequestId, upstream: &UpstreamId) {
--- a/crates/gentian-gateway/src/control/call_controller.rs
+++ b/crates/gentian-gateway/src/control/call_controller.rs
@@ -1,8 +1,11 @@
 //! Controllers of the requests of traffic threads and their assignments to upstreams.
 
+use gentian_core::peer::FleetMessage;
 use gentian_core::{EventCode, MonoTime, RequestId, RequestRate};
 use gentian_decide::serving::ScheduleDecision;
 
+use super::fleet_broadcast::broadcast;
+use super::permit_controller::log_limit;
 use super::quarantine_controller::{check_quarantine, record_attempt_end};
 use super::{CallAssignment, ControlEvent, ControlState};
 
@@ -55,8 +58,10 @@
     let Some(upstream) = state.scheduler.record_limit(id, limit, &mut state.table, now) else {
         return;
     };
-    let limit = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
-    log::info!("{} upstream={upstream} limit={limit} cause=response", EventCode::LIMIT_CHANGED);
+    if let Some(notice) = state.table.limit_notice(&upstream) {
+        broadcast(state, FleetMessage::Limit(notice), now);
+    }
+    log_limit(state, &upstream, limit, "response");
 }
 
 /// Sends traffic threads the assignments and refusals that are due.
--- a/crates/gentian-gateway/src/control/control_state.rs
+++ b/crates/gentian-gateway/src/control/control_state.rs
@@ -7,6 +7,7 @@
 use gentian_config::serving::ServingConfig;
 use gentian_core::peer::HubHandover;
 use gentian_core::{FastMap, FastSet, FenceNumber, InstanceId, MonoTime, PartId, RequestId, VmId};
+use gentian_decide::limits::PermitLedger;
 use gentian_decide::orders::{FleetPlanner, HolderLease, LeaseTask};
 use gentian_decide::quarantine::{MessageRepeats, PartQuarantine};
 use gentian_decide::serving::{CallScheduler, FleetHub, HubClient, ServingBounds, UpstreamTable};
@@ -33,6 +34,8 @@
     pub(crate) fleet_hub: FleetHub,
     /// Decides on orders to engines.
     pub(crate) planner: FleetPlanner,
+    /// Grants permits for upstreams that name limits.
+    pub(crate) permits: PermitLedger,
     /// Fencing number of the lease.
     pub(crate) fence: FenceNumber,
     /// When orders were last planned.
--- a/crates/gentian-gateway/src/control/control_thread.rs
+++ b/crates/gentian-gateway/src/control/control_thread.rs
@@ -46,6 +46,7 @@
         Some(state.hub_client.due(&state.scheduler)),
         state.quarantine.due(),
         state.message_repeats.due(),
+        state.table.permits.due(),
     ];
     dues.into_iter().flatten().min().unwrap_or(now + IDLE_WAIT)
 }
--- a/crates/gentian-gateway/src/control/gateway_controllers.rs
+++ b/crates/gentian-gateway/src/control/gateway_controllers.rs
@@ -4,8 +4,10 @@
 
 use super::call_controller::{handle_calls, start_calls};
 use super::config_controller::handle_operator_records;
+use super::fleet_broadcast::repeat_messages;
 use super::hub_controller::{handle_fleet_records, handle_messages, report_to_hub, run_hub};
 use super::lease_controller::maintain_lease;
+use super::permit_controller::{handle_permits, request_permits};
 use super::quarantine_controller::handle_quarantine;
 use super::upstream_controller::handle_registrations;
 use super::{ControlEvent, ControlState};
@@ -19,8 +21,11 @@
         .with_controller(StateController::new("lease", maintain_lease))
         .with_controller(StateController::new("messages", handle_messages))
         .with_controller(StateController::new("quarantine", handle_quarantine))
+        .with_controller(StateController::new("permits", handle_permits))
         .with_controller(StateController::new("calls", handle_calls))
         .with_controller(StateController::new("dispatch", start_calls))
+        .with_controller(StateController::new("permit-requests", request_permits))
+        .with_controller(StateController::new("repeats", repeat_messages))
         .with_controller(StateController::new("hub", run_hub))
         .with_controller(StateController::new("asks", report_to_hub))
 }
--- a/crates/gentian-gateway/src/control/hub_controller.rs
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -75,8 +75,8 @@
                 now,
             );
         }
-        // The quarantine controller handles these.
-        FleetMessage::Crash(_) | FleetMessage::Served(_) | FleetMessage::Quarantine(_) => {}
+        // The controllers of the quarantine and of permits handle the others.
+        _ => {}
     }
 }
 
--- a/crates/gentian-gateway/src/control/lease_controller.rs
+++ b/crates/gentian-gateway/src/control/lease_controller.rs
@@ -5,6 +5,7 @@
 
 use gentian_core::peer::{FleetMessage, HubAnnouncement, HubHandover};
 use gentian_core::{EventCode, FenceNumber, MonoTime, TimeSpan};
+use gentian_decide::limits::PermitLedger;
 use gentian_decide::orders::{FleetPlanner, LeaseReply, OrderCooldowns};
 use gentian_decide::serving::FleetHub;
 
@@ -121,7 +122,9 @@
     let fleet_hub = FleetHub::new(state.instance);
     // No round has been planned yet.
     let planned_at = MonoTime::ORIGIN;
-    state.hub = Some(HubState { fleet_hub, planner, fence, planned_at, deferred_plan_at: None });
+    let permits = PermitLedger::new(now);
+    state.hub =
+        Some(HubState { fleet_hub, planner, permits, fence, planned_at, deferred_plan_at: None });
     state.known_hub = Some((state.vm.clone(), fence));
     let announcement = FleetMessage::Announcement(HubAnnouncement { vm: state.vm.clone(), fence });
     for entry in state.entries.values().filter(|entry| entry.vm != state.vm) {
--- a/crates/gentian-gateway/src/control/mod.rs
+++ b/crates/gentian-gateway/src/control/mod.rs
@@ -5,9 +5,11 @@
 mod control_event;
 mod control_state;
 mod control_thread;
+mod fleet_broadcast;
 mod gateway_controllers;
 mod hub_controller;
 mod lease_controller;
+mod permit_controller;
 mod quarantine_controller;
 mod upstream_controller;
 
--- a/crates/gentian-gateway/src/control/quarantine_controller.rs
+++ b/crates/gentian-gateway/src/control/quarantine_controller.rs
@@ -1,11 +1,12 @@
 //! Controller of the parts of prompts that make upstreams end.
 
 use gentian_core::peer::{FleetMessage, QuarantineNotice, ServedNotice, SuspicionGrade};
-use gentian_core::{EventCode, FastSet, MonoTime, PartId, UpstreamId, VmId};
+use gentian_core::{EventCode, FastSet, MonoTime, PartId, UpstreamId};
 use gentian_decide::request::{Refusal, RefusalCode};
 use gentian_decide::serving::{AttemptEnd, AttemptProgress, ServingCall};
 
 use super::call_controller::send_assignment;
+use super::fleet_broadcast::{broadcast, send_to_vm};
 use super::{CallAssignment, ControlEvent, ControlState, StoreRecords};
 use crate::io::{FleetRecord, QuarantineWrite, decode_fleet_record};
 
@@ -35,7 +36,6 @@
         broadcast(state, FleetMessage::Quarantine(notice), now);
         refuse_waiting(state, now);
     }
-    repeat_messages(state, now);
     store_parts(state);
 }
 
@@ -88,7 +88,7 @@
         FleetMessage::Crash(report) => {
             let reply = state.quarantine.handle_crash(report, now);
             if let Some(notice) = reply {
-                send(state, &FleetMessage::Served(notice), &report.vm);
+                send_to_vm(state, &FleetMessage::Served(notice), &report.vm);
             }
         }
         FleetMessage::Served(notice) => state.quarantine.handle_served(notice, now),
@@ -133,30 +133,6 @@
     }
 }
 
-/// Sends a message to all other entries, and again later in case a datagram is lost.
-fn broadcast(state: &mut ControlState, message: FleetMessage, now: MonoTime) {
-    send_to_all(state, &message);
-    state.message_repeats.add(message, now);
-}
-
-fn repeat_messages(state: &mut ControlState, now: MonoTime) {
-    for message in state.message_repeats.take_due(now) {
-        send_to_all(state, &message);
-    }
-}
-
-fn send_to_all(state: &ControlState, message: &FleetMessage) {
-    for entry in state.entries.values().filter(|entry| entry.vm != state.vm) {
-        state.socket.send(message, entry.address);
-    }
-}
-
-fn send(state: &ControlState, message: &FleetMessage, vm: &VmId) {
-    if let Some(entry) = state.entries.get(vm) {
-        state.socket.send(message, entry.address);
-    }
-}
-
 /// Has the hub write the records of quarantined parts, by which entries that start later know them,
 /// and delete those of released ones.
 fn store_parts(state: &mut ControlState) {
--- a/crates/gentian-gateway/src/gateway_metrics.rs
+++ b/crates/gentian-gateway/src/gateway_metrics.rs
@@ -26,6 +26,8 @@
     pub(crate) upstream_crashes: IntCounter,
     /// Number of parts of prompts with which requests are refused.
     pub(crate) quarantined_parts: IntGauge,
+    /// Number of upstreams that name a limit of requests.
+    pub(crate) limited_upstreams: IntGauge,
     /// Number of open requests.
     pub(crate) open_requests: IntGauge,
     /// Version of the configuration in force.
@@ -75,6 +77,10 @@
                 "gentian_gateway_quarantined_parts",
                 "Parts of prompts with which requests are refused.",
             )?,
+            limited_upstreams: IntGauge::new(
+                "gentian_gateway_limited_upstreams",
+                "Upstreams that name a limit of requests.",
+            )?,
             open_requests: IntGauge::new(
                 "gentian_gateway_open_requests",
                 "Requests that are open.",
@@ -91,6 +97,7 @@
         metrics.registry.register(Box::new(metrics.first_byte_seconds.clone()))?;
         metrics.registry.register(Box::new(metrics.upstream_crashes.clone()))?;
         metrics.registry.register(Box::new(metrics.quarantined_parts.clone()))?;
+        metrics.registry.register(Box::new(metrics.limited_upstreams.clone()))?;
         metrics.registry.register(Box::new(metrics.open_requests.clone()))?;
         metrics.registry.register(Box::new(metrics.config_version.clone()))?;
         Ok(metrics)
