Place models with regard to the limits that engines name

Callers were refused although engines without a limit had room: a model stayed on the engines that named limits, was loaded there anew, and its only copy elsewhere was evicted, since the planner counts copies and knows nothing of what an engine accepts.

A model whose copies are all on engines that name limits gets a further one once its requests exceed 0.7 of what these accept; a load on such an engine costs the time between two of its requests; the only copy without a limit counts as the only copy when something is evicted, if the others do not suffice; adapters go to engines without a limit first.

a_busy_model_is_loaded_where_no_limit_is_named failed before and passes.

--- a/crates/gentian-decide/src/orders/fleet_planner.rs
+++ b/crates/gentian-decide/src/orders/fleet_planner.rs
@@ -244,12 +244,16 @@
                 *sum.running.entry(upstream.clone()).or_default() += count;
             }
         }
-        for (_, tracker) in self.trackers.iter().filter(|(id, _)| rows.contains_key(id)) {
+        for (id, tracker) in &self.trackers {
+            let Some(row) = rows.get(id) else { continue };
             let resident =
                 tracker.confirmed().into_iter().flat_map(|confirmed| confirmed.loaded.keys());
             let loading = tracker.loading_target().map(|target| &target.model);
-            for model in resident.chain(loading) {
-                models.entry(model.clone()).or_default().copies += 1;
+            let held: Vec<&ModelId> = resident.chain(loading).collect();
+            // The models of an engine share its limit.
+            let share = row.limit.map(|limit| limit.per_second() / held.len().max(1) as f64);
+            for model in held {
+                models.entry(model.clone()).or_default().add_copy(share);
             }
         }
         for (model, usage) in &mut models {
--- a/crates/gentian-decide/src/orders/placement_choice.rs
+++ b/crates/gentian-decide/src/orders/placement_choice.rs
@@ -27,6 +27,10 @@
 /// fewer requests than every engine with it, by at least this fraction of its slots.
 pub(super) const SCALE_OUT_FRACTION: f64 = 0.12;
 
+/// A model whose copies are all on engines that name limits gets a further copy if its requests
+/// exceed this fraction of what these engines accept.
+const LIMITED_USE_FRACTION: f64 = 0.7;
+
 /// Why a model is loaded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LoadReason {
@@ -49,6 +53,10 @@
     pub(super) last_arrival: MonoTime,
     /// Number of engines that have loaded the model or are loading it.
     pub(super) copies: usize,
+    /// Number of copies on engines that name no limit of requests.
+    pub(super) unlimited_copies: usize,
+    /// Requests per second that the other copies accept.
+    pub(super) limited_rate: f64,
     /// Number of copies that its use needs.
     pub(super) wanted: usize,
 }
@@ -59,6 +67,28 @@
         self.requests() / self.copies.max(1) as f64
     }
 
+    /// Adds a copy on an engine that accepts `accepted_rate` requests per second for it; `None` if
+    /// the engine names no limit.
+    pub(super) fn add_copy(&mut self, accepted_rate: Option<f64>) {
+        self.copies += 1;
+        match accepted_rate {
+            Some(rate) => self.limited_rate += rate,
+            None => self.unlimited_copies += 1,
+        }
+    }
+
+    /// Returns whether the copies on engines that name limits do not accept its requests.
+    fn exceeds_limits(&self) -> bool {
+        self.rate > self.limited_rate * LIMITED_USE_FRACTION
+    }
+
+    /// Returns the number of copies that count when one of them may be evicted. The only one on an
+    /// engine without a limit counts as the only copy if the others do not accept its requests.
+    fn copies_for_eviction(&self, is_limited: bool) -> usize {
+        let is_needed = !is_limited && self.unlimited_copies == 1 && self.exceeds_limits();
+        if is_needed { 1 } else { self.copies }
+    }
+
     fn requests(&self) -> f64 {
         f64::from(self.running.values().sum::<u32>() + self.waiting)
     }
@@ -71,10 +101,27 @@
         let spare = usize::from(waiters >= SPARE_COPY_WAITERS);
         let slots = engine.batch_slots.get().max(1) as f64;
         let scaled_out = (self.requests() / (slots * SCALE_OUT_FRACTION)) as usize;
-        1 + spare + scaled_out
+        let wanted = 1 + spare + scaled_out;
+        let needs_unlimited_copy = self.unlimited_copies == 0 && self.exceeds_limits();
+        if needs_unlimited_copy { wanted.max(self.copies + 1) } else { wanted }
     }
 }
 
+/// A load for which an engine is chosen.
+#[derive(Clone, Copy)]
+pub(super) struct WantedLoad<'a> {
+    /// The model.
+    pub(super) model: &'a CatalogueModel,
+    /// Properties of the engines.
+    pub(super) engine: &'a EngineSpec,
+    /// Use of all models.
+    pub(super) uses: &'a FastMap<ModelId, ModelUse>,
+    /// Why the model is loaded.
+    pub(super) reason: LoadReason,
+    /// The present time.
+    pub(super) now: MonoTime,
+}
+
 /// Option to load a model on one engine.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct LoadOption {
@@ -101,15 +148,14 @@
 }
 
 /// Returns the option to load `model` on the engine of `tracker`, now or once it is free; `None` if
-/// not enough memory can be freed.
+/// not enough memory can be freed. `is_limited` says whether the engine names a limit of requests.
 pub(super) fn find_option(
     tracker: &EngineTracker,
     upstream: &UpstreamId,
-    model: &CatalogueModel,
-    engine: &EngineSpec,
-    uses: &FastMap<ModelId, ModelUse>,
-    (reason, now): (LoadReason, MonoTime),
+    is_limited: bool,
+    load: &WantedLoad<'_>,
 ) -> Option<LoadOption> {
+    let WantedLoad { model, engine, uses, reason, now } = *load;
     let confirmed = tracker.confirmed()?;
     let (time, is_from_store) = load_time(confirmed, model);
     let mut free = tracker.free_memory(engine);
@@ -118,8 +164,8 @@
     let mut evictable: Vec<(f64, &ModelId)> = confirmed
         .loaded
         .keys()
-        .filter(|loaded| is_evictable(uses.get(*loaded), upstream, reason, now))
-        .map(|loaded| (eviction_cost(uses.get(loaded), now), loaded))
+        .filter(|loaded| is_evictable(uses.get(*loaded), upstream, is_limited, (reason, now)))
+        .map(|loaded| (eviction_cost(uses.get(loaded), is_limited, now), loaded))
         .collect();
     evictable.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
     for (eviction, victim) in evictable {
@@ -138,29 +184,28 @@
 fn is_evictable(
     usage: Option<&ModelUse>,
     upstream: &UpstreamId,
-    reason: LoadReason,
-    now: MonoTime,
+    is_limited: bool,
+    (reason, now): (LoadReason, MonoTime),
 ) -> bool {
     let Some(usage) = usage else { return true };
     if usage.running.contains_key(upstream) {
         return false;
     }
     let idle = now.since(usage.last_arrival);
+    let copies = usage.copies_for_eviction(is_limited);
     match reason {
-        LoadReason::Waiting => {
-            usage.copies > 1 || (usage.waiting == 0 && idle > MIN_IDLE_FOR_EVICTION)
-        }
+        LoadReason::Waiting => copies > 1 || (usage.waiting == 0 && idle > MIN_IDLE_FOR_EVICTION),
         LoadReason::ExtraCopy => {
-            usage.copies > usage.wanted || (usage.waiting == 0 && idle > MIN_IDLE_FOR_EXTRA_COPY)
+            copies > usage.wanted || (usage.waiting == 0 && idle > MIN_IDLE_FOR_EXTRA_COPY)
         }
     }
 }
 
-fn eviction_cost(usage: Option<&ModelUse>, now: MonoTime) -> f64 {
+fn eviction_cost(usage: Option<&ModelUse>, is_limited: bool, now: MonoTime) -> f64 {
     let Some(usage) = usage else { return 0.0 };
     let half_lives =
         now.since(usage.last_arrival).as_secs_f64() / EVICTION_COST_HALF_LIFE.as_secs_f64();
-    let copies = usage.copies.max(1) as f64;
+    let copies = usage.copies_for_eviction(is_limited).max(1) as f64;
     let delay = EVICTION_BASE_DELAY.as_micros() as f64;
     delay * (1.0 + usage.rate) * 0.5_f64.powf(half_lives) / (copies * copies)
 }
--- a/crates/gentian-decide/src/orders/plan_round.rs
+++ b/crates/gentian-decide/src/orders/plan_round.rs
@@ -7,7 +7,9 @@
 };
 
 use super::fleet_planner::{ModelUses, TargetUses};
-use super::placement_choice::{LoadOption, LoadReason, SCALE_OUT_FRACTION, find_option};
+use super::placement_choice::{
+    LoadOption, LoadReason, SCALE_OUT_FRACTION, WantedLoad, find_option,
+};
 use super::{EngineOrder, EngineTracker, FleetPlanner, OrderAction};
 use crate::serving::UpstreamRow;
 
@@ -136,6 +138,17 @@
             self.engines_with(&target.model)
                 .into_iter()
                 .partition(|id| self.has_target(id, target));
+        if engines_with_adapter.is_empty() || self.loading.contains(target) {
+            return None;
+        }
+        let unlimited: Vec<UpstreamId> =
+            engines_without_adapter.iter().filter(|id| !self.is_limited(id)).cloned().collect();
+        if has_waiting
+            && !unlimited.is_empty()
+            && engines_with_adapter.iter().all(|id| self.is_limited(id))
+        {
+            return self.load_adapter(&unlimited, target);
+        }
         let fewest = engines_with_adapter.iter().map(|id| self.running_requests(id)).min()?;
         // If requests wait, every engine with the adapter is full, so any engine with fewer
         // requests is better.
@@ -147,7 +160,7 @@
             .into_iter()
             .filter(|id| f64::from(self.running_requests(id)) + margin <= f64::from(fewest))
             .collect();
-        if others.is_empty() || self.loading.contains(target) {
+        if others.is_empty() {
             return None;
         }
         self.load_adapter(&others, target)
@@ -158,6 +171,11 @@
         self.loading.iter().any(|loading| loading.model == *model)
     }
 
+    /// Returns whether an engine names a limit of requests.
+    fn is_limited(&self, id: &UpstreamId) -> bool {
+        self.rows.get(id).is_some_and(|row| row.limit.is_some())
+    }
+
     fn running_requests(&self, id: &UpstreamId) -> u32 {
         self.rows.get(id).map_or(0, |row| row.work().running)
     }
@@ -171,18 +189,26 @@
         uses_store: bool,
     ) -> Option<EngineOrder> {
         let spec = self.engine.models.get(model)?.clone();
+        let load = WantedLoad {
+            model: &spec,
+            engine: self.engine,
+            uses: &self.models,
+            reason,
+            now: self.now,
+        };
         let mut options: Vec<LoadOption> = self
             .trackers()
             .filter(|(_, tracker)| {
                 tracker.confirmed().is_some_and(|it| !it.loaded.contains_key(model))
             })
-            .filter_map(|(id, tracker)| {
-                find_option(tracker, id, &spec, self.engine, &self.models, (reason, self.now))
-            })
+            .filter_map(|(id, tracker)| find_option(tracker, id, self.is_limited(id), &load))
             .collect();
         for option in &mut options {
             option.cost_micros += f64::from(self.running_requests(&option.upstream))
                 * DELAY_PER_RUNNING_REQUEST.as_micros() as f64;
+            // At an engine that names a limit, requests wait for each other.
+            let limit = self.rows.get(&option.upstream).and_then(|row| row.limit);
+            option.cost_micros += limit.map_or(0.0, |it| it.time_for(1).as_micros() as f64);
             option.cost_micros +=
                 self.queued_load_micros.get(&option.upstream).copied().unwrap_or(0.0);
         }
@@ -234,7 +260,8 @@
         let mut free_engines: Vec<UpstreamId> =
             engines.iter().filter(|id| self.accepts_order(id)).cloned().collect();
         free_engines.sort_by_key(|id| {
-            (self.planner.trackers[id].adapter_count(), self.running_requests(id), id.clone())
+            let adapters = self.planner.trackers[id].adapter_count();
+            (self.is_limited(id), adapters, self.running_requests(id), id.clone())
         });
         let id = free_engines.first()?.clone();
         self.loading.insert(target.clone());
--- a/crates/gentian-decide/tests/limited_engines.rs
+++ b/crates/gentian-decide/tests/limited_engines.rs
@@ -28,6 +28,21 @@
     (0..ENGINES).filter(|engine| fleet.serves(*engine, 0)).collect()
 }
 
+/// The engines with the model take one request a second each; the others name no limit.
+#[test]
+fn a_busy_model_is_loaded_where_no_limit_is_named() {
+    let mut fleet = EngineFleet::new(1, ENGINES, MODELS, DISK_MODELS);
+    fleet.run(&demand(8.0), TimeSpan::from_secs(2));
+    let limited = engines_with_the_model(&fleet);
+    limited.iter().for_each(|engine| fleet.name_limit(*engine, ONE_A_SECOND));
+    fleet.run(&demand(8.0), TimeSpan::from_secs(8));
+    assert!(engines_with_the_model(&fleet).len() > limited.len());
+    fleet.reset_counts();
+    fleet.run(&demand(8.0), TimeSpan::from_secs(20));
+    let count = fleet.counts[0];
+    assert!(count.on_time * 100 > count.asked * 90, "{count:?}");
+}
+
 /// A request that finds the limit used up goes to another engine at once.
 #[test]
 fn engines_without_a_limit_serve_what_others_do_not_take() {
