Keep to the share of a limit when the hub grants no permits

During an upgrade, a hub of an earlier version reports but knows nothing of permits; an entry would then send nothing to upstreams that name limits. The same holds while replies are lost. Found by reading, not seen in a run.

After three missing replies in a row an entry keeps to its share for two seconds, which the bound of permits and shares together allows for. The soak also draws answers with unusual or broken framing.

entries_keep_to_their_shares_when_the_hub_grants_no_permits: 6 entries, a hub that never replies.

--- a/crates/gentian-decide/src/limits/permit_client.rs
+++ b/crates/gentian-decide/src/limits/permit_client.rs
@@ -13,6 +13,10 @@
 const REPLY_TIMEOUT: TimeSpan = TimeSpan::from_millis(60);
 /// Time after a missing reply in which the hub isn't asked again for the same upstream.
 const MISSING_REPLY_PAUSE: TimeSpan = TimeSpan::from_millis(150);
+/// Missing replies in a row after which this entry keeps to its share for a while, as without a hub:
+/// the hub may be of a version that grants no permits.
+const MAX_MISSING_REPLIES: u32 = 3;
+const SHARE_PERIOD: TimeSpan = TimeSpan::from_secs(2);
 /// Shortest time between two requests for the same upstream of which the first was not granted.
 const MIN_PAUSE: TimeSpan = TimeSpan::from_millis(20);
 
@@ -45,8 +49,11 @@
     /// Requests of all entries that waited for permits when the hub last replied.
     backlogs: FastMap<UpstreamId, u32>,
     sequence: SequenceNumber,
-    /// Whether there is a hub that grants permits.
+    /// Whether there is a hub.
     has_hub: bool,
+    missing_replies: u32,
+    /// Until when this entry keeps to its share although there is a hub.
+    shares_until: MonoTime,
 }
 
 impl PermitClient {
@@ -61,10 +68,15 @@
         self.paused_until.retain(|_, until| *until > now);
         let is_missing = |open: &mut OpenRequest| now.since(open.sent) >= REPLY_TIMEOUT;
         for open in self.open.extract_if(.., is_missing) {
+            self.missing_replies += 1;
             for (upstream, _) in open.wanted {
                 self.paused_until.insert(upstream, now + MISSING_REPLY_PAUSE);
             }
         }
+        if self.missing_replies >= MAX_MISSING_REPLIES {
+            self.clear();
+            self.shares_until = now + SHARE_PERIOD;
+        }
     }
 
     /// Sets whether there is a hub that grants permits; without one, this entry keeps to its share.
@@ -75,9 +87,9 @@
         self.has_hub = has_hub;
     }
 
-    /// Returns whether there is a hub that grants permits.
-    pub fn has_hub(&self) -> bool {
-        self.has_hub
+    /// Returns whether requests need permits. Otherwise this entry keeps to its share.
+    pub fn needs_permits(&self, now: MonoTime) -> bool {
+        self.has_hub && now >= self.shares_until
     }
 
     /// Returns whether the hub lets a request be sent to an upstream now.
@@ -157,6 +169,7 @@
             return;
         };
         let open = self.open.remove(position);
+        self.missing_replies = 0;
         for grant in &reply.grants {
             self.backlogs.insert(grant.upstream.clone(), grant.backlog);
             let permits = self.permits.entry(grant.upstream.clone()).or_default();
@@ -175,6 +188,7 @@
         self.open.clear();
         self.paused_until.clear();
         self.backlogs.clear();
+        self.missing_replies = 0;
     }
 
     /// Returns when a request that waits must be looked at again.
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -353,7 +353,7 @@
         };
         let Some(row) = self.rows.get_mut(id) else { return UpstreamCapacity::None };
         let Some(limit) = row.limit else { return UpstreamCapacity::Free(address) };
-        if !self.permits.has_hub() {
+        if !self.permits.needs_permits(now) {
             let seed = hash_of(&row.registration.id) as u32;
             let share = &mut row.limit_share;
             return match share.has_capacity_for(limit, self.index_and_count, seed, now) {
@@ -374,7 +374,9 @@
     /// Returns whether an upstream names a limit and the hub grants no permit at present.
     fn is_denied(&mut self, id: &UpstreamId, now: MonoTime) -> bool {
         let is_limited = self.rows.get(id).is_some_and(|row| row.limit.is_some());
-        is_limited && self.permits.has_hub() && self.permits.state(id, now) == PermitState::Denied
+        is_limited
+            && self.permits.needs_permits(now)
+            && self.permits.state(id, now) == PermitState::Denied
     }
 
     /// Returns the sum of the limits if all of these upstreams name one.
--- a/crates/gentian-decide/tests/request_limits.rs
+++ b/crates/gentian-decide/tests/request_limits.rs
@@ -116,7 +116,7 @@
         entry.client.begin_round(now);
         let mut sent = 0;
         for _ in 0..entry.demand {
-            let is_free = match entry.client.has_hub() {
+            let is_free = match entry.client.needs_permits(now) {
                 true => entry.client.state(&self.upstream, now) == PermitState::Granted,
                 false => entry.share.has_capacity_for(limit, (index as u32, count), 7, now),
             };
@@ -125,7 +125,7 @@
                 entry.share.record_limited(now);
                 self.sent.push(now);
                 sent += 1;
-            } else if entry.client.has_hub()
+            } else if entry.client.needs_permits(now)
                 && entry.client.state(&self.upstream, now) == PermitState::Unknown
             {
                 entry.client.want(&self.upstream, 1, limit);
@@ -244,3 +244,14 @@
     client.handle_reply(&reply, START);
     assert_ne!(client.state(&upstream, START), PermitState::Granted);
 }
+
+/// A hub of an earlier version reports, but does not reply to requests for permits.
+#[test]
+fn entries_keep_to_their_shares_when_the_hub_grants_no_permits() {
+    let limit = RequestRate::from_millis(4_000);
+    let mut fleet = Fleet::new(6, limit, 8);
+    fleet.ledger = None;
+    fleet.run(TimeSpan::from_secs(20), 20.0);
+    fleet.check_limit();
+    assert!(fleet.sent.len() > 15, "{} sent", fleet.sent.len());
+}
--- a/crates/gentian-soak/src/soak_fault.rs
+++ b/crates/gentian-soak/src/soak_fault.rs
@@ -8,6 +8,10 @@
 use crate::fleet_layout::zone_name;
 use crate::loopback_proxy::{FAULT_MODES, LinkMode};
 
+/// Faults of answers that the stand-in of a replica knows.
+const ANSWER_FAULTS: [&str; 5] =
+    ["unframed-answer", "unframed-cut", "endless-head", "endless-body", "endless-trailer"];
+
 /// A fault of a process or a link; the first field is the index of the entry or replica.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum SoakFault {
@@ -29,6 +33,8 @@
     LoseAnswers(usize, u64),
     /// A replica truncates responses.
     CutAnswers(usize, u64),
+    /// The framing of a replica's answers is unusual or broken.
+    FaultyAnswers(usize, &'static str, u64),
     /// The link to a replica has a fault.
     HarmReplicaLink(usize, LinkMode, Duration),
     /// The link to the store has a fault.
@@ -79,7 +85,8 @@
     let span = Duration::from_millis(random.random_range(200..3_000));
     let mode = FAULT_MODES[random.random_range(0..FAULT_MODES.len())];
     let count = random.random_range(1..4);
-    match random.random_range(0..15) {
+    let answer_fault = ANSWER_FAULTS[random.random_range(0..ANSWER_FAULTS.len())];
+    match random.random_range(0..16) {
         0 => SoakFault::StopEntry(entry),
         1 => SoakFault::KillEntry(entry),
         2 => SoakFault::PauseEntry(entry, span),
@@ -94,6 +101,7 @@
         11 => SoakFault::StoreDown(span),
         12 => SoakFault::LoseStoreAnswers(count),
         13 => SoakFault::Publish,
+        14 => SoakFault::FaultyAnswers(replica, answer_fault, count),
         _ => SoakFault::Evacuate(zone_name(replica), span),
     }
 }
--- a/crates/gentian-soak/src/soak_run.rs
+++ b/crates/gentian-soak/src/soak_run.rs
@@ -239,6 +239,9 @@
                     ("count", count),
                 );
             }
+            SoakFault::FaultyAnswers(replica, name, count) => {
+                self.set_fault(self.layout.replica_address(replica), name, ("count", count));
+            }
             SoakFault::HarmReplicaLink(replica, mode, span) => {
                 self.links[replica].set_mode(mode);
                 self.pending.push((now + span, FaultEnd::RestoreLink(Some(replica))));
