Don't hold a broken attempt's repeat to see whether a proxy closes

Callers whose request had broken before its answer began waited up to 100 ms more for its repeat: the entry opened a connection to find out whether the upstream had ended, and waited whether that would be closed.

Only a strong suspect waits now; for the others a refused connection decides.

--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -121,7 +121,7 @@
 }
 
 /// Returns whether the upstream refuses connections, as it does when its process has ended.
-fn is_refusing(handles: &CallHandles, pick: &UpstreamPick) -> bool {
+pub(super) fn is_refusing(handles: &CallHandles, pick: &UpstreamPick) -> bool {
     let connected = BufferedStream::connect(pick.address, END_CHECK_TIMEOUT, handles.clock);
     connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
 }
--- a/crates/gentian-gateway/src/chain/forward_call.rs
+++ b/crates/gentian-gateway/src/chain/forward_call.rs
@@ -6,7 +6,7 @@
 use gentian_decide::request::{FilterOutcome, Refusal, RefusalCode};
 use gentian_decide::serving::{AttemptEnd, AttemptOutcome, AttemptProgress, UpstreamPick};
 
-use super::attempt::{AttemptResult, has_upstream_ended, run_attempt};
+use super::attempt::{AttemptResult, has_upstream_ended, is_refusing, run_attempt};
 use super::relay::{end_stream, send_response};
 use super::{CallContext, CallHandles};
 use crate::control::{CallAssignment, ControlEvent};
@@ -87,7 +87,12 @@
         AttemptEnd { id: call.id, outcome, progress: call.progress, has_upstream_ended: false };
     if outcome == AttemptOutcome::Broken {
         let may_be_cause = call.metadata.prompt_prefix.len() > 1 && is_early(call, elapsed);
-        end.has_upstream_ended = may_be_cause && has_upstream_ended(handles, pick);
+        end.has_upstream_ended = may_be_cause
+            && match call.progress {
+                AttemptProgress::HeadReceived => has_upstream_ended(handles, pick),
+                // The request is a weak suspect only, and may soon be served elsewhere.
+                _ => is_refusing(handles, pick),
+            };
         log_broken(call, pick, &end, elapsed);
     }
     end
