--- a/crates/gentian-decide/src/serving/call_scheduler.rs
+++ b/crates/gentian-decide/src/serving/call_scheduler.rs
@@ -422,8 +422,7 @@
             }
             PickOutcome::Send(_) | PickOutcome::NoUpstream => "no upstream takes work",
         };
-        let target = call.target.as_ref().map_or_else(String::new, |it| format!(" for {it}"));
-        self.refuse(call, &format!("{message}{target}"))
+        self.refuse(call, &format!("{message}{}", for_target(call)))
     }
 
     /// Returns the time after which upstreams that accept requests at the rate `limit` have taken
@@ -456,7 +455,8 @@
         if call.possible_executions == 0 {
             self.refund(call, now);
         }
-        let refusal = self.refuse(call, &format!("the upstreams accept only {limit} at present"));
+        let message = format!("the upstreams accept only {limit} at present{}", for_target(call));
+        let refusal = self.refuse(call, &message);
         match call.possible_executions {
             0 => refusal.with_retry_after(wait),
             _ => refusal,
@@ -478,6 +478,11 @@
     }
 }
 
+/// Returns the target of the call as the end of a message.
+fn for_target(call: &ServingCall) -> String {
+    call.target.as_ref().map_or_else(String::new, |target| format!(" for {target}"))
+}
+
 fn target_key(call: &ServingCall) -> Option<(ServiceId, TargetId)> {
     Some((call.service.clone(), call.target.clone()?))
 }
