Refuse queued requests with a quarantined part in every case

The check of queued requests could also let one through as a trial, which then got no answer; it needed a request queued for a minute, and was found by reading. Queued requests now have a check of their own. The stored records are compared when something changed, not at every event.

--- a/crates/gentian-decide/src/quarantine/crash_log.rs
+++ b/crates/gentian-decide/src/quarantine/crash_log.rs
@@ -46,7 +46,7 @@
         Self::default()
     }
 
-    /// Adds a report, to the crash that another report told of if there is one.
+    /// Adds a report; several reports may be about the same crash.
     pub(super) fn record(&mut self, report: &CrashReport, now: MonoTime) {
         let time = now - report.age;
         self.crashes.retain(|crash| now.since(crash.time) < CRASH_RETENTION);
--- a/crates/gentian-decide/src/quarantine/part_quarantine.rs
+++ b/crates/gentian-decide/src/quarantine/part_quarantine.rs
@@ -169,7 +169,12 @@
         self.quarantined.keys().copied()
     }
 
-    /// Returns the part because of which a request with `parts` is refused. With `may_try`, a
+    /// Returns the part because of which a queued request with `parts` is refused.
+    pub fn find_quarantined(&self, parts: &[PartId]) -> Option<PartId> {
+        parts.iter().find(|part| self.is_quarantined(**part)).copied()
+    }
+
+    /// Returns the part because of which a new request with `parts` is refused. With `may_try`, a
     /// request with only one such part is let through from time to time, to find out whether the
     /// part still does harm; only one entry of the fleet may do so.
     pub fn check(&mut self, parts: &[PartId], may_try: bool, now: MonoTime) -> Option<PartId> {
--- a/crates/gentian-gateway/src/control/quarantine_controller.rs
+++ b/crates/gentian-gateway/src/control/quarantine_controller.rs
@@ -4,56 +4,42 @@
 use gentian_core::{EventCode, FastSet, MonoTime, PartId, UpstreamId};
 use gentian_decide::request::{Refusal, RefusalCode};
 use gentian_decide::serving::{AttemptEnd, AttemptProgress, ServingCall};
+use gentian_process::StoredValue;
 
 use super::call_controller::send_assignment;
 use super::fleet_broadcast::{broadcast, send_to_vm};
 use super::{CallAssignment, ControlEvent, ControlState, StoreRecords};
 use crate::io::{FleetRecord, QuarantineWrite, decode_fleet_record};
 
-/// Handles notices of other entries and stored records, decides on crashes, and has the hub store
-/// what was decided.
+/// Handles messages of other entries and stored records, and decides on crashes.
 pub(super) fn handle_quarantine(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
     match event {
         ControlEvent::Peer(message) => handle_message(state, message, now),
-        ControlEvent::Store(StoreRecords::Fleet(values)) => {
-            let prefix = state.codec.record_layout.fleet_prefix.clone();
-            let parts =
-                values.iter().filter_map(|value| match decode_fleet_record(&prefix, value) {
-                    Some(FleetRecord::QuarantinedPart(part)) => Some(part),
-                    _ => None,
-                });
-            state.stored_parts = parts.collect();
-            for part in state.quarantine.restore(state.stored_parts.iter().copied(), now) {
-                log::warn!("{} part={part} cause=stored", EventCode::PART_QUARANTINED);
-                refuse_waiting(state, now);
-            }
-        }
+        ControlEvent::Store(StoreRecords::Fleet(values)) => restore_parts(state, values, now),
         _ => {}
     }
     for part in state.quarantine.decide(now) {
         log::warn!("{} part={part} cause=crashes", EventCode::PART_QUARANTINED);
         let notice = QuarantineNotice { part, is_quarantined: true };
         broadcast(state, FleetMessage::Quarantine(notice), now);
-        refuse_waiting(state, now);
+        apply_change(state, now);
     }
-    store_parts(state);
 }
 
-/// Returns the refusal of a request whose prompt holds a quarantined part.
+/// Returns the refusal of a new request whose prompt holds a quarantined part.
 pub(super) fn check_quarantine(
     state: &mut ControlState,
     call: &ServingCall,
     now: MonoTime,
 ) -> Option<Refusal> {
-    // Trials need one entry in the fleet; only the hub is one.
+    // Only the hub makes trials, so that no two entries make them at the same time.
     let may_try = state.hub.is_some();
     let part = state.quarantine.check(&call.shared_parts, may_try, now)?;
-    let message = format!("upstreams end when they answer a prompt with the part {part}");
-    let refusal = Refusal::new(RefusalCode::PromptQuarantined, message);
-    Some(if call.possible_executions > 0 { refusal.with_unknown_run() } else { refusal })
+    Some(quarantine_refusal(call, part))
 }
 
-/// Records what the end of an attempt shows of the parts of the prompt, and tells the other entries.
+/// Records what the end of an attempt shows of the parts of the prompt, and notifies the other
+/// entries.
 pub(super) fn record_attempt_end(
     state: &mut ControlState,
     call: &ServingCall,
@@ -71,11 +57,12 @@
             AttemptProgress::HeadReceived => SuspicionGrade::Strong,
             _ => SuspicionGrade::Weak,
         };
+        let names: Vec<String> = parts.iter().map(ToString::to_string).collect();
         log::info!(
             "{} upstream={upstream} request={} grade={grade:?} parts={}",
             EventCode::UPSTREAM_CRASHED,
             call.id,
-            join_parts(parts)
+            names.join(",")
         );
         state.metrics.upstream_crashes.inc();
         let report = state.quarantine.record_crash(upstream, grade, parts, now);
@@ -86,8 +73,7 @@
 fn handle_message(state: &mut ControlState, message: &FleetMessage, now: MonoTime) {
     match message {
         FleetMessage::Crash(report) => {
-            let reply = state.quarantine.handle_crash(report, now);
-            if let Some(notice) = reply {
+            if let Some(notice) = state.quarantine.handle_crash(report, now) {
                 send_to_vm(state, &FleetMessage::Served(notice), &report.vm);
             }
         }
@@ -101,38 +87,61 @@
                 false => EventCode::PART_RELEASED,
             };
             log::warn!("{code} part={} cause=notice", notice.part);
-            refuse_waiting(state, now);
+            apply_change(state, now);
         }
         _ => {}
     }
 }
 
+/// Applies the records of quarantined parts.
+fn restore_parts(state: &mut ControlState, values: &[StoredValue], now: MonoTime) {
+    let prefix = state.codec.record_layout.fleet_prefix.clone();
+    let parts = values.iter().filter_map(|value| match decode_fleet_record(&prefix, value) {
+        Some(FleetRecord::QuarantinedPart(part)) => Some(part),
+        _ => None,
+    });
+    state.stored_parts = parts.collect();
+    for part in state.quarantine.restore(state.stored_parts.iter().copied(), now) {
+        log::warn!("{} part={part} cause=stored", EventCode::PART_QUARANTINED);
+    }
+    apply_change(state, now);
+}
+
 /// Releases the quarantined parts that were served all the same.
 fn release_served(state: &mut ControlState, notice: &ServedNotice, now: MonoTime) {
     for (part, _) in &notice.parts {
-        if state.quarantine.is_quarantined(*part) {
-            state.quarantine.release(*part, now);
+        if state.quarantine.release(*part, now) {
             log::warn!("{} part={part} cause=served", EventCode::PART_RELEASED);
             let notice = QuarantineNotice { part: *part, is_quarantined: false };
             broadcast(state, FleetMessage::Quarantine(notice), now);
+            apply_change(state, now);
         }
     }
 }
 
-/// Refuses the queued requests whose prompt holds a quarantined part.
+/// Acts on a changed quarantine: refuses queued requests, and has the hub store the change.
+fn apply_change(state: &mut ControlState, now: MonoTime) {
+    refuse_waiting(state, now);
+    store_parts(state);
+}
+
 fn refuse_waiting(state: &mut ControlState, now: MonoTime) {
     let quarantine = &state.quarantine;
-    let is_refused =
-        |call: &ServingCall| call.shared_parts.iter().any(|part| quarantine.is_quarantined(*part));
-    for call in state.scheduler.remove_waiting(is_refused, now) {
-        let refusal = check_quarantine(state, &call, now);
-        let reply = state.assignment_senders.remove(&call.id);
-        if let (Some(reply), Some(refusal)) = (reply, refusal) {
-            send_assignment(&reply, CallAssignment::Refuse(refusal));
+    let find = |call: &ServingCall| quarantine.find_quarantined(&call.shared_parts);
+    for call in state.scheduler.remove_waiting(|call| find(call).is_some(), now) {
+        let (part, reply) = (find(&call), state.assignment_senders.remove(&call.id));
+        if let (Some(part), Some(reply)) = (part, reply) {
+            send_assignment(&reply, CallAssignment::Refuse(quarantine_refusal(&call, part)));
         }
     }
 }
 
+fn quarantine_refusal(call: &ServingCall, part: PartId) -> Refusal {
+    let message = format!("upstreams end when they answer a prompt with the part {part}");
+    let refusal = Refusal::new(RefusalCode::PromptQuarantined, message);
+    if call.possible_executions > 0 { refusal.with_unknown_run() } else { refusal }
+}
+
 /// Has the hub write the records of quarantined parts, by which entries that start later know them,
 /// and delete those of released ones.
 fn store_parts(state: &mut ControlState) {
@@ -152,7 +161,3 @@
     }
     state.stored_parts = parts;
 }
-
-fn join_parts(parts: &[PartId]) -> String {
-    parts.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
-}
