Refuse at once what an entry's own share of limits cannot serve

Without a hub, a request for upstreams that all name limits waited for half of its time even at an entry whose share was used up or nothing. It is now refused like one that finds no permit, by this entry's part of the rate.

The capacity of limited upstreams, the outcome of a selection, the selected upstream and the ranking get files of their own.

--- a/crates/gentian-core/src/request_rate.rs
+++ b/crates/gentian-core/src/request_rate.rs
@@ -30,6 +30,11 @@
         self.millis as f64 / MILLIS_PER_UNIT
     }
 
+    /// Returns this rate divided among `count`, one at the least.
+    pub fn divide(self, count: u32) -> Self {
+        Self { millis: self.millis / u64::from(count.max(1)) }
+    }
+
     /// Returns the time in which `count` requests accrue; the longest possible time at a rate of
     /// zero.
     pub fn time_for(self, count: usize) -> TimeSpan {
--- a/crates/gentian-decide/src/limits/permit_client.rs
+++ b/crates/gentian-decide/src/limits/permit_client.rs
@@ -66,6 +66,7 @@
     pub fn begin_round(&mut self, now: MonoTime) {
         self.wanted.clear();
         self.paused_until.retain(|_, until| *until > now);
+        self.permits.retain(|_, permits| permits.back().is_some_and(|expiry| *expiry > now));
         let is_missing = |open: &mut OpenRequest| now.since(open.sent) >= REPLY_TIMEOUT;
         for open in self.open.extract_if(.., is_missing) {
             self.missing_replies += 1;
@@ -171,7 +172,10 @@
         let open = self.open.remove(position);
         self.missing_replies = 0;
         for grant in &reply.grants {
-            self.backlogs.insert(grant.upstream.clone(), grant.backlog);
+            match grant.backlog {
+                0 => self.backlogs.remove(&grant.upstream),
+                backlog => self.backlogs.insert(grant.upstream.clone(), backlog),
+            };
             let permits = self.permits.entry(grant.upstream.clone()).or_default();
             permits.extend((0..grant.count).map(|_| open.sent + PERMIT_TTL));
             let asked = open.wanted.iter().find(|(upstream, _)| *upstream == grant.upstream);
--- a/crates/gentian-decide/src/serving/call_scheduler.rs
+++ b/crates/gentian-decide/src/serving/call_scheduler.rs
@@ -13,17 +13,14 @@
 };
 
 use super::{
-    AttemptOutcome, FleetPartition, PickOutcome, QuotaLimit, QuotaLimiter, QuotaOutcome,
-    ServingBounds, ServingCall, SharedRetryBudget, UpstreamPick, UpstreamTable,
+    AttemptOutcome, FleetPartition, LimitedCapacity, PickOutcome, QuotaLimit, QuotaLimiter,
+    QuotaOutcome, ServingBounds, ServingCall, SharedRetryBudget, UpstreamPick, UpstreamTable,
 };
 use crate::request::{Refusal, RefusalCode};
 
 /// Requests that no upstream can take are refused after this fraction of the time between their
 /// arrival and their deadline, so that callers have time to retry.
 const MAX_QUEUE_FRACTION: f64 = 0.5;
-/// Requests that wait for upstreams that name limits are refused if they would start later than this
-/// many times their target latency after their arrival.
-const MAX_LIMITED_WAIT_TARGETS: u64 = 4;
 /// Number of entries assumed before the members are known.
 const DEFAULT_FLEET_ENTRIES: u32 = 16;
 /// Retry delay in refusals because no upstream is available.
@@ -178,11 +175,10 @@
                         self.refuse_queued(&call, &outcome, now),
                     ));
                 }
-                PickOutcome::Limited { limit, backlog }
-                    if self.is_hopeless(&call, limit, backlog, now) =>
+                PickOutcome::Limited(capacity)
+                    if capacity.is_too_late(&call, self.waiting_before(&call), now) =>
                 {
-                    let wait = self.limited_wait(&call, limit, backlog);
-                    let refusal = self.refuse_limited(&call, limit, wait, now);
+                    let refusal = self.refuse_limited(&call, capacity, now);
                     decisions.push(ScheduleDecision::Refuse(call.id, refusal));
                 }
                 outcome => {
@@ -417,7 +413,7 @@
         }
         let message = match outcome {
             PickOutcome::NotLoaded => "no upstream could load the model in time",
-            PickOutcome::Full | PickOutcome::AwaitsPermit | PickOutcome::Limited { .. } => {
+            PickOutcome::Full | PickOutcome::AwaitsPermit | PickOutcome::Limited(_) => {
                 "the upstreams bear no more now"
             }
             PickOutcome::Send(_) | PickOutcome::NoUpstream => "no upstream takes work",
@@ -425,40 +421,26 @@
         self.refuse(call, &format!("{message}{}", for_target(call)))
     }
 
-    /// Returns the time after which upstreams that accept requests at the rate `limit` have taken
-    /// `call` and the requests before it, of which `backlog` are known from the hub.
-    fn limited_wait(&self, call: &ServingCall, limit: RequestRate, backlog: u32) -> TimeSpan {
+    /// Returns the number of requests for the target of `call` that this round left waiting.
+    fn waiting_before(&self, call: &ServingCall) -> usize {
         let key = (&call.service, &call.target);
-        let before = self.waiting.iter().filter(|other| (&other.service, &other.target) == key);
-        limit.time_for((before.count() + 1).max(backlog as usize))
-    }
-
-    /// Returns whether the limits of the upstreams leave no time for `call`.
-    fn is_hopeless(
-        &self,
-        call: &ServingCall,
-        limit: RequestRate,
-        backlog: u32,
-        now: MonoTime,
-    ) -> bool {
-        let latest = call.received + call.route.target_latency * MAX_LIMITED_WAIT_TARGETS;
-        now + self.limited_wait(call, limit, backlog) > queue_deadline(call).min(latest)
+        self.waiting.iter().filter(|other| (&other.service, &other.target) == key).count()
     }
 
     fn refuse_limited(
         &mut self,
         call: &ServingCall,
-        limit: RequestRate,
-        wait: TimeSpan,
+        capacity: LimitedCapacity,
         now: MonoTime,
     ) -> Refusal {
         if call.possible_executions == 0 {
             self.refund(call, now);
         }
+        let limit = capacity.rate;
         let message = format!("the upstreams accept only {limit} at present{}", for_target(call));
         let refusal = self.refuse(call, &message);
         match call.possible_executions {
-            0 => refusal.with_retry_after(wait),
+            0 => refusal.with_retry_after(capacity.wait(self.waiting_before(call))),
             _ => refusal,
         }
     }
@@ -494,6 +476,7 @@
         .unwrap_or(call.route.priority)
 }
 
-fn queue_deadline(call: &ServingCall) -> MonoTime {
+/// Returns when a queued request is refused at the latest.
+pub(super) fn queue_deadline(call: &ServingCall) -> MonoTime {
     call.received + call.deadline.since(call.received) * MAX_QUEUE_FRACTION
 }
--- /dev/null
+++ b/crates/gentian-decide/src/serving/pick_outcome.rs
@@ -0,0 +1,20 @@
+//! Outcome of the selection of an upstream.
+
+use super::{LimitedCapacity, UpstreamPick};
+
+/// Outcome of a selection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PickOutcome {
+    /// The request goes to this upstream.
+    Send(UpstreamPick),
+    /// No available upstream has the target loaded.
+    NotLoaded,
+    /// The upstreams that have it loaded accept no more requests from this entry now.
+    Full,
+    /// The best of them names a limit, and the hub has not granted or denied a permit yet.
+    AwaitsPermit,
+    /// All of them name limits that are used up.
+    Limited(LimitedCapacity),
+    /// No upstream of the service is available.
+    NoUpstream,
+}
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -1,6 +1,5 @@
 //! The upstreams that an entry knows, and load balancing among them.
 
-use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -10,24 +9,14 @@
     DomainId, FastMap, FastSet, InstanceId, MonoTime, RequestRate, SequenceNumber, ServiceId,
     TimeSpan, UpstreamId,
 };
-use rustc_hash::FxHasher;
 
+use super::selection_cost::{hash_of, selection_cost};
 use super::{
-    AttemptOutcome, PrefillTime, ServingBounds, ServingCall, UpstreamRegistration, UpstreamRow,
-    UpstreamState,
+    AttemptOutcome, LimitedCapacity, PickOutcome, PrefillTime, ServingBounds, ServingCall,
+    UpstreamPick, UpstreamRegistration, UpstreamRow, UpstreamState,
 };
 use crate::limits::{PermitClient, PermitState};
 
-/// Delays that the selection assumes for each running request, for another failure domain, for a
-/// failure rate of one and for an upstream that was already tried. The unit is the number of prompt
-/// tokens whose prefill would take as long.
-const RUNNING_DELAY_TOKENS: f64 = 60.0;
-const OTHER_DOMAIN_DELAY_TOKENS: f64 = 40.0;
-const FAILURE_DELAY_TOKENS: f64 = 20_000.0;
-const TRIED_DELAY_TOKENS: f64 = 1e9;
-/// Delay at an upstream of a plain service whose slots are all in use, in the same unit.
-const FULL_SLOTS_DELAY_TOKENS: f64 = 2_000.0;
-
 /// Fraction of the target latency that a request may wait for the prefill of earlier prompts.
 const PREFILL_WAIT_FRACTION: f64 = 0.7;
 
@@ -37,43 +26,6 @@
 /// Smallest number of upstreams to compare: a choice of two already keeps the longest queue short.
 const MIN_SAMPLE_SIZE: usize = 2;
 
-/// The selected upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct UpstreamPick {
-    /// The upstream.
-    pub upstream: UpstreamId,
-    /// Its address.
-    pub address: SocketAddr,
-    /// Work of all entries there when it was selected.
-    pub work: UpstreamWork,
-    /// Number of available upstreams that have the target loaded.
-    pub candidates: usize,
-    /// Limit that the upstream names.
-    pub limit: Option<RequestRate>,
-}
-
-/// Outcome of a selection.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PickOutcome {
-    /// The request goes to this upstream.
-    Send(UpstreamPick),
-    /// No available upstream has the target loaded.
-    NotLoaded,
-    /// The upstreams that have it loaded accept no more requests from this entry now.
-    Full,
-    /// The best of them names a limit, and the hub has not granted or denied a permit yet.
-    AwaitsPermit,
-    /// All of them name limits that are used up.
-    Limited {
-        /// Rate that they accept together.
-        limit: RequestRate,
-        /// Requests of all entries that wait for it.
-        backlog: u32,
-    },
-    /// No upstream of the service is available.
-    NoUpstream,
-}
-
 /// Whether this entry may send a request to an upstream now.
 enum UpstreamCapacity {
     Free(SocketAddr),
@@ -227,17 +179,17 @@
         let mut ranked: Vec<(f64, UpstreamId)> = available
             .iter()
             .filter(has_target)
-            .map(|row| (self.selection_cost(row, call, now), row.registration.id.clone()))
+            .map(|row| (selection_cost(row, call, &self.domain, now), row.registration.id.clone()))
             .collect();
         let candidates = ranked.len();
         if ranked.is_empty() {
             return PickOutcome::NotLoaded;
         }
-        let limits = self.sum_limits(&ranked);
+        let accepted_rate = self.accepted_rate(&ranked, now);
         let backlog = ranked.iter().map(|(_, id)| self.permits.backlog(id)).sum();
         ranked.retain(|(_, id)| !self.is_denied(id, now));
-        if let (true, Some(limit)) = (ranked.is_empty(), limits) {
-            return PickOutcome::Limited { limit, backlog };
+        if let (true, Some(rate)) = (ranked.is_empty(), accepted_rate) {
+            return PickOutcome::Limited(LimitedCapacity { rate, backlog });
         }
         self.retain_sample(&mut ranked, call);
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -351,14 +303,12 @@
         let Some(address) = self.find_free_address(id, call, service, now) else {
             return UpstreamCapacity::None;
         };
-        let Some(row) = self.rows.get_mut(id) else { return UpstreamCapacity::None };
+        let Some(row) = self.rows.get(id) else { return UpstreamCapacity::None };
         let Some(limit) = row.limit else { return UpstreamCapacity::Free(address) };
         if !self.permits.needs_permits(now) {
-            let seed = hash_of(&row.registration.id) as u32;
-            let share = &mut row.limit_share;
-            return match share.has_capacity_for(limit, self.index_and_count, seed, now) {
-                true => UpstreamCapacity::Free(address),
-                false => UpstreamCapacity::None,
+            return match self.is_denied(id, now) {
+                true => UpstreamCapacity::None,
+                false => UpstreamCapacity::Free(address),
             };
         }
         match self.permits.state(id, now) {
@@ -371,17 +321,23 @@
         }
     }
 
-    /// Returns whether an upstream names a limit and the hub grants no permit at present.
+    /// Returns whether an upstream names a limit that leaves nothing to this entry at present.
     fn is_denied(&mut self, id: &UpstreamId, now: MonoTime) -> bool {
-        let is_limited = self.rows.get(id).is_some_and(|row| row.limit.is_some());
-        is_limited
-            && self.permits.needs_permits(now)
-            && self.permits.state(id, now) == PermitState::Denied
+        let Some(row) = self.rows.get_mut(id) else { return false };
+        let Some(limit) = row.limit else { return false };
+        if self.permits.needs_permits(now) {
+            return self.permits.state(id, now) == PermitState::Denied;
+        }
+        let seed = hash_of(&row.registration.id) as u32;
+        !row.limit_share.has_capacity_for(limit, self.index_and_count, seed, now)
     }
 
-    /// Returns the sum of the limits if all of these upstreams name one.
-    fn sum_limits(&self, ranked: &[(f64, UpstreamId)]) -> Option<RequestRate> {
-        ranked.iter().map(|(_, id)| self.limit(id)).sum()
+    /// Returns what these upstreams accept together, if all of them name limits: from all entries, or
+    /// from this one if it keeps to its share.
+    fn accepted_rate(&self, ranked: &[(f64, UpstreamId)], now: MonoTime) -> Option<RequestRate> {
+        let sum: RequestRate = ranked.iter().map(|(_, id)| self.limit(id)).sum::<Option<_>>()?;
+        let sharers = if self.permits.needs_permits(now) { 1 } else { self.index_and_count.1 };
+        Some(sum.divide(sharers))
     }
 
     /// Returns the address of the upstream if it has capacity for `call`, apart from a limit that it
@@ -445,35 +401,4 @@
             prefill_time.expected_delay(row.local_work.pending_prefill_tokens) + remote_delay;
         is_batch_full || delay > call.route.target_latency * PREFILL_WAIT_FRACTION
     }
-
-    /// Returns the expected delay at an upstream, as the number of prompt tokens whose prefill
-    /// would take as long.
-    fn selection_cost(&self, row: &UpstreamRow, call: &ServingCall, now: MonoTime) -> f64 {
-        let work = row.work();
-        let mut delay = row.failure_rate(now) * FAILURE_DELAY_TOKENS;
-        if row.registration.domain != self.domain {
-            delay += OTHER_DOMAIN_DELAY_TOKENS;
-        }
-        if call.tried.contains(&row.registration.id) {
-            delay += TRIED_DELAY_TOKENS;
-        }
-        if call.target.is_none() {
-            let slots = row.registration.slots.get().max(1) as f64;
-            return delay + f64::from(work.running) / slots * FULL_SLOTS_DELAY_TOKENS;
-        }
-        delay +=
-            f64::from(work.pending_prefill_tokens) + f64::from(work.running) * RUNNING_DELAY_TOKENS;
-        if let Some((tokens, digest)) = call.shared_prefix {
-            // Every entry prefers the same upstream for a prefix, which thus stays in its cache.
-            let preference = hash_of(&(digest, &row.registration.id)) as f64 / u64::MAX as f64;
-            delay += f64::from(tokens) * preference;
-        }
-        delay
-    }
-}
-
-fn hash_of(value: &impl Hash) -> u64 {
-    let mut hasher = FxHasher::default();
-    value.hash(&mut hasher);
-    hasher.finish()
 }
