--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -1,30 +1,21 @@
 //! One attempt to serve a request at one upstream.
 
-use std::io::ErrorKind;
-
-use gentian_core::{MonoTime, TimeSpan};
+use gentian_core::TimeSpan;
 use gentian_decide::serving::{AttemptOutcome, AttemptProgress, UpstreamPick};
 use gentian_http::forward::{
-    BodyFraming, BodyProgress, BodyReader, BufferReservation, BufferedStream, EventSplitter,
-    ResponseHead, WaitOutcome,
+    BodyFraming, BodyProgress, BodyReader, BufferedStream, EventSplitter, ResponseHead,
 };
 
 use super::call_context::SavedResponse;
 use super::relay::{begin_stream, end_stream, send_events, send_response};
+use super::response_reader::{ReadError, read_body, read_head, wait_for_bytes};
+use super::upstream_probe::is_refusing;
 use super::{CallContext, CallHandles};
 use crate::control::ControlEvent;
 use crate::{ForwardMetadata, ResponseMetadata};
 
-/// Longest wait for a connection that shows whether an upstream has ended, and for its close.
-const END_CHECK_TIMEOUT: TimeSpan = TimeSpan::from_millis(100);
 /// Longest wait for a connection to an upstream.
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_millis(400);
-/// Size limit in bytes of the body of a response that is not streamed.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
-/// Maximum number of interim responses before the response itself.
-const MAX_INTERIM_RESPONSES: u32 = 16;
-/// Maximum number of responses to other requests that are skipped on one connection.
-const MAX_STRAY_RESPONSES: u32 = 3;
 
 /// How an attempt ended for the request. The [`AttemptOutcome`] in it is what is recorded for the
 /// upstream.
@@ -43,13 +34,6 @@
     Failed(AttemptOutcome, String),
 }
 
-/// Why reading from an upstream failed.
-enum ReadError {
-    CallerGone,
-    TimedOut,
-    Broken(String),
-}
-
 impl AttemptResult {
     /// Returns the outcome that is recorded for the upstream.
     pub(super) fn outcome(&self) -> AttemptOutcome {
@@ -120,25 +104,6 @@
     handle_response(handles, call, pick, stream, response)
 }
 
-/// Returns whether the upstream refuses connections, as it does when its process has ended.
-pub(super) fn is_refusing(handles: &CallHandles, pick: &UpstreamPick) -> bool {
-    let connected = BufferedStream::connect(pick.address, END_CHECK_TIMEOUT, handles.clock);
-    connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
-}
-
-/// Returns whether the upstream accepts no connections, or closes them at once as a proxy does for
-/// a server that has ended.
-pub(super) fn has_upstream_ended(handles: &CallHandles, pick: &UpstreamPick) -> bool {
-    let connected = BufferedStream::connect(pick.address, END_CHECK_TIMEOUT, handles.clock);
-    let read = connected.map(|mut stream| stream.fill(handles.clock.now() + END_CHECK_TIMEOUT));
-    match read {
-        Ok(Ok(count)) => count == 0,
-        Ok(Err(error)) | Err(error) => {
-            matches!(error.kind(), ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset)
-        }
-    }
-}
-
 struct UpstreamResponse {
     head: ResponseHead,
     metadata: ResponseMetadata,
@@ -169,47 +134,6 @@
     bytes
 }
 
-/// Reads response heads until one belongs to this request. A late response to an earlier request on
-/// the same connection is skipped.
-fn read_head(
-    handles: &CallHandles,
-    call: &CallContext,
-    stream: &mut BufferedStream,
-) -> Result<(ResponseHead, ResponseMetadata), ReadError> {
-    let mut stray_count = 0;
-    let mut interim_count = 0;
-    loop {
-        let parsed = ResponseHead::parse(stream.buffered());
-        match parsed.map_err(|error| ReadError::Broken(error.to_string()))? {
-            None if stream.is_at_eof() => {
-                return Err(ReadError::Broken("the connection ended".to_owned()));
-            }
-            None => wait_for_bytes(stream, &call.caller_stream, call.deadline)?,
-            Some((head, length)) => {
-                stream.consume(length);
-                if (100..200).contains(&head.status) {
-                    interim_count += 1;
-                    if interim_count > MAX_INTERIM_RESPONSES {
-                        return Err(ReadError::Broken("too many interim responses".to_owned()));
-                    }
-                    continue;
-                }
-                let metadata = (handles.codec.decode_response)(&head);
-                let is_stray =
-                    metadata.request_id.as_ref().is_some_and(|it| *it != call.metadata.request_id);
-                if !is_stray {
-                    return Ok((head, metadata));
-                }
-                stray_count += 1;
-                if stray_count > MAX_STRAY_RESPONSES {
-                    return Err(ReadError::Broken("answers to other requests".to_owned()));
-                }
-                read_body(handles, call, stream, &head)?;
-            }
-        }
-    }
-}
-
 fn handle_response(
     handles: &CallHandles,
     call: &mut CallContext,
@@ -339,58 +263,6 @@
     BodyFraming::of_response(head.status, &head.headers) == Ok(BodyFraming::UntilClose)
 }
 
-fn read_body(
-    handles: &CallHandles,
-    call: &CallContext,
-    stream: &mut BufferedStream,
-    head: &ResponseHead,
-) -> Result<(Vec<u8>, BufferReservation), ReadError> {
-    let broken = |error: &dyn std::fmt::Display| ReadError::Broken(error.to_string());
-    let framing = match call.head.method.as_str() {
-        "HEAD" => BodyFraming::Length(0),
-        _ => BodyFraming::of_response(head.status, &head.headers).map_err(|it| broken(&it))?,
-    };
-    let mut reader = BodyReader::new(framing);
-    let mut body = Vec::new();
-    let mut reservation = handles.buffers.reserve();
-    loop {
-        let step = reader.read_buffered(stream, &mut body).map_err(|error| broken(&error))?;
-        if step == BodyProgress::Complete {
-            return Ok((body, reservation));
-        }
-        if body.len() > MAX_RESPONSE_BYTES || !reservation.grow_to(body.len()) {
-            return Err(ReadError::Broken("the answer is too large".to_owned()));
-        }
-        wait_for_bytes(stream, &call.caller_stream, call.deadline)?;
-    }
-}
-
-/// Waits until the upstream sends bytes or closes its side, which the next read of the stream shows;
-/// fails if the caller leaves meanwhile.
-fn wait_for_bytes(
-    stream: &mut BufferedStream,
-    caller_stream: &BufferedStream,
-    deadline: MonoTime,
-) -> Result<(), ReadError> {
-    loop {
-        // Bytes may arrive faster than they are consumed, so that there is never a wait.
-        if stream.is_past(deadline) {
-            return Err(ReadError::TimedOut);
-        }
-        match stream.read_available() {
-            Ok(_) => return Ok(()),
-            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-            Err(error) => return Err(ReadError::Broken(error.to_string())),
-        }
-        match stream.wait_for_input_or_close(caller_stream, deadline) {
-            Ok(WaitOutcome::Ready) => {}
-            Ok(WaitOutcome::OtherClosed) => return Err(ReadError::CallerGone),
-            Ok(WaitOutcome::TimedOut) => return Err(ReadError::TimedOut),
-            Err(error) => return Err(ReadError::Broken(error.to_string())),
-        }
-    }
-}
-
 fn keep_connection(
     handles: &CallHandles,
     pick: &UpstreamPick,
--- a/crates/gentian-gateway/src/chain/forward_call.rs
+++ b/crates/gentian-gateway/src/chain/forward_call.rs
@@ -6,8 +6,9 @@
 use gentian_decide::request::{FilterOutcome, Refusal, RefusalCode};
 use gentian_decide::serving::{AttemptEnd, AttemptOutcome, AttemptProgress, UpstreamPick};
 
-use super::attempt::{AttemptResult, has_upstream_ended, is_refusing, run_attempt};
+use super::attempt::{AttemptResult, run_attempt};
 use super::relay::{end_stream, send_response};
+use super::upstream_probe::{has_upstream_ended, is_refusing};
 use super::{CallContext, CallHandles};
 use crate::control::{CallAssignment, ControlEvent};
 
--- a/crates/gentian-gateway/src/chain/mod.rs
+++ b/crates/gentian-gateway/src/chain/mod.rs
@@ -6,6 +6,8 @@
 mod forward_call;
 mod gateway_chain;
 mod relay;
+mod response_reader;
+mod upstream_probe;
 
 pub(crate) use call_context::{CallContext, CallHandles};
 pub(crate) use gateway_chain::build_chain;
