Tell entries that were away which parts are quarantined

An entry that was frozen or cut off when a part was quarantined missed the messages, and read the record up to seconds later: it could send several requests with the part. One that missed a release kept refusing for good.

The hub sends the quarantined parts to an entry whose report is the first of its process or comes after a silence. An entry that reports a crash under a quarantined part is told so by those that know. A part whose record was there and is deleted is released, which operators can use too.

entries_that_start_or_were_silent_are_noticed, a_deleted_record_releases_its_part.

--- a/crates/gentian-decide/src/quarantine/part_quarantine.rs
+++ b/crates/gentian-decide/src/quarantine/part_quarantine.rs
@@ -141,6 +141,17 @@
         }
     }
 
+    /// Drops the parts whose record was deleted, as the hub or an operator does to release them;
+    /// `parts` are those that the stored records name. Returns the dropped parts.
+    pub fn drop_deleted(&mut self, parts: &FastSet<PartId>) -> Vec<PartId> {
+        for (part, state) in &mut self.quarantined {
+            state.is_stored |= parts.contains(part);
+        }
+        let is_deleted =
+            |part: &PartId, state: &mut QuarantinedPart| state.is_stored && !parts.contains(part);
+        self.quarantined.extract_if(is_deleted).map(|(part, _)| part).collect()
+    }
+
     /// Applies the parts that the stored records name; returns those that are new.
     pub fn restore(
         &mut self,
--- a/crates/gentian-decide/src/quarantine/quarantined_part.rs
+++ b/crates/gentian-decide/src/quarantine/quarantined_part.rs
@@ -14,6 +14,8 @@
 pub(super) struct QuarantinedPart {
     /// When a request with the part was last refused.
     pub(super) last_refused: MonoTime,
+    /// Whether the part was among the stored records.
+    pub(super) is_stored: bool,
     next_trial: MonoTime,
     trial_delay: TimeSpan,
 }
@@ -23,6 +25,7 @@
     pub(super) fn new(now: MonoTime) -> Self {
         Self {
             last_refused: now,
+            is_stored: false,
             next_trial: now + FIRST_TRIAL_DELAY,
             trial_delay: FIRST_TRIAL_DELAY,
         }
--- a/crates/gentian-decide/src/serving/fleet_hub.rs
+++ b/crates/gentian-decide/src/serving/fleet_hub.rs
@@ -117,6 +117,15 @@
         true
     }
 
+    /// Returns whether `report` is the first one of its process, or the first after a time in which
+    /// the entry may have missed messages.
+    pub fn is_returning(&self, report: &EntryReport, now: MonoTime) -> bool {
+        let known = self.entries.get(&report.vm);
+        let same_process = known.filter(|entry| entry.report.instance == report.instance);
+        let limit = entry_timeout(self.entries.len());
+        same_process.is_none_or(|entry| now.since(entry.last_report) >= limit)
+    }
+
     /// Builds the reply to the last report of the entry on `vm`, and marks the work that it
     /// includes as sent.
     pub fn make_summary(
--- a/crates/gentian-decide/tests/fleet_hub.rs
+++ b/crates/gentian-decide/tests/fleet_hub.rs
@@ -25,15 +25,8 @@
 
 fn send_report(hub: &mut FleetHub, sequence: u64, known_revision: u64) -> FleetSummary {
     let vm: VmId = "vm-1".parse().unwrap();
-    let report = EntryReport {
-        vm: vm.clone(),
-        instance: InstanceId::new(1),
-        sequence: SequenceNumber::new(sequence),
-        known_revision: (InstanceId::new(9), SequenceNumber::new(known_revision)),
-        spent: Vec::new(),
-        work: None,
-        demands: Vec::new(),
-    };
+    let known_revision = (InstanceId::new(9), SequenceNumber::new(known_revision));
+    let report = EntryReport { known_revision, ..report(1, sequence) };
     assert!(hub.handle_report(report, NOW));
     hub.make_summary(&vm, FenceNumber::new(1), NOW).unwrap()
 }
@@ -76,3 +69,27 @@
     assert_eq!(second.listings[0].revision, SequenceNumber::new(30));
     assert!(!second.listings[0].is_ready);
 }
+
+fn report(instance: u64, sequence: u64) -> EntryReport {
+    EntryReport {
+        vm: "vm-1".parse().unwrap(),
+        instance: InstanceId::new(instance),
+        sequence: SequenceNumber::new(sequence),
+        known_revision: (InstanceId::new(9), SequenceNumber::default()),
+        spent: Vec::new(),
+        work: None,
+        demands: Vec::new(),
+    }
+}
+
+/// Such an entry may have missed that a part of prompts was quarantined.
+#[test]
+fn entries_that_start_or_were_silent_are_noticed() {
+    let mut hub = hub_with(std::iter::empty());
+    assert!(hub.is_returning(&report(1, 1), NOW));
+    hub.handle_report(report(1, 1), NOW);
+    let soon = NOW + TimeSpan::from_millis(250);
+    assert!(!hub.is_returning(&report(1, 2), soon));
+    assert!(hub.is_returning(&report(2, 1), soon), "a new process");
+    assert!(hub.is_returning(&report(1, 2), NOW + TimeSpan::from_secs(3)), "a frozen process");
+}
--- a/crates/gentian-decide/tests/part_quarantine.rs
+++ b/crates/gentian-decide/tests/part_quarantine.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use gentian_core::peer::{FleetMessage, QuarantineNotice, SuspicionGrade};
-use gentian_core::{MonoTime, PartId, TimeSpan, UpstreamId, VmId};
+use gentian_core::{FastSet, MonoTime, PartId, TimeSpan, UpstreamId, VmId};
 use gentian_decide::quarantine::{MessageRepeats, PartQuarantine};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -342,3 +342,18 @@
     assert!(quarantine.parts().count() <= 256);
     assert!(quarantine.is_quarantined(PartId::new(1_999)));
 }
+
+/// The hub deletes the record of a released part; an entry that was away at the release sees that.
+/// An operator may delete it too.
+#[test]
+fn a_deleted_record_releases_its_part() {
+    let mut quarantine = PartQuarantine::new("vm-0".parse().unwrap());
+    let now = MonoTime::from_millis(1_000);
+    let notice = QuarantineNotice { part: CRASH_PART, is_quarantined: true };
+    quarantine.handle_notice(notice, now);
+    let (none, stored) = (FastSet::default(), FastSet::from_iter([CRASH_PART]));
+    assert!(quarantine.drop_deleted(&none).is_empty(), "not stored yet");
+    assert!(quarantine.drop_deleted(&stored).is_empty());
+    assert_eq!(quarantine.drop_deleted(&none), [CRASH_PART]);
+    assert!(!quarantine.is_quarantined(CRASH_PART));
+}
--- a/crates/gentian-gateway/src/control/hub_controller.rs
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -5,6 +5,7 @@
 use gentian_decide::orders::EngineCall;
 
 use super::lease_controller::receive_handover;
+use super::quarantine_controller::send_quarantine;
 use super::{ControlEvent, ControlState, StoreRecords};
 use crate::io::{FleetRecord, decode_fleet_record};
 
@@ -165,9 +166,13 @@
 fn handle_report(state: &mut ControlState, report: EntryReport, now: MonoTime) {
     let Some(hub) = &mut state.hub else { return };
     let vm = report.vm.clone();
+    let is_returning = hub.fleet_hub.is_returning(&report, now);
     if hub.fleet_hub.handle_report(report, now) {
         send_summary(state, &vm, now);
     }
+    if is_returning && vm != state.vm {
+        send_quarantine(state, &vm);
+    }
 }
 
 fn send_summary(state: &mut ControlState, vm: &VmId, now: MonoTime) {
--- a/crates/gentian-gateway/src/control/quarantine_controller.rs
+++ b/crates/gentian-gateway/src/control/quarantine_controller.rs
@@ -1,7 +1,7 @@
 //! Controller of the parts of prompts that make upstreams end.
 
 use gentian_core::peer::{FleetMessage, QuarantineNotice, ServedNotice, SuspicionGrade};
-use gentian_core::{EventCode, FastSet, MonoTime, PartId, UpstreamId};
+use gentian_core::{EventCode, FastSet, MonoTime, PartId, UpstreamId, VmId};
 use gentian_decide::request::{Refusal, RefusalCode};
 use gentian_decide::serving::{AttemptEnd, AttemptProgress, ServingCall};
 use gentian_process::StoredValue;
@@ -76,6 +76,10 @@
             if let Some(notice) = state.quarantine.handle_crash(report, now) {
                 send_to_vm(state, &FleetMessage::Served(notice), &report.vm);
             }
+            // The other entry missed the notice.
+            if let Some(part) = state.quarantine.find_quarantined(&report.parts) {
+                send_quarantined(state, part, &report.vm);
+            }
         }
         FleetMessage::Served(notice) => state.quarantine.handle_served(notice, now),
         FleetMessage::Quarantine(notice) => {
@@ -93,6 +97,18 @@
     }
 }
 
+/// Sends the quarantined parts to an entry that may have missed messages.
+pub(super) fn send_quarantine(state: &ControlState, vm: &VmId) {
+    for part in state.quarantine.parts() {
+        send_quarantined(state, part, vm);
+    }
+}
+
+fn send_quarantined(state: &ControlState, part: PartId, vm: &VmId) {
+    let notice = QuarantineNotice { part, is_quarantined: true };
+    send_to_vm(state, &FleetMessage::Quarantine(notice), vm);
+}
+
 /// Applies the records of quarantined parts.
 fn restore_parts(state: &mut ControlState, values: &[StoredValue], now: MonoTime) {
     let prefix = state.codec.record_layout.fleet_prefix.clone();
@@ -101,6 +117,9 @@
         _ => None,
     });
     state.stored_parts = parts.collect();
+    for part in state.quarantine.drop_deleted(&state.stored_parts) {
+        log::warn!("{} part={part} cause=record-deleted", EventCode::PART_RELEASED);
+    }
     for part in state.quarantine.restore(state.stored_parts.iter().copied(), now) {
         log::warn!("{} part={part} cause=stored", EventCode::PART_QUARANTINED);
     }
