--- a/crates/gentian-core/src/event_code.rs
+++ b/crates/gentian-core/src/event_code.rs
@@ -64,7 +64,7 @@
     1108 ATTEMPT_BROKEN "attempt-broken": "The connection to an upstream broke during an attempt, or its response was malformed; the line gives how far the attempt got and the parts of the prompt."; "Check the named upstream; if several upstreams are named with one part in common, check what that part makes them do."
     1109 UPSTREAM_CRASHED "upstream-crashed": "An upstream ended while a request was there whose answer had not or just begun; the line gives the parts of its prompt, which are suspects. Several lines may be about one crash."; "None unless frequent; then look for GW1110 or check the upstreams."
     1110 PART_QUARANTINED "part-quarantined": "Several upstreams ended as they began to answer prompts with one part; requests with it are refused."; "Find out what the part makes the model or engine do; nothing else is needed, the quarantine ends once a trial is served."
-    1111 PART_RELEASED "part-released": "A request with a quarantined part was served, so that such requests are no longer refused."; "None."
+    1111 PART_RELEASED "part-released": "A request with a quarantined part was served, or the record of the part was deleted; such requests are no longer refused."; "None."
     1201 CONFIG_IN_FORCE "config-in-force": "A configuration version took effect in this process."; "None."
     1202 CONFIG_STALE "config-stale": "Neither the key-value service nor a peer confirms the configuration."; "Check the key-value service and the network of this VM."
     1203 CONFIG_PUBLISHED "config-published": "An operator published a configuration."; "None."
--- a/crates/gentian-decide/src/limits/mod.rs
+++ b/crates/gentian-decide/src/limits/mod.rs
@@ -23,6 +23,10 @@
 /// names no limit any more.
 const MIN_LIMIT: RequestRate = RequestRate::from_millis(250);
 
+/// Permits that the hub may save up: this many, and what the limit allows in this time.
+const SAVED_PERMITS: f64 = 2.5;
+const SAVED_TIME: TimeSpan = TimeSpan::from_millis(500);
+
 /// Returns the requests that all entries without a hub may send within [`SHARE_WINDOW`].
 fn share_requests(limit: RequestRate) -> u32 {
     (limit.max(MIN_LIMIT).per_second() + SHARE_REQUESTS) as u32
@@ -30,5 +34,5 @@
 
 /// Returns the permits that the hub may save up.
 fn permit_capacity(limit: RequestRate) -> f64 {
-    2.5 + limit.max(MIN_LIMIT).per_second() / 2.0
+    SAVED_PERMITS + limit.max(MIN_LIMIT).requests_in(SAVED_TIME)
 }
--- a/crates/gentian-gateway/src/chain/forward_call.rs
+++ b/crates/gentian-gateway/src/chain/forward_call.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gentian_core::{EventCode, MonoTime, TimeSpan};
+use gentian_core::{EventCode, MonoTime, PartId, TimeSpan};
 use gentian_decide::request::{FilterOutcome, Refusal, RefusalCode};
 use gentian_decide::serving::{AttemptEnd, AttemptOutcome, AttemptProgress, UpstreamPick};
 
@@ -229,8 +229,12 @@
 /// Logs an attempt whose connection broke. The parts of the prompt tell which requests have one in
 /// common that ends upstreams.
 fn log_broken(call: &CallContext, pick: &UpstreamPick, end: &AttemptEnd, elapsed: TimeSpan) {
-    let parts: Vec<String> =
-        call.metadata.prompt_prefix.iter().map(|(digest, _)| format!("{digest:x}")).collect();
+    let parts: Vec<String> = call
+        .metadata
+        .prompt_prefix
+        .iter()
+        .map(|(part, _)| PartId::new(*part).to_string())
+        .collect();
     log::info!(
         "{} request={} upstream={} progress={} ended={} after={elapsed} parts={}",
         EventCode::ATTEMPT_BROKEN,
--- a/crates/gentian-soak/src/lib.rs
+++ b/crates/gentian-soak/src/lib.rs
@@ -9,6 +9,8 @@
 mod soak_check;
 mod soak_fault;
 mod soak_run;
+mod soak_settings;
 
 pub use soak_check::SoakReport;
-pub use soak_run::{SoakSettings, run_soak};
+pub use soak_run::run_soak;
+pub use soak_settings::SoakSettings;
--- a/crates/gentian-soak/src/main.rs
+++ b/crates/gentian-soak/src/main.rs
@@ -39,17 +39,11 @@
     let arguments: Arguments = argh::from_env();
     let mut failed = 0;
     for seed in arguments.seed..arguments.seed + arguments.count {
-        let settings = SoakSettings {
-            seed,
-            seconds: arguments.seconds,
-            entries: arguments.entries,
-            callers: arguments.callers,
-            crash_percent: arguments.crash_percent,
-            answer_fault: None,
-            request_limit: None,
-            programs: arguments.programs.clone(),
-            folder: arguments.folder.join(format!("seed-{seed}")),
-        };
+        let folder = arguments.folder.join(format!("seed-{seed}"));
+        let settings = SoakSettings::new(seed, arguments.programs.clone(), folder)
+            .with_seconds(arguments.seconds)
+            .with_size(arguments.entries, arguments.callers)
+            .with_crash_percent(arguments.crash_percent);
         match run_soak(&settings) {
             Ok(report) => {
                 println!("seed {seed}: {report}");
--- a/crates/gentian-soak/src/soak_run.rs
+++ b/crates/gentian-soak/src/soak_run.rs
@@ -1,18 +1,16 @@
 //! One run of the soak: starts the fleet, injects the faults and checks the results.
 
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime};
 
 use eyre::eyre;
-use gentian_core::{RequestRate, TimeSpan};
+use gentian_core::TimeSpan;
 use gentian_http::ProcessClock;
 use gentian_http::forward::{CallLimits, ConnectionPool, HeaderList, PooledClient, RequestHead};
 use rustix::process::Signal;
 
-use crate::SoakReport;
 use crate::call_record::{CallOutcome, CallRecord};
 use crate::fleet_layout::{CRASH_PART, ENTRY_MEMORY_MB, FleetLayout, MODELS, zone_name};
 use crate::loopback_proxy::{LinkMode, LoopbackProxy};
@@ -20,6 +18,7 @@
 use crate::soak_caller::SoakCaller;
 use crate::soak_check::{ExpectedService, check_crashes, check_limits, check_run};
 use crate::soak_fault::{PlannedFault, SoakFault, draw_faults};
+use crate::{SoakReport, SoakSettings};
 
 /// The first `ENGINES` replicas are model engines, the others plain services.
 const ENGINES: usize = 4;
@@ -34,29 +33,6 @@
 const FINAL_PHASE: Duration = Duration::from_secs(4);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Settings of one run.
-#[derive(Clone, Debug)]
-pub struct SoakSettings {
-    /// Seed of the faults and the calls.
-    pub seed: u64,
-    /// Seconds during which faults are injected.
-    pub seconds: u64,
-    /// Number of entries.
-    pub entries: usize,
-    /// Number of concurrent callers.
-    pub callers: usize,
-    /// Percentage of streams whose prompt holds a part on which engines crash.
-    pub crash_percent: u32,
-    /// Fault that the first answers of each replica have.
-    pub answer_fault: Option<String>,
-    /// Requests a second that each replica names as the limit for all entries together.
-    pub request_limit: Option<RequestRate>,
-    /// Folder with the compiled programs.
-    pub programs: PathBuf,
-    /// Folder for settings, logs and journals; its previous content is deleted.
-    pub folder: PathBuf,
-}
-
 struct SoakFleet {
     layout: FleetLayout,
     settings: SoakSettings,
--- /dev/null
+++ b/crates/gentian-soak/src/soak_settings.rs
@@ -0,0 +1,70 @@
+//! Settings of a run.
+
+use std::path::PathBuf;
+
+use gentian_core::RequestRate;
+
+/// Settings of one run.
+#[derive(Clone, Debug)]
+pub struct SoakSettings {
+    /// Seed of the faults and the calls.
+    pub seed: u64,
+    /// Seconds during which faults are injected.
+    pub seconds: u64,
+    /// Number of entries.
+    pub entries: usize,
+    /// Number of concurrent callers.
+    pub callers: usize,
+    /// Percentage of streams whose prompt holds a part on which engines crash.
+    pub crash_percent: u32,
+    /// Fault that the first answers of each replica have.
+    pub answer_fault: Option<String>,
+    /// Requests a second that each replica names as the limit for all entries together.
+    pub request_limit: Option<RequestRate>,
+    /// Folder with the compiled programs.
+    pub programs: PathBuf,
+    /// Folder for settings, logs and journals; its previous content is deleted.
+    pub folder: PathBuf,
+}
+
+impl SoakSettings {
+    /// Creates the settings of a run without faults: three entries and six callers.
+    pub fn new(seed: u64, programs: PathBuf, folder: PathBuf) -> Self {
+        Self {
+            seed,
+            seconds: 0,
+            entries: 3,
+            callers: 6,
+            crash_percent: 0,
+            answer_fault: None,
+            request_limit: None,
+            programs,
+            folder,
+        }
+    }
+
+    /// Sets the seconds during which faults are injected.
+    pub fn with_seconds(self, seconds: u64) -> Self {
+        Self { seconds, ..self }
+    }
+
+    /// Sets the number of entries and of concurrent callers.
+    pub fn with_size(self, entries: usize, callers: usize) -> Self {
+        Self { entries, callers, ..self }
+    }
+
+    /// Sets the percentage of streams whose prompt holds a part on which engines crash.
+    pub fn with_crash_percent(self, crash_percent: u32) -> Self {
+        Self { crash_percent, ..self }
+    }
+
+    /// Sets the fault that the first answers of each replica have.
+    pub fn with_answer_fault(self, name: impl Into<String>) -> Self {
+        Self { answer_fault: Some(name.into()), ..self }
+    }
+
+    /// Sets the limit that each replica names.
+    pub fn with_request_limit(self, limit: RequestRate) -> Self {
+        Self { request_limit: Some(limit), ..self }
+    }
+}
--- a/crates/gentian-soak/tests/request_limits.rs
+++ b/crates/gentian-soak/tests/request_limits.rs
@@ -2,17 +2,12 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::path::{Path, PathBuf};
+mod clean_run;
 
+use clean_run::{run_clean, settings};
 use gentian_core::RequestRate;
-use gentian_soak::{SoakSettings, run_soak};
 use rstest::rstest;
 
-fn programs() -> PathBuf {
-    let test = std::env::current_exe().unwrap();
-    test.parent().and_then(Path::parent).unwrap().to_owned()
-}
-
 /// More is called than the limits allow; the entries must share them, and use them.
 #[rstest]
 #[case::one_a_second(1_000, 3, 186)]
@@ -22,19 +17,6 @@
     #[case] entries: usize,
     #[case] seed: u64,
 ) {
-    let folder = std::env::temp_dir().join(format!("gentian-limit-{}-{seed}", std::process::id()));
-    let settings = SoakSettings {
-        seed,
-        seconds: 0,
-        entries,
-        callers: 12,
-        crash_percent: 0,
-        answer_fault: None,
-        request_limit: Some(RequestRate::from_millis(limit_millis)),
-        programs: programs(),
-        folder,
-    };
-    let report = run_soak(&settings).unwrap();
-    assert!(report.is_clean(), "{report}; logs in {}", settings.folder.display());
-    std::fs::remove_dir_all(&settings.folder).unwrap();
+    let limit = RequestRate::from_millis(limit_millis);
+    run_clean(&settings(seed).with_size(entries, 12).with_request_limit(limit));
 }
