--- a/crates/gentian-decide/src/limits/mod.rs
+++ b/crates/gentian-decide/src/limits/mod.rs
@@ -1,4 +1,4 @@
-//! Limits of requests that upstreams name for all entries together: the hub hands out permits, and
+//! Limits of requests that upstreams name for all entries together: the hub grants permits, and
 //! entries without a hub keep to shares.
 
 mod permit_client;
--- a/crates/gentian-decide/src/orders/placement_choice.rs
+++ b/crates/gentian-decide/src/orders/placement_choice.rs
@@ -107,7 +107,7 @@
     }
 }
 
-/// A load for which an engine is chosen.
+/// A load whose engine is to be selected.
 #[derive(Clone, Copy)]
 pub(super) struct WantedLoad<'a> {
     /// The model.
@@ -148,7 +148,7 @@
 }
 
 /// Returns the option to load `model` on the engine of `tracker`, now or once it is free; `None` if
-/// not enough memory can be freed. `is_limited` says whether the engine names a limit of requests.
+/// not enough memory can be freed. `is_limited` states whether the engine names a limit of requests.
 pub(super) fn find_option(
     tracker: &EngineTracker,
     upstream: &UpstreamId,
--- a/crates/gentian-decide/src/quarantine/part_quarantine.rs
+++ b/crates/gentian-decide/src/quarantine/part_quarantine.rs
@@ -18,7 +18,7 @@
 const SETTLE_TIME: TimeSpan = TimeSpan::from_millis(200);
 /// Largest number of quarantined parts; the part refused longest ago is released first.
 const MAX_QUARANTINED: usize = 256;
-/// Time after a release in which a record that still says otherwise is ignored.
+/// Time after a release in which a record that still names the part is ignored.
 const RELEASE_MEMORY: TimeSpan = TimeSpan::from_secs(60);
 
 /// A crash on which this entry decides, since it reported it.
@@ -27,14 +27,14 @@
     upstream: UpstreamId,
     time: MonoTime,
     grade: SuspicionGrade,
-    /// Parts that were reported; the other entries say which of them they have served.
+    /// Parts that were reported; the other entries state which of them they have served.
     parts: Vec<PartId>,
 }
 
 /// Parts of prompts that are suspected of making upstreams end, and those found to do so.
 ///
-/// Each entry tells all others of crashes under its own requests. The entry that reported a crash
-/// decides on it, once the others had time to say which of the parts they have served.
+/// Each entry reports crashes under its own requests to all others. The entry that reported a crash
+/// decides on it, once the others had time to state which of the parts they have served.
 #[derive(Debug)]
 pub struct PartQuarantine {
     vm: VmId,
@@ -80,8 +80,8 @@
         report
     }
 
-    /// Applies the report of another entry. Returns what to tell that entry of the parts that this
-    /// one has served.
+    /// Applies the report of another entry. Returns the notice for that entry of the parts that
+    /// this one has served.
     pub fn handle_crash(&mut self, report: &CrashReport, now: MonoTime) -> Option<ServedNotice> {
         self.crashes.record(report, now);
         let age = |part: &PartId| Some((*part, now.since(self.served.last_served(*part)?)));
@@ -89,19 +89,19 @@
         (!parts.is_empty()).then_some(ServedNotice { parts })
     }
 
-    /// Records that an answer to a prompt with `parts` ended well. Returns what to tell the other
-    /// entries: the suspected ones among the parts.
+    /// Records that an answer to a prompt with `parts` ended well. Returns the notice for the
+    /// other entries, of the suspected ones among the parts.
     pub fn record_served(&mut self, parts: &[PartId], now: MonoTime) -> Option<ServedNotice> {
-        let is_news = |part: &&PartId| {
+        let is_suspected = |part: &&PartId| {
             self.is_quarantined(**part)
                 || self.crashes.is_suspect(**part, self.served.last_served(**part))
         };
-        let news: Vec<_> =
-            parts.iter().filter(is_news).map(|part| (*part, TimeSpan::ZERO)).collect();
+        let suspected: Vec<_> =
+            parts.iter().filter(is_suspected).map(|part| (*part, TimeSpan::ZERO)).collect();
         for part in parts {
             self.served.record(*part, now);
         }
-        (!news.is_empty()).then_some(ServedNotice { parts: news })
+        (!suspected.is_empty()).then_some(ServedNotice { parts: suspected })
     }
 
     /// Applies what another entry states of the parts that it has served.
--- a/crates/gentian-gateway/src/chain/forward_call.rs
+++ b/crates/gentian-gateway/src/chain/forward_call.rs
@@ -226,7 +226,7 @@
     );
 }
 
-/// Logs an attempt whose connection broke. The parts of the prompt tell which requests have one in
+/// Logs an attempt whose connection broke. The parts of the prompt show which requests have one in
 /// common that ends upstreams.
 fn log_broken(call: &CallContext, pick: &UpstreamPick, end: &AttemptEnd, elapsed: TimeSpan) {
     let parts: Vec<String> = call
--- a/crates/gentian-standin/src/commands/fleet_replica.rs
+++ b/crates/gentian-standin/src/commands/fleet_replica.rs
@@ -194,7 +194,7 @@
             0 => json!({ "done": id }).to_string(),
             _ => (1..=self.settings.events).map(|event| event_text(id, event)).collect(),
         };
-        // Without its last bytes a plain body cannot be told from a whole one.
+        // Without a length, a truncated plain body looks like a whole one.
         let cut = if is_whole || self.settings.memory == 0 { 0 } else { TRUNCATED_BYTES };
         let mut bytes = head.to_bytes();
         bytes.extend_from_slice(&body.as_bytes()[..body.len() - cut]);
