Log how long calls to the store waited, and outdated configurations

The logs could not tell apart a watch that is never answered, an answer that is not applied, and one that is applied late. GW1601 and GW1602 say how long the call had waited, GW1207 when records of the operators arrived, GW1208 when an older configuration was ignored.

--- a/crates/gentian-core/src/event_code.rs
+++ b/crates/gentian-core/src/event_code.rs
@@ -71,6 +71,8 @@
     1204 CONFIG_DAMAGED "config-damaged": "A stored configuration could not be decoded, refers to unknown objects or has a route without a service."; "Publish the whole configuration again."
     1205 DOMAINS_DRAINED "domains-drained": "The operators drained failure domains or returned them to service; the line lists the drained ones."; "None."
     1206 MEMBERS_CHANGED "members-changed": "The number of fleet entries registered in the key-value service has changed."; "None."
+    1207 OPERATORS_READ "operators-read": "Records of the operators were read, or a watch delivered changed ones; the line gives the revision of the key-value service and how long the call waited."; "None."
+    1208 CONFIG_OUTDATED "config-outdated": "A record with a configuration older than the one in force was read and ignored."; "None if a newer version is stored soon; otherwise publish the configuration again."
     1301 SEAT_TAKEN "seat-taken": "This process became the acting holder of a seat or of the hub's lease."; "None."
     1302 SEAT_LOST "seat-lost": "This process stopped acting as the holder of a seat or of the hub's lease."; "None if another process takes over."
     1303 SEAT_RELEASED "seat-released": "A stopping process gave up its claim to a seat or to the hub's lease, or the hub notified a possible successor."; "None."
@@ -90,7 +92,7 @@
     1410 LIMIT_CHANGED "limit-changed": "An upstream names another limit of requests per second for all entries together, or none any more."; "Check the upstream if it lasts."
     1501 GRANT_VOID "grant-void": "A grant or a placement reply arrived late, twice or from a former holder and was ignored."; "None unless frequent."
     1502 DATAGRAM_REFUSED "datagram-refused": "A datagram failed authentication or decoding."; "Check the cluster key of the sender."
-    1601 PLATFORM_LOST "platform-lost": "Calls to the key-value service fail or return malformed records."; "Check the key-value service."
+    1601 PLATFORM_LOST "platform-lost": "Calls to the key-value service fail or return malformed records; on the users' platform the line gives how long the failed call waited."; "Check the key-value service."
     1602 PLATFORM_BACK "platform-back": "Calls to the key-value service succeed again."; "None."
     1603 VM_LIST_LOST "vm-list-lost": "The list of VMs could not be read from its service."; "Check the VM list service."
 }
--- a/crates/gentian-gateway/src/control/config_controller.rs
+++ b/crates/gentian-gateway/src/control/config_controller.rs
@@ -33,6 +33,11 @@
     };
     // A repeated read returns the version in force again; versions only increase.
     if config.version <= state.config.version {
+        if config.version < state.config.version {
+            let (code, in_force) = (EventCode::CONFIG_OUTDATED, state.config.version);
+            let (version, revision) = (config.version, value.revision);
+            log::warn!("{code} version={version} revision={revision} in_force={in_force}");
+        }
         return;
     }
     for fault in config.check_references() {
--- a/crates/gentian-gateway/src/io/record_readers.rs
+++ b/crates/gentian-gateway/src/io/record_readers.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use flume::Sender;
-use gentian_core::{EventCode, SequenceNumber, TimeSpan};
+use gentian_core::{EventCode, MonoTime, SequenceNumber, TimeSpan};
 use gentian_http::ProcessClock;
 use gentian_process::{KeyValueError, KeyValueService, ReadFreshness};
 
@@ -134,23 +134,27 @@
         Self { call, is_failing: false }
     }
 
+    /// Records the result of a call that was sent at `sent`.
     fn record_result<T>(
         &mut self,
-        metrics: &GatewayMetrics,
+        reader: &RecordReader,
+        sent: MonoTime,
         result: Result<T, KeyValueError>,
     ) -> Option<T> {
         let label = if result.is_ok() { "answered" } else { "failed" };
-        metrics.store_calls.with_label_values(&[self.call, label]).inc();
+        reader.metrics.store_calls.with_label_values(&[self.call, label]).inc();
+        let waited = reader.clock.now().since(sent);
         match result {
             Ok(value) => {
                 if std::mem::take(&mut self.is_failing) {
-                    log::info!("{} call={}", EventCode::PLATFORM_BACK, self.call);
+                    log::info!("{} call={} waited={waited}", EventCode::PLATFORM_BACK, self.call);
                 }
                 Some(value)
             }
             Err(error) => {
                 if !std::mem::replace(&mut self.is_failing, true) {
-                    log::warn!("{} call={} cause={error}", EventCode::PLATFORM_LOST, self.call);
+                    let code = EventCode::PLATFORM_LOST;
+                    log::warn!("{code} call={} waited={waited} cause={error}", self.call);
                 }
                 None
             }
@@ -174,11 +178,12 @@
         let mut watched_revision: Option<SequenceNumber> = None;
         let mut retry_delay = MIN_RETRY_DELAY;
         while !reader.must_end() {
+            let sent = reader.clock.now();
             let step = match watched_revision {
                 None => read_operators(&reader, &prefix),
                 Some(revision) => watch_operators(&reader, &prefix, revision),
             };
-            watched_revision = monitor.record_result(&reader.metrics, step);
+            watched_revision = monitor.record_result(&reader, sent, step);
             if watched_revision.is_some() {
                 retry_delay = MIN_RETRY_DELAY;
                 continue;
@@ -190,7 +195,9 @@
 }
 
 fn read_operators(reader: &RecordReader, prefix: &str) -> Result<SequenceNumber, KeyValueError> {
+    let sent = reader.clock.now();
     let (values, revision) = reader.service.read_prefix(prefix)?;
+    log_operators_read(reader, sent, revision, "read");
     reader.send(StoreRecords::Operator { values, is_snapshot: true });
     Ok(revision)
 }
@@ -200,9 +207,11 @@
     prefix: &str,
     mut revision: SequenceNumber,
 ) -> Result<SequenceNumber, KeyValueError> {
+    let sent = reader.clock.now();
     reader.service.watch(prefix, revision, &mut |batch| {
         revision = revision.max(batch.revision);
         if !batch.changes.is_empty() {
+            log_operators_read(reader, sent, revision, "watch");
             reader.send(StoreRecords::Operator { values: batch.changes, is_snapshot: false });
             // Changes in quick succession then arrive in one batch.
             std::thread::sleep(reader.watch_pause);
@@ -212,6 +221,12 @@
     Ok(revision)
 }
 
+/// Logs that records of the operators arrived in the response to a call that was sent at `sent`.
+fn log_operators_read(reader: &RecordReader, sent: MonoTime, revision: SequenceNumber, call: &str) {
+    let waited = reader.clock.now().since(sent);
+    log::info!("{} call={call} revision={revision} waited={waited}", EventCode::OPERATORS_READ);
+}
+
 /// Starts a thread that reads the upstream registrations at regular intervals. It doesn't watch
 /// them: each upstream writes its registration again at every heartbeat, so a watch would cost a
 /// call per heartbeat. While the hub sends updates, only the hub itself reads often.
@@ -227,13 +242,14 @@
         let mut monitor = CallMonitor::new("read-upstreams");
         let mut newest = SequenceNumber::default();
         while !reader.must_end() {
+            let sent = reader.clock.now();
             let read = reader.service.read_prefix_with(&prefix, reader.freshness());
             let intervals = ReadIntervals::after_read(
                 read.is_ok(),
                 UPSTREAM_READ_INTERVAL,
                 UPSTREAM_SKIPPED_READS,
             );
-            if let Some((values, revision)) = monitor.record_result(&reader.metrics, read)
+            if let Some((values, revision)) = monitor.record_result(&reader, sent, read)
                 && revision >= newest
             {
                 newest = revision;
@@ -264,13 +280,13 @@
             let now = reader.clock.now();
             if written.is_none_or(|time| now.since(time) > ENTRY_WRITE_INTERVAL) {
                 let write = write_entry(&reader.service, &prefix, &entry);
-                written =
-                    write_monitor.record_result(&reader.metrics, write).map(|()| now).or(written);
+                written = write_monitor.record_result(&reader, now, write).map(|()| now).or(written);
             }
+            let sent = reader.clock.now();
             let read = reader.service.read_prefix_with(&prefix, reader.freshness());
             let intervals =
                 ReadIntervals::after_read(read.is_ok(), FLEET_READ_INTERVAL, FLEET_SKIPPED_READS);
-            if let Some((values, revision)) = read_monitor.record_result(&reader.metrics, read)
+            if let Some((values, revision)) = read_monitor.record_result(&reader, sent, read)
                 && revision >= newest
             {
                 newest = revision;
