Reproduce a configuration that comes late after a silent store

The soak's proxies reset connections that had dropped bytes when a fault ended, so a watch that was sent meanwhile always failed soon. They can now leave such connections open and silent. Each version of the configuration adds a route, which a prober requests from each entry: an entry that no fault harmed for three seconds must know it two seconds after its acknowledgement.

--- a/crates/gentian-gateway/src/io/record_readers.rs
+++ b/crates/gentian-gateway/src/io/record_readers.rs
@@ -280,7 +280,8 @@
             let now = reader.clock.now();
             if written.is_none_or(|time| now.since(time) > ENTRY_WRITE_INTERVAL) {
                 let write = write_entry(&reader.service, &prefix, &entry);
-                written = write_monitor.record_result(&reader, now, write).map(|()| now).or(written);
+                written =
+                    write_monitor.record_result(&reader, now, write).map(|()| now).or(written);
             }
             let sent = reader.clock.now();
             let read = reader.service.read_prefix_with(&prefix, reader.freshness());
--- /dev/null
+++ b/crates/gentian-soak/src/fault_plan.rs
@@ -0,0 +1,11 @@
+//! Which faults a run injects.
+
+/// Which faults a run injects.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum FaultPlan {
+    /// Random faults of every kind.
+    #[default]
+    Random,
+    /// Changes of the configuration before, during and after times in which the store is silent.
+    SilentStore,
+}
--- a/crates/gentian-soak/src/fleet_layout.rs
+++ b/crates/gentian-soak/src/fleet_layout.rs
@@ -22,6 +22,12 @@
 /// Timeout of each route.
 pub(crate) const ROUTE_TIMEOUT_MILLIS: u64 = 4_000;
 
+/// Prefix of the names of the routes that versions add.
+pub(crate) const VERSION_ROUTE_PREFIX: &str = "since-";
+/// Versions of the configuration increase in uneven steps in the field; here they skip some.
+pub(crate) const FIRST_VERSION: u64 = 1;
+pub(crate) const VERSION_STEP: usize = 3;
+
 const CALLER_PORT: u16 = 7_100;
 const READY_PORT: u16 = 7_101;
 const PEER_PORT: u16 = 7_102;
@@ -158,6 +164,11 @@
     ["north", "south"][number % 2]
 }
 
+/// Returns the name of the route that `version` of the configuration adds.
+pub(crate) fn version_route(version: u64) -> String {
+    format!("{VERSION_ROUTE_PREFIX}{version}")
+}
+
 fn make_config(version: u64) -> Value {
     let route = |name: &str, kind: &str, service: &str, attempts: u32| {
         json!({
@@ -182,13 +193,17 @@
             "rate_per_s": 2_000_000, "burst": 2_000_000,
         })
     });
+    let mut routes = vec![
+        route("advice", "streaming", "engines", 2),
+        route("look", "safe", "desk", 2),
+        route("book", "unsafe", "desk", 1),
+    ];
+    // Each version adds a route, which shows whether it is in force.
+    let versions = (FIRST_VERSION..=version).step_by(VERSION_STEP);
+    routes.extend(versions.map(|added| route(&version_route(added), "safe", "desk", 2)));
     json!({
         "version": version,
-        "routes": [
-            route("advice", "streaming", "engines", 2),
-            route("look", "safe", "desk", 2),
-            route("book", "unsafe", "desk", 1),
-        ],
+        "routes": routes,
         "services": [
             { "name": "engines", "connection_limit": 200, "engine": engine },
             { "name": "desk", "connection_limit": 200 },
--- a/crates/gentian-soak/src/lib.rs
+++ b/crates/gentian-soak/src/lib.rs
@@ -2,6 +2,8 @@
 //! outside and checks the guarantees against what callers and upstreams observed.
 
 mod call_record;
+mod config_probe;
+mod fault_plan;
 mod fleet_layout;
 mod loopback_proxy;
 mod process_set;
@@ -11,6 +13,7 @@
 mod soak_run;
 mod soak_settings;
 
+pub use fault_plan::FaultPlan;
 pub use soak_check::SoakReport;
 pub use soak_run::run_soak;
 pub use soak_settings::SoakSettings;
--- a/crates/gentian-soak/src/loopback_proxy.rs
+++ b/crates/gentian-soak/src/loopback_proxy.rs
@@ -26,13 +26,15 @@
     Reset,
     /// Drops bytes to the server and forwards those to the client.
     OneWay,
-    /// Drops all bytes without a reset.
+    /// Drops all bytes; a connection that has dropped some is reset after the fault.
     Silent,
+    /// Drops all bytes; a connection that has dropped some stays open and silent after the fault.
+    Mute,
 }
 
 /// All modes that are faults.
-pub(crate) const FAULT_MODES: [LinkMode; 4] =
-    [LinkMode::Delay, LinkMode::Reset, LinkMode::OneWay, LinkMode::Silent];
+pub(crate) const FAULT_MODES: [LinkMode; 5] =
+    [LinkMode::Delay, LinkMode::Reset, LinkMode::OneWay, LinkMode::Silent, LinkMode::Mute];
 
 impl LinkMode {
     fn from_number(number: u8) -> Self {
@@ -120,12 +122,13 @@
         return;
     }
     let initial_fault_count = state.fault_count.load(Ordering::Acquire);
-    let mut has_dropped = false;
+    let (mut has_dropped, mut is_mute) = (false, false);
     let mut bytes = [0; 16 * 1024];
     while !state.ended.load(Ordering::Acquire) {
         let mode = LinkMode::from_number(state.mode.load(Ordering::Acquire));
         let has_new_fault = state.fault_count.load(Ordering::Acquire) != initial_fault_count;
-        if mode == LinkMode::Reset || (has_dropped && mode == LinkMode::Pass && has_new_fault) {
+        let ends_fault = has_dropped && mode == LinkMode::Pass && has_new_fault;
+        if mode == LinkMode::Reset || (ends_fault && !is_mute) {
             reset(&from);
             return reset(&to);
         }
@@ -136,10 +139,11 @@
             Err(_) => return reset(&to),
         };
         let is_dropped = match mode {
-            LinkMode::Silent => true,
+            LinkMode::Silent | LinkMode::Mute => true,
             LinkMode::OneWay => is_forward,
-            _ => false,
+            _ => is_mute,
         };
+        is_mute |= mode == LinkMode::Mute;
         has_dropped |= is_dropped;
         if mode == LinkMode::Delay {
             std::thread::sleep(DELAY);
--- a/crates/gentian-soak/src/soak_caller.rs
+++ b/crates/gentian-soak/src/soak_caller.rs
@@ -13,6 +13,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::call_record::{CallKind, CallOutcome, CallRecord};
+use crate::config_probe::ConfigLog;
 use crate::fleet_layout::{CRASH_PART, FleetLayout, HOST, KEYS, MODELS, ROUTE_TIMEOUT_MILLIS};
 
 /// Events of a complete streamed response.
@@ -20,6 +21,8 @@
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
 /// Time beyond the route's timeout after which a response is overdue.
 const OVERDUE_MARGIN: TimeSpan = TimeSpan::from_millis(1_000);
+/// Pause between two rounds of probes.
+const PROBE_PAUSE: Duration = Duration::from_millis(250);
 const CALL_PAUSE: Duration = Duration::from_millis(30);
 /// Percentage of calls whose caller closes the connection early.
 const LEAVE_EARLY_PERCENT: u32 = 4;
@@ -69,6 +72,44 @@
         records
     }
 
+    /// Requests the newest route that must be known from each entry in turn, until `stop` is set;
+    /// returns the records.
+    pub(crate) fn run_probes(mut self, log: &ConfigLog, stop: &AtomicBool) -> Vec<CallRecord> {
+        let mut records = Vec::new();
+        while !stop.load(Ordering::Acquire) {
+            std::thread::sleep(PROBE_PAUSE);
+            let Some(route) = log.newest_route(Instant::now()) else { continue };
+            for entry in 0..self.entries {
+                let count = records.len() as u64;
+                records.push(self.probe_route(entry, &route, count));
+            }
+        }
+        records
+    }
+
+    fn probe_route(&mut self, entry: usize, route: &str, count: u64) -> CallRecord {
+        let (organisation, key) = KEYS[0];
+        let id = format!("{:04x}{count:012x}", self.number);
+        let target = format!("/{route}/{count}");
+        let headers = call_headers(key, &id);
+        let (method, recorded_target) = ("GET".to_owned(), target.clone());
+        let head = RequestHead { method, target, is_http11: true, headers };
+        let sent = Instant::now();
+        self.kept_connection = None;
+        let outcome = self.send(entry, &head, 0, CallKind::Look, &id);
+        CallRecord {
+            id,
+            kind: CallKind::Look,
+            organisation,
+            target: recorded_target,
+            body_bytes: 0,
+            entry,
+            sent,
+            has_crash_part: false,
+            outcome,
+        }
+    }
+
     fn make_call(&mut self, count: u64) -> CallRecord {
         let kind = match self.random.random_range(0..3) {
             0 => CallKind::Advice,
@@ -83,15 +124,7 @@
             CallKind::Book => ("POST", format!("/book/{count}")),
         };
         let body_bytes = if method == "GET" { 0 } else { self.random.random_range(1..20_000) };
-        // The tenant and pin headers are forged and must not reach a replica; `check_execution`
-        // checks this.
-        let mut headers = HeaderList::new()
-            .with("Host", HOST)
-            .with("Authorization", format!("Token {key}"))
-            .with("X-Gentianwheel-Request-Id", id.clone())
-            .with("X-Gentianwheel-Deadline-Ms", ROUTE_TIMEOUT_MILLIS.to_string())
-            .with("X_Gentianwheel_Tenant", "another")
-            .with("X-Gentianwheel-Pin-Ms", "4000");
+        let mut headers = call_headers(key, &id);
         let mut has_crash_part = false;
         if kind == CallKind::Advice {
             has_crash_part = self.random.random_range(0..100) < self.crash_percent;
@@ -200,6 +233,18 @@
     }
 }
 
+/// Returns the headers of every call. The tenant and pin headers are forged and must not reach a
+/// replica; `check_execution` checks this.
+fn call_headers(key: &str, id: &str) -> HeaderList {
+    HeaderList::new()
+        .with("Host", HOST)
+        .with("Authorization", format!("Token {key}"))
+        .with("X-Gentianwheel-Request-Id", id)
+        .with("X-Gentianwheel-Deadline-Ms", ROUTE_TIMEOUT_MILLIS.to_string())
+        .with("X_Gentianwheel_Tenant", "another")
+        .with("X-Gentianwheel-Pin-Ms", "4000")
+}
+
 fn check_response(response: &ResponseHead, body: &[u8], kind: CallKind, id: &str) -> CallOutcome {
     match response.status {
         200..=299 => {}
--- a/crates/gentian-soak/src/soak_fault.rs
+++ b/crates/gentian-soak/src/soak_fault.rs
@@ -5,6 +5,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::FaultPlan;
 use crate::fleet_layout::zone_name;
 use crate::loopback_proxy::{FAULT_MODES, LinkMode};
 
@@ -58,8 +59,42 @@
     pub(crate) fault: SoakFault,
 }
 
-/// Generates the faults of a run. Some follow each other closely, and they may overlap.
+/// Generates the faults of a run.
 pub(crate) fn draw_faults(
+    plan: FaultPlan,
+    seed: u64,
+    span: Duration,
+    entries: usize,
+    replicas: usize,
+) -> Vec<PlannedFault> {
+    match plan {
+        FaultPlan::Random => draw_random_faults(seed, span, entries, replicas),
+        FaultPlan::SilentStore => draw_silences(seed, span),
+    }
+}
+
+/// Generates times in which the store is silent. Watches are sent in them, since a change of the
+/// configuration shortly before ends the earlier ones.
+fn draw_silences(seed: u64, span: Duration) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut millis = |range| Duration::from_millis(random.random_range(range));
+    let (mut faults, mut at) = (Vec::new(), Duration::ZERO);
+    while at < span {
+        let silence = millis(2_000..4_000);
+        let series = [
+            (millis(3_000..5_000), SoakFault::Publish),
+            (millis(50..700), SoakFault::HarmStoreLink(LinkMode::Mute, silence)),
+            (millis(100..1_500), SoakFault::Publish),
+            (silence + millis(0..600), SoakFault::Publish),
+        ];
+        at += series.iter().map(|(pause, _)| *pause).sum::<Duration>();
+        faults.extend(series.map(|(pause, fault)| PlannedFault { pause, fault }));
+    }
+    faults
+}
+
+/// Generates random faults. Some follow each other closely, and they may overlap.
+fn draw_random_faults(
     seed: u64,
     span: Duration,
     entries: usize,
--- a/crates/gentian-soak/src/soak_run.rs
+++ b/crates/gentian-soak/src/soak_run.rs
@@ -12,7 +12,10 @@
 use rustix::process::Signal;
 
 use crate::call_record::{CallOutcome, CallRecord};
-use crate::fleet_layout::{CRASH_PART, ENTRY_MEMORY_MB, FleetLayout, MODELS, zone_name};
+use crate::config_probe::ConfigLog;
+use crate::fleet_layout::{
+    CRASH_PART, ENTRY_MEMORY_MB, FIRST_VERSION, FleetLayout, MODELS, VERSION_STEP, zone_name,
+};
 use crate::loopback_proxy::{LinkMode, LoopbackProxy};
 use crate::process_set::ProcessSet;
 use crate::soak_caller::SoakCaller;
@@ -44,6 +47,7 @@
     /// Time until which a fault may delay the responses of each entry.
     disturbed_until: Vec<Instant>,
     version: u64,
+    config_log: Arc<ConfigLog>,
 }
 
 #[derive(Clone, Debug)]
@@ -75,8 +79,12 @@
             std::thread::spawn(move || caller.run(&stop))
         })
         .collect();
+    let prober =
+        SoakCaller::new(fleet.layout, settings.entries, settings.seed, settings.callers as u64);
+    let (config_log, probe_stop) = (Arc::clone(&fleet.config_log), Arc::clone(&stop));
+    let prober = std::thread::spawn(move || prober.run_probes(&config_log, &probe_stop));
     let span = Duration::from_secs(settings.seconds);
-    let faults = draw_faults(settings.seed, span, settings.entries, REPLICAS);
+    let faults = draw_faults(settings.fault_plan, settings.seed, span, settings.entries, REPLICAS);
     for planned in &faults {
         fleet.inject(planned)?;
     }
@@ -86,7 +94,7 @@
     fleet.run_for(FINAL_PHASE)?;
     stop.store(true, Ordering::Release);
     let mut records = Vec::new();
-    for caller in callers {
+    for caller in callers.into_iter().chain([prober]) {
         records.extend(caller.join().map_err(|_| eyre!("a caller thread panicked"))?);
     }
     let is_overdue = |record: &&CallRecord| record.outcome == CallOutcome::Overdue;
@@ -98,6 +106,7 @@
         .collect();
     let final_records: Vec<CallRecord> =
         records.iter().filter(|record| record.sent >= recovered_at).cloned().collect();
+    let outdated = fleet.config_log.check(&records);
     let over_memory = fleet.check_memory();
     fleet.stop();
     let expected_service = match settings.request_limit {
@@ -111,6 +120,7 @@
     }
     report.violations.extend(check_crashes(&settings.folder, faults_ended_at)?);
     report.violations.extend(overdue);
+    report.violations.extend(outdated);
     report.violations.extend(over_memory);
     Ok(report)
 }
@@ -141,9 +151,10 @@
             store_link,
             pending: Vec::new(),
             disturbed_until: vec![now; settings.entries],
-            version: 1,
+            version: FIRST_VERSION,
+            config_log: Arc::default(),
         };
-        fleet.retry(|fleet| fleet.layout.publish(1))?;
+        fleet.retry(|fleet| fleet.layout.publish(FIRST_VERSION))?;
         for entry in 0..settings.entries {
             let path = settings.folder.join(format!("entry-{entry}.toml"));
             layout.write_settings(entry, &path)?;
@@ -181,7 +192,7 @@
         let now = Instant::now();
         match planned.fault {
             SoakFault::StopEntry(entry) => {
-                self.disturbed_until[entry] = now + Duration::from_secs(9);
+                self.disturb(entry, Duration::from_secs(9));
                 self.processes.signal(&entry_name(entry), Signal::TERM);
             }
             SoakFault::KillEntry(entry) => self.kill_entry(entry),
@@ -189,7 +200,7 @@
                 (0..self.settings.entries).for_each(|entry| self.kill_entry(entry));
             }
             SoakFault::PauseEntry(entry, span) => {
-                self.disturbed_until[entry] = now + span;
+                self.disturb(entry, span);
                 self.pause(entry_name(entry), now + span);
             }
             SoakFault::ReloadEntry(entry) => {
@@ -223,20 +234,19 @@
                 self.pending.push((now + span, FaultEnd::RestoreLink(Some(replica))));
             }
             SoakFault::HarmStoreLink(mode, span) => {
+                self.config_log.record_disturbance(None, now, span);
                 self.store_link.set_mode(mode);
                 self.pending.push((now + span, FaultEnd::RestoreLink(None)));
             }
             SoakFault::StoreDown(span) => {
                 let millis = span.as_millis() as u64;
+                self.config_log.record_disturbance(None, now, span);
                 self.set_fault(self.layout.store_address(), "down", ("millis", millis));
             }
             SoakFault::LoseStoreAnswers(count) => {
                 self.set_fault(self.layout.store_address(), "lost-answer", ("count", count));
             }
-            SoakFault::Publish => {
-                self.version += 3;
-                log_failure("publication", self.layout.publish(self.version));
-            }
+            SoakFault::Publish => self.publish(),
             SoakFault::Evacuate(zone, span) => {
                 log_failure("evacuation", self.layout.set_evacuated(zone, true));
                 self.pending.push((now + span, FaultEnd::ReopenZone(zone)));
@@ -263,8 +273,23 @@
             .collect()
     }
 
+    fn publish(&mut self) {
+        self.version += VERSION_STEP as u64;
+        match self.layout.publish(self.version) {
+            Ok(()) => self.config_log.record_version(self.version, Instant::now()),
+            Err(error) => log::info!("publication failed: {error:#}"),
+        }
+    }
+
+    /// Records that a fault harms an entry for `span`.
+    fn disturb(&mut self, entry: usize, span: Duration) {
+        let now = Instant::now();
+        self.disturbed_until[entry] = now + span;
+        self.config_log.record_disturbance(Some(entry), now, span);
+    }
+
     fn kill_entry(&mut self, entry: usize) {
-        self.disturbed_until[entry] = Instant::now() + POLL_INTERVAL * 4;
+        self.disturb(entry, POLL_INTERVAL * 4);
         self.processes.signal(&entry_name(entry), Signal::KILL);
     }
 
--- a/crates/gentian-soak/src/soak_settings.rs
+++ b/crates/gentian-soak/src/soak_settings.rs
@@ -4,6 +4,8 @@
 
 use gentian_core::RequestRate;
 
+use crate::FaultPlan;
+
 /// Settings of one run.
 #[derive(Clone, Debug)]
 pub struct SoakSettings {
@@ -11,6 +13,8 @@
     pub seed: u64,
     /// Seconds during which faults are injected.
     pub seconds: u64,
+    /// Which faults are injected.
+    pub fault_plan: FaultPlan,
     /// Number of entries.
     pub entries: usize,
     /// Number of concurrent callers.
@@ -33,6 +37,7 @@
         Self {
             seed,
             seconds: 0,
+            fault_plan: FaultPlan::default(),
             entries: 3,
             callers: 6,
             crash_percent: 0,
@@ -48,6 +53,11 @@
         Self { seconds, ..self }
     }
 
+    /// Sets which faults are injected.
+    pub fn with_fault_plan(self, fault_plan: FaultPlan) -> Self {
+        Self { fault_plan, ..self }
+    }
+
     /// Sets the number of entries and of concurrent callers.
     pub fn with_size(self, entries: usize, callers: usize) -> Self {
         Self { entries, callers, ..self }
