Give up a watch that a silent store never answers

Callers got 404 for a route, or were served by an older version, up to ten seconds after a change had been acknowledged. A store that is silent for some seconds never answers the calls that arrive then. A watch of the operators' records that an entry sent meanwhile waited for its own timeout of 16 s, while the entry's other calls had long succeeded again.

The hub asks for an answer to its watch each second and tells the others the revision of the newest record. An entry gives its watch up 300 ms after it was told of a record that the watch should have delivered, or two seconds after sending it while no hub that reads the store sends updates. One call a second at the hub is the whole price; a short wait everywhere would cost each entry as much. The hub's announcement is now repeated like other messages.

--- a/crates/gentian-core/src/peer/fleet_message.rs
+++ b/crates/gentian-core/src/peer/fleet_message.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    CrashReport, LimitNotice, PermitReply, PermitRequest, QuarantineNotice, ServedNotice, TargetId,
+    CrashReport, LimitNotice, OperatorNotice, PermitReply, PermitRequest, QuarantineNotice,
+    ServedNotice, TargetId,
 };
 use crate::{
     DomainId, FenceNumber, InstanceId, ModelId, OrganisationId, SequenceNumber, ServiceId,
@@ -38,6 +39,8 @@
     PermitRequest(PermitRequest),
     /// Reply to a request for permits.
     PermitReply(PermitReply),
+    /// The hub has read newer records of the operators, or an entry may have missed that.
+    Operators(OperatorNotice),
 }
 
 /// Announces that a process has become the hub.
--- a/crates/gentian-core/src/peer/mod.rs
+++ b/crates/gentian-core/src/peer/mod.rs
@@ -10,6 +10,7 @@
 mod crash_report;
 mod fleet_message;
 mod member_record;
+mod operator_notice;
 mod part_notice;
 mod peer_message;
 mod permit_message;
@@ -32,6 +33,7 @@
     ServingDemand, UpstreamListing, UpstreamWork,
 };
 pub use member_record::{MemberRecord, MemberRole};
+pub use operator_notice::OperatorNotice;
 pub use part_notice::{QuarantineNotice, ServedNotice};
 pub use peer_message::PeerMessage;
 pub use permit_message::{LimitNotice, PermitGrant, PermitReply, PermitRequest, WantedPermits};
--- a/crates/gentian-gateway/src/control/config_controller.rs
+++ b/crates/gentian-gateway/src/control/config_controller.rs
@@ -2,9 +2,11 @@
 
 use std::sync::Arc;
 
+use gentian_core::peer::{FleetMessage, OperatorNotice};
 use gentian_core::{EventCode, FastSet, MonoTime};
 use gentian_process::StoredValue;
 
+use super::fleet_broadcast::broadcast;
 use super::{ControlEvent, ControlState, StoreRecords, TrafficView};
 
 /// Applies changed records of the operators.
@@ -19,6 +21,20 @@
         apply_config(state, value, now);
     }
     update_drained(state, values, *is_snapshot);
+    update_operator_revision(state, values, now);
+}
+
+/// Records the revision of the newest of these records. The hub tells the other entries, whose
+/// watches may never be answered.
+fn update_operator_revision(state: &mut ControlState, values: &[StoredValue], now: MonoTime) {
+    let newest = values.iter().map(|value| value.revision).max().unwrap_or_default();
+    if newest <= state.operator_revision {
+        return;
+    }
+    state.operator_revision = newest;
+    if state.hub.is_some() {
+        broadcast(state, FleetMessage::Operators(OperatorNotice { revision: newest }), now);
+    }
 }
 
 fn apply_config(state: &mut ControlState, value: &StoredValue, now: MonoTime) {
--- a/crates/gentian-gateway/src/control/control_state.rs
+++ b/crates/gentian-gateway/src/control/control_state.rs
@@ -6,7 +6,9 @@
 use flume::Sender;
 use gentian_config::serving::ServingConfig;
 use gentian_core::peer::HubHandover;
-use gentian_core::{FastMap, FastSet, FenceNumber, InstanceId, MonoTime, PartId, RequestId, VmId};
+use gentian_core::{
+    FastMap, FastSet, FenceNumber, InstanceId, MonoTime, PartId, RequestId, SequenceNumber, VmId,
+};
 use gentian_decide::limits::PermitLedger;
 use gentian_decide::orders::{FleetPlanner, HolderLease, LeaseTask};
 use gentian_decide::quarantine::{MessageRepeats, PartQuarantine};
@@ -16,7 +18,7 @@
 use super::CallAssignment;
 use crate::PlatformCodec;
 use crate::gateway_metrics::GatewayMetrics;
-use crate::io::{EngineCalls, EntryRecord, HubUpdateExpiry, QuarantineWrite};
+use crate::io::{EngineCalls, EntryRecord, HubUpdates, QuarantineWrite};
 
 /// What the control thread publishes for traffic threads.
 #[derive(Clone, Debug, Default)]
@@ -56,7 +58,7 @@
     pub(crate) lease_tasks: Sender<LeaseTask>,
     pub(crate) quarantine_writes: Sender<QuarantineWrite>,
     pub(crate) engine_calls: EngineCalls,
-    pub(crate) hub_update_expiry: HubUpdateExpiry,
+    pub(crate) hub_updates: HubUpdates,
     pub(crate) metrics: GatewayMetrics,
 }
 
@@ -90,10 +92,12 @@
     pub(crate) entries: FastMap<VmId, EntryRecord>,
     /// Since when the lease has had no known holder.
     pub(crate) vacant_since: Option<MonoTime>,
-    /// Until when the hub's summaries are recent enough for this entry to read records less often.
-    pub(crate) hub_update_expiry: HubUpdateExpiry,
+    /// Tells the threads that read records how recent the hub's messages are.
+    pub(crate) hub_updates: HubUpdates,
     /// The hub to which this entry reports, with its fencing number.
     pub(crate) known_hub: Option<(VmId, FenceNumber)>,
+    /// Revision of the newest record of the operators that this process has read.
+    pub(crate) operator_revision: SequenceNumber,
     /// Failure domains that operators have drained.
     pub(crate) drained: FastSet<gentian_core::DomainId>,
     /// Channels to the traffic threads of requests that wait for an assignment.
@@ -134,11 +138,12 @@
             table: parts.table,
             hub: None,
             vacant_since: None,
-            hub_update_expiry: parts.hub_update_expiry,
+            hub_updates: parts.hub_updates,
             handover: None,
             is_stopping: false,
             entries: FastMap::default(),
             known_hub: None,
+            operator_revision: SequenceNumber::default(),
             drained: FastSet::default(),
             stored_parts: FastSet::default(),
             quarantine_writes: parts.quarantine_writes,
--- a/crates/gentian-gateway/src/control/hub_controller.rs
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -1,9 +1,10 @@
 //! Controllers of the fleet's entries, of the exchange with the hub and of the hub's own work.
 
-use gentian_core::peer::{EntryReport, FleetMessage, HubAnnouncement};
+use gentian_core::peer::{EntryReport, FleetMessage, HubAnnouncement, OperatorNotice};
 use gentian_core::{EventCode, FenceNumber, MonoTime, TimeSpan, VmId};
 use gentian_decide::orders::EngineCall;
 
+use super::fleet_broadcast::send_to_vm;
 use super::lease_controller::receive_handover;
 use super::quarantine_controller::send_quarantine;
 use super::{ControlEvent, ControlState, StoreRecords};
@@ -65,6 +66,9 @@
             update_hub(state, vm.clone(), *fence);
         }
         FleetMessage::Handover(handover) => receive_handover(state, handover, now),
+        FleetMessage::Operators(notice) => {
+            state.hub_updates.record_operator_notice(notice.revision, now);
+        }
         FleetMessage::Report(report) => handle_report(state, report.clone(), now),
         FleetMessage::Summary(summary) => {
             let entry_count = state.fleet_size();
@@ -88,7 +92,7 @@
     if state.hub_client.check_timeout(entry_count, &mut state.scheduler, &mut state.table, now) {
         log::warn!("{} entries={entry_count}", EventCode::HUB_SILENT);
     }
-    state.hub_update_expiry.set(match &state.hub {
+    state.hub_updates.set_fresh_until(match &state.hub {
         // The hub itself must read fresh records, since the other entries rely on its updates. The
         // origin of time is always past, so the expiry has always passed.
         Some(_) => MonoTime::ORIGIN,
@@ -172,6 +176,8 @@
     }
     if is_returning && vm != state.vm {
         send_quarantine(state, &vm);
+        let notice = OperatorNotice { revision: state.operator_revision };
+        send_to_vm(state, &FleetMessage::Operators(notice), &vm);
     }
 }
 
--- a/crates/gentian-gateway/src/control/lease_controller.rs
+++ b/crates/gentian-gateway/src/control/lease_controller.rs
@@ -3,13 +3,14 @@
 
 use std::sync::Arc;
 
-use gentian_core::peer::{FleetMessage, HubAnnouncement, HubHandover};
+use gentian_core::peer::{FleetMessage, HubAnnouncement, HubHandover, OperatorNotice};
 use gentian_core::{EventCode, FenceNumber, MonoTime, TimeSpan};
 use gentian_decide::limits::PermitLedger;
 use gentian_decide::orders::{FleetPlanner, LeaseReply, OrderCooldowns};
 use gentian_decide::serving::FleetHub;
 
 use super::control_state::HubState;
+use super::fleet_broadcast::broadcast;
 use super::{ControlEvent, ControlState};
 
 /// Minimum capacity, as a percentage of the largest in the fleet, of an entry that may acquire a
@@ -127,7 +128,7 @@
         Some(HubState { fleet_hub, planner, permits, fence, planned_at, deferred_plan_at: None });
     state.known_hub = Some((state.vm.clone(), fence));
     let announcement = FleetMessage::Announcement(HubAnnouncement { vm: state.vm.clone(), fence });
-    for entry in state.entries.values().filter(|entry| entry.vm != state.vm) {
-        state.socket.send(&announcement, entry.address);
-    }
+    let notice = FleetMessage::Operators(OperatorNotice { revision: state.operator_revision });
+    broadcast(state, announcement, now);
+    broadcast(state, notice, now);
 }
--- a/crates/gentian-gateway/src/gateway_process.rs
+++ b/crates/gentian-gateway/src/gateway_process.rs
@@ -18,7 +18,7 @@
 use crate::front::{SessionContext, serve_caller, serve_readiness};
 use crate::gateway_metrics::GatewayMetrics;
 use crate::io::{
-    EngineCalls, EntryRecord, HubUpdateExpiry, LeaseWorker, RecordReader, start_fleet_reader,
+    EngineCalls, EntryRecord, HubUpdates, LeaseWorker, RecordReader, start_fleet_reader,
     start_lease_worker, start_operator_watch, start_quarantine_writer, start_upstream_reader,
 };
 use crate::{GatewaySettings, PlatformCodec};
@@ -61,7 +61,7 @@
     let connections = ConnectionPool::new(clock);
     let (threads_must_end, closing) =
         (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
-    let hub_update_expiry = HubUpdateExpiry::default();
+    let hub_updates = HubUpdates::default();
     let (control, events) = flume::unbounded();
     let (lease_tasks, tasks) = flume::unbounded();
     let (quarantine_writes, writes) = flume::unbounded();
@@ -93,7 +93,7 @@
         lease_tasks,
         quarantine_writes,
         engine_calls,
-        hub_update_expiry: hub_update_expiry.clone(),
+        hub_updates: hub_updates.clone(),
         metrics: metrics.clone(),
     });
     let mut threads: Vec<JoinHandle<()>> = Vec::new();
@@ -122,7 +122,7 @@
         service,
         events: control.clone(),
         threads_must_end: Arc::clone(&threads_must_end),
-        hub_update_expiry,
+        hub_updates,
         watch_pause: (settings.bounds.config_delay * WATCH_PAUSE_FRACTION).into(),
         clock,
         metrics: metrics.clone(),
--- a/crates/gentian-gateway/src/io/mod.rs
+++ b/crates/gentian-gateway/src/io/mod.rs
@@ -2,14 +2,14 @@
 
 mod engine_calls;
 mod fleet_records;
-mod hub_update_expiry;
+mod hub_updates;
 mod lease_worker;
 mod quarantine_writer;
 mod record_readers;
 
 pub(crate) use engine_calls::EngineCalls;
 pub(crate) use fleet_records::{EntryRecord, FleetRecord, decode_fleet_record, write_entry};
-pub(crate) use hub_update_expiry::HubUpdateExpiry;
+pub(crate) use hub_updates::HubUpdates;
 pub(crate) use lease_worker::{LeaseWorker, start_lease_worker};
 pub(crate) use quarantine_writer::{QuarantineWrite, start_quarantine_writer};
 pub(crate) use record_readers::{
--- a/crates/gentian-gateway/src/io/record_readers.rs
+++ b/crates/gentian-gateway/src/io/record_readers.rs
@@ -7,10 +7,11 @@
 
 use flume::Sender;
 use gentian_core::{EventCode, MonoTime, SequenceNumber, TimeSpan};
+use gentian_decide::serving::PendingWatch;
 use gentian_http::ProcessClock;
-use gentian_process::{KeyValueError, KeyValueService, ReadFreshness};
+use gentian_process::{KeyValueError, KeyValueService, ReadFreshness, WatchRequest};
 
-use super::{EntryRecord, HubUpdateExpiry, write_entry};
+use super::{EntryRecord, HubUpdates, write_entry};
 use crate::control::{ControlEvent, StoreRecords};
 use crate::gateway_metrics::GatewayMetrics;
 
@@ -43,8 +44,8 @@
     pub(crate) events: Sender<ControlEvent>,
     /// Set when the threads must end.
     pub(crate) threads_must_end: Arc<AtomicBool>,
-    /// Until when the hub's summaries are recent enough for reads to be seldom needed.
-    pub(crate) hub_update_expiry: HubUpdateExpiry,
+    /// How recent the hub's messages are; while they are, reads are seldom needed.
+    pub(crate) hub_updates: HubUpdates,
     /// Pause of the watch after a change.
     pub(crate) watch_pause: Duration,
     /// Clock of the process.
@@ -84,7 +85,14 @@
     }
 
     fn has_hub_updates(&self) -> bool {
-        self.hub_update_expiry.is_before_expiry(self.clock.now())
+        self.hub_updates.are_fresh(self.clock.now())
+    }
+
+    /// Returns whether the answer to a watch from `revision` on is still waited for.
+    fn is_watch_wanted(&self, watch: PendingWatch, revision: SequenceNumber) -> bool {
+        let newer_known_at = self.hub_updates.time_of_newer_operators(revision);
+        let now = self.clock.now();
+        !self.must_end() && watch.is_wanted(self.has_hub_updates(), newer_known_at, now)
     }
 
     /// Waits until the next read is due or the thread must end.
@@ -207,8 +215,12 @@
     prefix: &str,
     mut revision: SequenceNumber,
 ) -> Result<SequenceNumber, KeyValueError> {
-    let sent = reader.clock.now();
-    reader.service.watch(prefix, revision, &mut |batch| {
+    let (sent, after) = (reader.clock.now(), revision);
+    let watch = PendingWatch::new(sent);
+    let wait = PendingWatch::wait(reader.has_hub_updates());
+    let is_wanted = || reader.is_watch_wanted(watch, after);
+    let request = WatchRequest { prefix, after, wait, is_wanted: &is_wanted };
+    reader.service.watch(request, &mut |batch| {
         revision = revision.max(batch.revision);
         if !batch.changes.is_empty() {
             log_operators_read(reader, sent, revision, "watch");
--- a/crates/gentian-http/src/forward/pooled_client.rs
+++ b/crates/gentian-http/src/forward/pooled_client.rs
@@ -10,6 +10,8 @@
 };
 use crate::ProcessClock;
 
+/// Interval between checks whether a response is still wanted.
+const WANTED_CHECK_INTERVAL: TimeSpan = TimeSpan::from_millis(200);
 /// Largest accepted response body.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
@@ -68,6 +70,23 @@
         head: &RequestHead,
         body: &[u8],
         limits: CallLimits,
+    ) -> Result<(ResponseHead, Vec<u8>), PooledCallError> {
+        self.call_while(address, head, body, limits, || true)
+    }
+
+    /// Makes a call like [`Self::call`], and gives it up once `is_wanted` returns `false` before the
+    /// response begins.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PooledCallError::NotSent`] only if no byte of the request was sent.
+    pub fn call_while(
+        &self,
+        address: SocketAddr,
+        head: &RequestHead,
+        body: &[u8],
+        limits: CallLimits,
+        is_wanted: impl Fn() -> bool,
     ) -> Result<(ResponseHead, Vec<u8>), PooledCallError> {
         let not_sent = |cause: &dyn fmt::Display| PooledCallError::NotSent(cause.to_string());
         let unknown = |cause: &dyn fmt::Display| PooledCallError::Unknown(cause.to_string());
@@ -81,7 +100,7 @@
         let mut bytes = head.to_bytes();
         bytes.extend_from_slice(body);
         stream.write_all(&bytes, deadline).map_err(|error| unknown(&error))?;
-        let head = read_head(&mut stream, deadline)?;
+        let head = self.read_head(&mut stream, deadline, is_wanted)?;
         let framing = BodyFraming::of_response(head.status, &head.headers);
         let framing = framing.map_err(|error| unknown(&error))?;
         let body = read_response_body(&mut stream, framing, MAX_RESPONSE_BYTES, deadline);
@@ -91,23 +110,36 @@
         }
         Ok((head, body))
     }
-}
 
-fn read_head(
-    stream: &mut BufferedStream,
-    deadline: MonoTime,
-) -> Result<ResponseHead, PooledCallError> {
-    let unknown = |cause: &dyn fmt::Display| PooledCallError::Unknown(cause.to_string());
-    loop {
-        let parsed = ResponseHead::parse(stream.buffered()).map_err(|error| unknown(&error))?;
-        if let Some((head, length)) = parsed {
-            stream.consume(length);
-            return Ok(head);
-        }
-        match stream.fill(deadline) {
-            Ok(0) => return Err(unknown(&"the connection ended before an answer")),
-            Ok(_) => {}
-            Err(error) => return Err(unknown(&error)),
+    fn read_head(
+        &self,
+        stream: &mut BufferedStream,
+        deadline: MonoTime,
+        is_wanted: impl Fn() -> bool,
+    ) -> Result<ResponseHead, PooledCallError> {
+        let unknown = |cause: &dyn fmt::Display| PooledCallError::Unknown(cause.to_string());
+        loop {
+            let parsed = ResponseHead::parse(stream.buffered()).map_err(|error| unknown(&error))?;
+            if let Some((head, length)) = parsed {
+                stream.consume(length);
+                return Ok(head);
+            }
+            let next_check = self.clock.now() + WANTED_CHECK_INTERVAL;
+            match stream.fill(deadline.min(next_check)) {
+                Ok(0) => return Err(unknown(&"the connection ended before an answer")),
+                Ok(_) => {}
+                Err(error) if is_timeout(&error) && next_check < deadline => {
+                    if !is_wanted() {
+                        return Err(unknown(&"the call was given up"));
+                    }
+                }
+                Err(error) => return Err(unknown(&error)),
+            }
         }
     }
 }
+
+/// Returns whether the wait ended, rather than the connection itself by a timeout of the kernel.
+fn is_timeout(error: &std::io::Error) -> bool {
+    error.kind() == std::io::ErrorKind::TimedOut && error.raw_os_error().is_none()
+}
--- a/crates/gentian-process/src/etcd_gateway.rs
+++ b/crates/gentian-process/src/etcd_gateway.rs
@@ -10,33 +10,32 @@
 use gentian_wire::generated::key_value::{
     CompareTarget, CompareTargetResult, CompareTargetTarget, DeleteRequest, LeaseGrantRequest,
     LeaseGrantResponse, PutRequest, RangeRequest, RangeResponse, RequestOp, StoreHeader,
-    StoreRecord, TxnRequest, TxnResponse, WatchCreate, WatchEvent, WatchEventType, WatchRequest,
-    WatchResponse,
+    StoreRecord, TxnRequest, TxnResponse, WatchCreate, WatchEvent, WatchEventType,
+    WatchRequest as WatchMessage, WatchResponse,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::key_value_service::{BatchHandler, ReadResult, WriteResult};
-use crate::{KeyValueError, KeyValueService, StoredValue, ValueChange, WatchBatch, WriteCondition};
+use crate::{
+    KeyValueError, KeyValueService, StoredValue, ValueChange, WatchBatch, WatchRequest,
+    WriteCondition,
+};
 
 /// Longest wait for the connection and for each read of a response.
 const CALL_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
-/// Time without a change after which a watch ends, so that its caller starts a new one and learns
-/// whether the service still answers.
-const WATCH_TIMEOUT: TimeSpan = TimeSpan::from_millis(2_000);
 /// Largest accepted response.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
 /// Creates a key-value service that calls the gateway at `address`.
 pub fn connect_etcd(address: SocketAddr) -> KeyValueService {
     let client = HttpClient::new(address, CALL_TIMEOUT);
-    let watcher = HttpClient::new(address, WATCH_TIMEOUT);
     let (reader, lister, writer) = (client.clone(), client.clone(), client);
     KeyValueService::new(
         move |key| read_range(&reader, key, None),
         move |prefix| read_range(&lister, prefix, Some(prefix_end(prefix))),
         move |conditions, changes| run_transaction(&writer, conditions, changes),
-        move |prefix, revision, handle_batch| watch(&watcher, prefix, revision, handle_batch),
+        move |request, handle_batch| watch(address, request, handle_batch),
     )
 }
 
@@ -103,17 +102,17 @@
 }
 
 fn watch(
-    client: &HttpClient,
-    prefix: &str,
-    revision: SequenceNumber,
+    address: SocketAddr,
+    request: WatchRequest<'_>,
     handle_batch: BatchHandler<'_>,
 ) -> Result<(), KeyValueError> {
+    let client = HttpClient::new(address, request.wait);
     let create_request = WatchCreate {
-        key: encode_base64(prefix.as_bytes()),
-        range_end: Some(encode_base64(&prefix_end(prefix))),
-        start_revision: Some(revision.next().to_string()),
+        key: encode_base64(request.prefix.as_bytes()),
+        range_end: Some(encode_base64(&prefix_end(request.prefix))),
+        start_revision: Some(request.after.next().to_string()),
     };
-    let body = serde_json::to_vec(&WatchRequest { create_request }).map_err(malformed)?;
+    let body = serde_json::to_vec(&WatchMessage { create_request }).map_err(malformed)?;
     let response = client.call("POST", "/v3/watch", &[], &body).map_err(convert_error)?;
     let lines = BufReader::new(response.split().2).lines();
     let mut has_response = false;
@@ -122,7 +121,7 @@
             Ok(line) if line.is_empty() => {}
             Ok(line) => {
                 has_response = true;
-                if !handle_batch(decode_batch(&line)?) {
+                if !handle_batch(decode_batch(&line)?) || !(request.is_wanted)() {
                     return Ok(());
                 }
             }
--- a/crates/gentian-process/src/key_value_service.rs
+++ b/crates/gentian-process/src/key_value_service.rs
@@ -106,11 +106,25 @@
 type ReadFn = Box<dyn Fn(&str) -> ReadResult + Send + Sync>;
 /// The new revision, or `None` if a condition was not met.
 pub type WriteResult = Result<Option<SequenceNumber>, KeyValueError>;
+/// A watch and when it ends.
+#[derive(Clone, Copy)]
+pub struct WatchRequest<'a> {
+    /// Prefix of the watched records.
+    pub prefix: &'a str,
+    /// Changes after this revision are delivered.
+    pub after: SequenceNumber,
+    /// Time without a change after which the service answers all the same.
+    pub wait: TimeSpan,
+    /// Returns whether the watch still goes on; asked at short intervals while no response arrives,
+    /// or after each part of a response that has begun.
+    pub is_wanted: &'a dyn Fn() -> bool,
+}
+
 /// Handles a batch of a watch; returning `false` ends the watch.
 pub type BatchHandler<'a> = &'a mut dyn FnMut(WatchBatch) -> bool;
 type WriteFn = Box<dyn Fn(&[WriteCondition], &[ValueChange]) -> WriteResult + Send + Sync>;
 type WatchFn =
-    Box<dyn Fn(&str, SequenceNumber, BatchHandler<'_>) -> Result<(), KeyValueError> + Send + Sync>;
+    Box<dyn Fn(WatchRequest<'_>, BatchHandler<'_>) -> Result<(), KeyValueError> + Send + Sync>;
 
 type GrantFn = Box<dyn Fn(TimeSpan) -> Result<LeaseId, KeyValueError> + Send + Sync>;
 type LeaseFn = Box<dyn Fn(LeaseId) -> Result<bool, KeyValueError> + Send + Sync>;
@@ -172,13 +186,12 @@
 
 impl KeyValueService {
     /// Creates the service from closures that read one record, read all records below a prefix,
-    /// write changes under conditions, and watch a prefix for the changes after a revision until
-    /// the batch handler returns `false`.
+    /// write changes under conditions, and watch a prefix until the batch handler returns `false`.
     pub fn new(
         read: impl Fn(&str) -> ReadResult + Send + Sync + 'static,
         read_prefix: impl Fn(&str) -> ReadResult + Send + Sync + 'static,
         write: impl Fn(&[WriteCondition], &[ValueChange]) -> WriteResult + Send + Sync + 'static,
-        watch: impl Fn(&str, SequenceNumber, BatchHandler<'_>) -> Result<(), KeyValueError>
+        watch: impl Fn(WatchRequest<'_>, BatchHandler<'_>) -> Result<(), KeyValueError>
         + Send
         + Sync
         + 'static,
@@ -241,18 +254,17 @@
         (self.write)(conditions, changes)
     }
 
-    /// Watches the records below `prefix` for changes after `revision`, until `handle_batch`
-    /// returns `false` or the service sends no change for some time.
+    /// Watches records until `handle_batch` returns `false`, the service sends no change within the
+    /// wait of the request, or the watch is no longer wanted.
     ///
     /// # Errors
     ///
-    /// Returns an error if the service does not answer at all.
+    /// Returns an error if the service does not answer at all, or the watch is no longer wanted.
     pub fn watch(
         &self,
-        prefix: &str,
-        revision: SequenceNumber,
+        request: WatchRequest<'_>,
         handle_batch: BatchHandler<'_>,
     ) -> Result<(), KeyValueError> {
-        (self.watch)(prefix, revision, handle_batch)
+        (self.watch)(request, handle_batch)
     }
 }
--- a/crates/gentian-process/src/lib.rs
+++ b/crates/gentian-process/src/lib.rs
@@ -24,7 +24,7 @@
 pub use gentian_http::ProcessClock;
 pub use key_value_service::{
     BatchHandler, KeyValueError, KeyValueService, LeaseCalls, ReadFreshness, ReadResult,
-    StoredValue, ValueChange, WatchBatch, WriteCondition, WriteResult,
+    StoredValue, ValueChange, WatchBatch, WatchRequest, WriteCondition, WriteResult,
 };
 pub use log_limiter::{LogDecision, LogLimiter};
 pub use log_setup::start_logging;
--- a/crates/gentian-process/src/state_watcher.rs
+++ b/crates/gentian-process/src/state_watcher.rs
@@ -11,12 +11,16 @@
 
 use crate::{
     ConfigStore, ConfigStoreError, KeyValueService, ProcessClock, RecordKeys, StoredConfig,
-    StoredValue, WatchBatch,
+    StoredValue, WatchBatch, WatchRequest,
 };
 
 /// Delay between two attempts while the key-value service does not answer.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Time without a change after which a watch ends, so that a new one shows whether the service
+/// still answers.
+const WATCH_WAIT: TimeSpan = TimeSpan::from_millis(2_000);
+
 /// Age from which a watch is replaced by a new one, because only the start of a watch proves
 /// contact with the service. The age is checked after each batch; a watch without batches ends by
 /// the read timeout.
@@ -97,7 +101,7 @@
     }
 
     fn watch(&mut self, handle: &impl Fn(StateChange)) -> Result<(), String> {
-        let service = Arc::clone(&self.service);
+        let (service, stop) = (Arc::clone(&self.service), Arc::clone(&self.stop));
         let (sent_at, revision) = (self.clock.now(), self.revision);
         let mut failure = None;
         let mut is_first = true;
@@ -114,7 +118,13 @@
             let is_recent = self.clock.now().since(sent_at) < MAX_WATCH_AGE;
             failure.is_none() && is_recent && !self.stop.load(Ordering::Acquire)
         };
-        let watch_result = service.watch(RecordKeys::WATCHED, revision, &mut handle_batch);
+        let request = WatchRequest {
+            prefix: RecordKeys::WATCHED,
+            after: revision,
+            wait: WATCH_WAIT,
+            is_wanted: &|| !stop.load(Ordering::Acquire),
+        };
+        let watch_result = service.watch(request, &mut handle_batch);
         match (watch_result, failure) {
             (Ok(()), None) => Ok(()),
             (_, Some(cause)) => Err(cause),
--- a/crates/gentian-process/tests/read_freshness.rs
+++ b/crates/gentian-process/tests/read_freshness.rs
@@ -10,7 +10,7 @@
         |_| Ok((Vec::new(), SequenceNumber::new(9))),
         |_| Ok((Vec::new(), SequenceNumber::new(9))),
         |_, _| Ok(None),
-        |_, _, _| Ok(()),
+        |_, _| Ok(()),
     )
 }
 
--- a/crates/gentian-process/tests/state_watcher.rs
+++ b/crates/gentian-process/tests/state_watcher.rs
@@ -21,8 +21,8 @@
         move |_| Err(unused()),
         |_| Ok((Vec::new(), READ_REVISION)),
         move |_, _| Err(unused()),
-        move |_, revision, handle_batch| {
-            seen.lock().unwrap().push(revision);
+        move |request, handle_batch| {
+            seen.lock().unwrap().push(request.after);
             // The service reports its revision, and the watch ends before the changes up to that
             // revision are delivered.
             handle_batch(WatchBatch { revision: NEWEST_REVISION, changes: Vec::new() });
