--- a/crates/gentian-core/src/event_code.rs
+++ b/crates/gentian-core/src/event_code.rs
@@ -95,4 +95,6 @@
     1601 PLATFORM_LOST "platform-lost": "Calls to the key-value service fail or return malformed records; on the users' platform the line gives how long the failed call waited."; "Check the key-value service."
     1602 PLATFORM_BACK "platform-back": "Calls to the key-value service succeed again."; "None."
     1603 VM_LIST_LOST "vm-list-lost": "The list of VMs could not be read from its service."; "Check the VM list service."
+    1604 STORE_RESTORED "store-restored": "The key-value service names another era: it was restored from a copy and may have lost records. The line gives both eras."; "None; operators' records that were lost must be written again."
+    1605 READ_IGNORED "read-ignored": "A read of the key-value service was ignored, since it is older than an earlier one."; "None unless it lasts; then check the key-value service."
 }
--- a/crates/gentian-gateway/src/io/record_readers.rs
+++ b/crates/gentian-gateway/src/io/record_readers.rs
@@ -142,6 +142,18 @@
         Self { call, is_failing: false }
     }
 
+    /// Returns whether a read at `revision` is at least as recent as the `newest` one, and updates
+    /// that.
+    fn is_current(&self, revision: SequenceNumber, newest: &mut SequenceNumber) -> bool {
+        if revision < *newest {
+            let code = EventCode::READ_IGNORED;
+            log::info!("{code} call={} revision={revision} newest={newest}", self.call);
+            return false;
+        }
+        *newest = revision;
+        true
+    }
+
     /// Records the result of a call that was sent at `sent`.
     fn record_result<T>(
         &mut self,
@@ -262,9 +274,8 @@
                 UPSTREAM_SKIPPED_READS,
             );
             if let Some((values, revision)) = monitor.record_result(&reader, sent, read)
-                && revision >= newest
+                && monitor.is_current(revision, &mut newest)
             {
-                newest = revision;
                 reader.send(StoreRecords::Upstreams(values, revision));
             }
             reader.wait_for_next_read(intervals);
@@ -300,9 +311,8 @@
             let intervals =
                 ReadIntervals::after_read(read.is_ok(), FLEET_READ_INTERVAL, FLEET_SKIPPED_READS);
             if let Some((values, revision)) = read_monitor.record_result(&reader, sent, read)
-                && revision >= newest
+                && read_monitor.is_current(revision, &mut newest)
             {
-                newest = revision;
                 reader.send(StoreRecords::Fleet(values));
             }
             reader.wait_for_next_read(intervals);
