Reproduce requests to leaving upstreams after a restored store

The stand-in of the store can go back to a copy of itself: revisions and lease numbers are given out again, and Store-Era rises. Replicas of the soak leave on SIGTERM: they register as draining and serve on for a while. Its check: no request reaches them two seconds after the store accepted that, unless a fault harmed the store or an entry meanwhile. Both faults are also drawn at random.

--- a/crates/gentian-soak/src/fault_plan.rs
+++ b/crates/gentian-soak/src/fault_plan.rs
@@ -8,4 +8,7 @@
     Random,
     /// Changes of the configuration before, during and after times in which the store is silent.
     SilentStore,
+    /// Replicas that leave and changes of the configuration after the store was restored from a
+    /// copy.
+    RestoredStore,
 }
--- a/crates/gentian-soak/src/fleet_layout.rs
+++ b/crates/gentian-soak/src/fleet_layout.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
+use std::time::Duration;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -114,6 +115,14 @@
         }
     }
 
+    /// Has the store go back to what it held `age` ago, all leases included.
+    pub(crate) fn restore_store(self, age: Duration) -> eyre::Result<()> {
+        let target = format!("/control/restore?age_ms={}", age.as_millis());
+        let status = self.call(self.store_address(), "POST", &target, b"")?;
+        eyre::ensure!(status == 200, "the store responded with status {status}");
+        Ok(())
+    }
+
     /// Sets a fault of a stand-in; `extent` is its unit (`count` or `millis`) and amount.
     pub(crate) fn set_fault(
         self,
--- a/crates/gentian-soak/src/lib.rs
+++ b/crates/gentian-soak/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod call_record;
 mod config_probe;
+mod contact_log;
 mod fault_plan;
 mod fleet_layout;
 mod loopback_proxy;
--- a/crates/gentian-soak/src/soak_check.rs
+++ b/crates/gentian-soak/src/soak_check.rs
@@ -2,11 +2,12 @@
 
 use std::fmt;
 use std::path::Path;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use gentian_core::{FastMap, RequestRate};
 
 use crate::call_record::{CallKind, CallOutcome, CallRecord};
+use crate::contact_log::ContactLog;
 
 /// Executions that a repeatable call may have: the `attempts` of its route.
 const MAX_ATTEMPTS: usize = 2;
@@ -20,6 +21,9 @@
 /// Requests with the part that may reach replicas even so.
 const MAX_LATER_CRASHES: usize = 3;
 
+/// Time from the acceptance of a replica's leaving until no request may reach it.
+const DRAIN_TIME: Duration = Duration::from_millis(2_000);
+
 /// Window in which requests to an upstream that names a limit are counted.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// Requests in a window: the factor on what the limit allows, and what is allowed beyond it.
@@ -154,6 +158,34 @@
     }))
 }
 
+/// Checks that no replica got requests later than [`DRAIN_TIME`] after the store had accepted that
+/// it is leaving, unless a fault harmed the store or an entry meanwhile.
+pub(crate) fn check_drains(folder: &Path, contact_log: &ContactLog) -> eyre::Result<Vec<String>> {
+    let (now, unix_now) = (Instant::now(), SystemTime::now().duration_since(UNIX_EPOCH)?);
+    let to_instant = |line: &JournalLine| {
+        let millis = line.detail.strip_prefix("at=")?.parse().ok()?;
+        now.checked_sub(unix_now.saturating_sub(Duration::from_millis(millis)))
+    };
+    let journal = read_journals(folder)?;
+    let mut violations = Vec::new();
+    for drain in journal.iter().filter(|line| line.event == "draining") {
+        let Some(drained_at) = to_instant(drain) else { continue };
+        let is_late = |line: &&JournalLine| {
+            line.event == "arrival"
+                && line.instance == drain.instance
+                && to_instant(line).is_some_and(|time| {
+                    time > drained_at + DRAIN_TIME && contact_log.is_fleet_calm(drained_at, time)
+                })
+        };
+        let count = journal.iter().filter(is_late).count();
+        if count > 0 {
+            let instance = &drain.instance;
+            violations.push(format!("{instance} got {count} requests after it had drained"));
+        }
+    }
+    Ok(violations)
+}
+
 /// Checks that no replica got more requests than the limit that all of them name allows, and that
 /// the limit is not left unused.
 pub(crate) fn check_limits(folder: &Path, limit: RequestRate) -> eyre::Result<Vec<String>> {
--- a/crates/gentian-soak/src/soak_fault.rs
+++ b/crates/gentian-soak/src/soak_fault.rs
@@ -38,6 +38,10 @@
     FaultyAnswers(usize, &'static str, u64),
     /// The link to a replica has a fault.
     HarmReplicaLink(usize, LinkMode, Duration),
+    /// A replica receives SIGTERM, leaves after a while and is restarted.
+    StopReplica(usize),
+    /// The store is down for the second time span and comes back as it was the first one before.
+    RestoreStore(Duration, Duration),
     /// The link to the store has a fault.
     HarmStoreLink(LinkMode, Duration),
     /// The store responds with status 503.
@@ -70,6 +74,7 @@
     match plan {
         FaultPlan::Random => draw_random_faults(seed, span, entries, replicas),
         FaultPlan::SilentStore => draw_silences(seed, span),
+        FaultPlan::RestoredStore => draw_restorations(seed, span, entries, replicas),
     }
 }
 
@@ -93,6 +98,36 @@
     faults
 }
 
+/// Generates restorations of the store. A replica leaves before revisions have caught up.
+fn draw_restorations(
+    seed: u64,
+    span: Duration,
+    entries: usize,
+    replicas: usize,
+) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let (mut faults, mut at) = (Vec::new(), Duration::ZERO);
+    while at < span {
+        let mut millis = |range| Duration::from_millis(random.random_range(range));
+        let (age, down) = (millis(6_000..10_000), millis(300..2_000));
+        let mut series = vec![
+            (millis(3_000..4_000), SoakFault::Publish),
+            (millis(200..1_000), SoakFault::Publish),
+            (millis(300..1_500), SoakFault::RestoreStore(age, down)),
+        ];
+        let pause = down + millis(3_000..3_500);
+        if random.random_range(0..2) == 0 {
+            let entry = random.random_range(0..entries);
+            series.push((down, SoakFault::KillEntry(entry)));
+        }
+        series.push((pause, SoakFault::StopReplica(random.random_range(0..replicas))));
+        series.push((Duration::from_millis(100), SoakFault::Publish));
+        at += series.iter().map(|(pause, _)| *pause).sum::<Duration>();
+        faults.extend(series.into_iter().map(|(pause, fault)| PlannedFault { pause, fault }));
+    }
+    faults
+}
+
 /// Generates random faults. Some follow each other closely, and they may overlap.
 fn draw_random_faults(
     seed: u64,
@@ -121,7 +156,7 @@
     let mode = FAULT_MODES[random.random_range(0..FAULT_MODES.len())];
     let count = random.random_range(1..4);
     let answer_fault = ANSWER_FAULTS[random.random_range(0..ANSWER_FAULTS.len())];
-    match random.random_range(0..16) {
+    match random.random_range(0..18) {
         0 => SoakFault::StopEntry(entry),
         1 => SoakFault::KillEntry(entry),
         2 => SoakFault::PauseEntry(entry, span),
@@ -137,6 +172,8 @@
         12 => SoakFault::LoseStoreAnswers(count),
         13 => SoakFault::Publish,
         14 => SoakFault::FaultyAnswers(replica, answer_fault, count),
+        15 => SoakFault::StopReplica(replica),
+        16 => SoakFault::RestoreStore(span * 3, span / 2),
         _ => SoakFault::Evacuate(zone_name(replica), span),
     }
 }
--- a/crates/gentian-soak/src/soak_run.rs
+++ b/crates/gentian-soak/src/soak_run.rs
@@ -6,20 +6,21 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use eyre::eyre;
-use gentian_core::TimeSpan;
+use gentian_core::{FastSet, TimeSpan};
 use gentian_http::ProcessClock;
 use gentian_http::forward::{CallLimits, ConnectionPool, HeaderList, PooledClient, RequestHead};
 use rustix::process::Signal;
 
 use crate::call_record::{CallOutcome, CallRecord};
 use crate::config_probe::ConfigLog;
+use crate::contact_log::ContactLog;
 use crate::fleet_layout::{
     CRASH_PART, ENTRY_MEMORY_MB, FIRST_VERSION, FleetLayout, MODELS, VERSION_STEP, zone_name,
 };
 use crate::loopback_proxy::{LinkMode, LoopbackProxy};
 use crate::process_set::ProcessSet;
 use crate::soak_caller::SoakCaller;
-use crate::soak_check::{ExpectedService, check_crashes, check_limits, check_run};
+use crate::soak_check::{ExpectedService, check_crashes, check_drains, check_limits, check_run};
 use crate::soak_fault::{PlannedFault, SoakFault, draw_faults};
 use crate::{SoakReport, SoakSettings};
 
@@ -48,6 +49,8 @@
     disturbed_until: Vec<Instant>,
     version: u64,
     config_log: Arc<ConfigLog>,
+    contact_log: ContactLog,
+    evacuated: FastSet<&'static str>,
 }
 
 #[derive(Clone, Debug)]
@@ -55,6 +58,7 @@
     Resume(String),
     RestoreLink(Option<usize>),
     ReopenZone(&'static str),
+    RewriteRecords,
 }
 
 /// Runs the fleet with callers, injects the faults of the seed and checks the guarantees.
@@ -106,7 +110,8 @@
         .collect();
     let final_records: Vec<CallRecord> =
         records.iter().filter(|record| record.sent >= recovered_at).cloned().collect();
-    let outdated = fleet.config_log.check(&records);
+    let outdated = ConfigLog::check(&records, &fleet.contact_log);
+    let drained = check_drains(&settings.folder, &fleet.contact_log)?;
     let over_memory = fleet.check_memory();
     fleet.stop();
     let expected_service = match settings.request_limit {
@@ -121,6 +126,7 @@
     report.violations.extend(check_crashes(&settings.folder, faults_ended_at)?);
     report.violations.extend(overdue);
     report.violations.extend(outdated);
+    report.violations.extend(drained);
     report.violations.extend(over_memory);
     Ok(report)
 }
@@ -153,6 +159,8 @@
             disturbed_until: vec![now; settings.entries],
             version: FIRST_VERSION,
             config_log: Arc::default(),
+            contact_log: ContactLog::default(),
+            evacuated: FastSet::default(),
         };
         fleet.retry(|fleet| fleet.layout.publish(FIRST_VERSION))?;
         for entry in 0..settings.entries {
@@ -233,14 +241,18 @@
                 self.links[replica].set_mode(mode);
                 self.pending.push((now + span, FaultEnd::RestoreLink(Some(replica))));
             }
+            SoakFault::StopReplica(replica) => {
+                self.processes.signal(&format!("replica-{replica}"), Signal::TERM);
+            }
+            SoakFault::RestoreStore(age, down) => self.restore_store(age, down),
             SoakFault::HarmStoreLink(mode, span) => {
-                self.config_log.record_disturbance(None, now, span);
+                self.contact_log.record(None, now, span);
                 self.store_link.set_mode(mode);
                 self.pending.push((now + span, FaultEnd::RestoreLink(None)));
             }
             SoakFault::StoreDown(span) => {
                 let millis = span.as_millis() as u64;
-                self.config_log.record_disturbance(None, now, span);
+                self.contact_log.record(None, now, span);
                 self.set_fault(self.layout.store_address(), "down", ("millis", millis));
             }
             SoakFault::LoseStoreAnswers(count) => {
@@ -248,6 +260,7 @@
             }
             SoakFault::Publish => self.publish(),
             SoakFault::Evacuate(zone, span) => {
+                self.evacuated.insert(zone);
                 log_failure("evacuation", self.layout.set_evacuated(zone, true));
                 self.pending.push((now + span, FaultEnd::ReopenZone(zone)));
             }
@@ -273,6 +286,25 @@
             .collect()
     }
 
+    /// Takes the store down, and has it come back from a copy. The operators then write again what
+    /// they wrote.
+    fn restore_store(&mut self, age: Duration, down: Duration) {
+        let now = Instant::now();
+        self.contact_log.record(None, now, down);
+        let millis = down.as_millis() as u64;
+        self.set_fault(self.layout.store_address(), "down", ("millis", millis));
+        log_failure("restoration", self.layout.restore_store(age));
+        self.pending.push((now + down, FaultEnd::RewriteRecords));
+    }
+
+    fn rewrite_records(&self) -> eyre::Result<()> {
+        self.layout.publish(self.version)?;
+        for zone in ["north", "south"] {
+            self.layout.set_evacuated(zone, self.evacuated.contains(zone))?;
+        }
+        Ok(())
+    }
+
     fn publish(&mut self) {
         self.version += VERSION_STEP as u64;
         match self.layout.publish(self.version) {
@@ -285,7 +317,7 @@
     fn disturb(&mut self, entry: usize, span: Duration) {
         let now = Instant::now();
         self.disturbed_until[entry] = now + span;
-        self.config_log.record_disturbance(Some(entry), now, span);
+        self.contact_log.record(Some(entry), now, span);
     }
 
     fn kill_entry(&mut self, entry: usize) {
@@ -328,15 +360,24 @@
             FaultEnd::RestoreLink(Some(replica)) => self.links[replica].set_mode(LinkMode::Pass),
             FaultEnd::RestoreLink(None) => self.store_link.set_mode(LinkMode::Pass),
             FaultEnd::ReopenZone(zone) => {
-                // While the store is down the zone stays evacuated; tries again later.
+                self.evacuated.remove(zone);
+                // While the store is down the zone stays evacuated.
                 if self.layout.set_evacuated(zone, false).is_err() {
-                    let later = Instant::now() + POLL_INTERVAL * 4;
-                    self.pending.push((later, FaultEnd::ReopenZone(zone)));
+                    self.restore_later(FaultEnd::ReopenZone(zone));
+                }
+            }
+            FaultEnd::RewriteRecords => {
+                if self.rewrite_records().is_err() {
+                    self.restore_later(FaultEnd::RewriteRecords);
                 }
             }
         }
     }
 
+    fn restore_later(&mut self, pending: FaultEnd) {
+        self.pending.push((Instant::now() + POLL_INTERVAL * 4, pending));
+    }
+
     fn stop(self) {
         drop(self.processes);
         self.links.into_iter().for_each(LoopbackProxy::join);
--- a/crates/gentian-standin/src/commands/fleet_replica.rs
+++ b/crates/gentian-standin/src/commands/fleet_replica.rs
@@ -2,6 +2,7 @@
 
 use std::fs::File;
 use std::io::Write;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -17,6 +18,8 @@
 use crate::shared::{FaultName, FaultSwitch};
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
+/// Time for which a replica serves after the store has accepted that it is leaving.
+const DRAIN_TIME: Duration = Duration::from_millis(4_500);
 /// Time to live of the registration after its last heartbeat.
 const LEASE_MILLIS: u64 = 1_000;
 const STORE_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
@@ -40,6 +43,7 @@
     journal: Mutex<File>,
     faults: FaultSwitch,
     clock: ProcessClock,
+    is_draining: AtomicBool,
 }
 
 /// Runs a replica until the process receives a stop signal.
@@ -57,16 +61,21 @@
         faults: FaultSwitch::default(),
         settings,
         clock,
+        is_draining: AtomicBool::new(false),
     });
     let shared = Arc::clone(&replica);
-    let thread = serve_requests(address, signal.flag(), clock, move |request, stream| {
+    let server_must_end = Arc::new(AtomicBool::new(false));
+    let end = Arc::clone(&server_must_end);
+    let thread = serve_requests(address, end, clock, move |request, stream| {
         shared.handle_request(request, stream)
     })?;
     log::info!("{} address={address} id={}", EventCode::PROCESS_STARTED, replica.id);
-    while !signal.flag().load(std::sync::atomic::Ordering::Acquire) {
+    while !signal.flag().load(Ordering::Acquire) {
         replica.register();
         std::thread::sleep(HEARTBEAT_INTERVAL);
     }
+    replica.drain();
+    server_must_end.store(true, Ordering::Release);
     signal.join();
     join_threads([thread]);
     Ok(())
@@ -309,8 +318,24 @@
         stream.write_all(bytes, self.clock.now() + WRITE_TIMEOUT).is_ok()
     }
 
-    /// Writes the registration under a new lease.
-    fn register(&self) {
+    /// Serves for a while after the store has accepted that the replica is leaving, or was asked in
+    /// vain for as long.
+    fn drain(&self) {
+        self.is_draining.store(true, Ordering::Release);
+        let mut end = Instant::now() + DRAIN_TIME;
+        while !self.register() && Instant::now() < end {
+            std::thread::sleep(HEARTBEAT_INTERVAL);
+        }
+        self.record("draining", "", &format!("at={}", unix_millis()));
+        end = Instant::now() + DRAIN_TIME;
+        while Instant::now() < end {
+            std::thread::sleep(HEARTBEAT_INTERVAL);
+            self.register();
+        }
+    }
+
+    /// Writes the registration under a new lease; returns whether the store accepted it.
+    fn register(&self) -> bool {
         let mut record = self.state().loaded_models(Instant::now());
         if self.settings.memory == 0 {
             record = json!({});
@@ -321,13 +346,16 @@
         record["zone"] = json!(zone);
         record["version"] = json!("v1");
         record["slots"] = json!(self.settings.slots);
-        record["state"] = json!("ready");
+        let is_draining = self.is_draining.load(Ordering::Acquire);
+        record["state"] = json!(if is_draining { "draining" } else { "ready" });
         record["cold_remaining_ms"] = json!(0);
         record["born"] = json!(self.incarnation);
         record["sequence"] = json!(0);
-        if let Err(error) = self.write_registration(&record) {
+        let result = self.write_registration(&record);
+        if let Err(error) = &result {
             log::debug!("registration not renewed: {error:#}");
         }
+        result.is_ok()
     }
 
     fn write_registration(&self, record: &Value) -> eyre::Result<()> {
@@ -342,7 +370,9 @@
             "lease": lease["lease"],
         });
         let change = json!({ "expected": [], "writes": [write], "remove": [] }).to_string();
-        client.call_and_read("POST", "/-/kv-txn", change.as_bytes(), MAX_RESPONSE_BYTES)?;
+        let (status, _) =
+            client.call_and_read("POST", "/-/kv-txn", change.as_bytes(), MAX_RESPONSE_BYTES)?;
+        eyre::ensure!(status == 200, "the store responded with status {status}");
         Ok(())
     }
 
--- a/crates/gentian-standin/src/commands/fleet_store.rs
+++ b/crates/gentian-standin/src/commands/fleet_store.rs
@@ -7,7 +7,7 @@
 use argh::FromArgs;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use gentian_http::HttpRequest;
+use gentian_http::{HttpRequest, HttpResponse};
 use gentian_process::prefix_end;
 use gentian_wire::generated::key_value::{
     CompareTarget, CompareTargetResult, CompareTargetTarget, DeleteRequest, PutRequest,
@@ -17,8 +17,10 @@
 use serde_json::{Value, json};
 
 use crate::key_value::MemoryStore;
-use crate::shared::{FaultName, StandinServer, read_json, respond_json};
+use crate::shared::{FaultName, StandinServer, read_json};
 
+/// Era of a store that was never restored from a copy.
+const FIRST_ERA: u64 = 1;
 /// Longest time for which a watch occupies a thread.
 const MAX_WATCH_WAIT_MS: u64 = 30_000;
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(250);
@@ -63,6 +65,7 @@
         store.count_call();
         let path = request.path().to_owned();
         match path.as_str() {
+            "/control/restore" => handle_restore(&store, request),
             "/-/kv-key" => handle_key(&store, request),
             "/-/kv-range" => handle_range(&store, request),
             "/-/kv-watch" => handle_watch(&store, server, request),
@@ -71,24 +74,42 @@
             _ => match path.rsplit_once('/') {
                 Some(("/-/kv-keep", id)) => {
                     let exists = id.parse().is_ok_and(|id| store.renew_lease(id).is_some());
-                    respond_json(request, if exists { 200 } else { 404 }, &json!({}));
+                    respond(&store, request, if exists { 200 } else { 404 }, &json!({}));
                 }
                 Some(("/-/kv-lease-end", id)) => {
                     let exists = id.parse().is_ok_and(|id| store.revoke_lease(id));
-                    respond_json(request, if exists { 200 } else { 404 }, &json!({}));
+                    respond(&store, request, if exists { 200 } else { 404 }, &json!({}));
                 }
-                _ => respond_json(request, 400, &json!({ "error": "unknown call" })),
+                _ => respond(&store, request, 400, &json!({ "error": "unknown call" })),
             },
         }
     })
 }
 
+/// Restores the store from the copy that was made `age_ms` ago.
+fn handle_restore(store: &MemoryStore, request: HttpRequest) {
+    let age = request.query("age_ms").and_then(|text| text.parse().ok()).unwrap_or(0);
+    store.restore(Duration::from_millis(age));
+    respond(store, request, 200, &json!({}));
+}
+
+/// Sends a JSON response with the era of the store.
+fn respond(store: &MemoryStore, request: HttpRequest, status: u16, body: &Value) {
+    let (_, restorations) = store.revision_and_restorations();
+    let response = HttpResponse::new(status)
+        .with_json(body.to_string().into_bytes())
+        .with_header("Store-Era", (FIRST_ERA + restorations).to_string());
+    if let Err(error) = request.respond(response) {
+        log::debug!("response not delivered: {error}");
+    }
+}
+
 fn handle_key(store: &MemoryStore, request: HttpRequest) {
     let key = request.query("key").unwrap_or("");
     let range = store.range(&RangeRequest { key: STANDARD.encode(key), range_end: None });
     match range.kvs.first().map(record_item) {
-        Some(item) => respond_json(request, 200, &item),
-        None => respond_json(request, 404, &json!({})),
+        Some(item) => respond(store, request, 200, &item),
+        None => respond(store, request, 404, &json!({})),
     }
 }
 
@@ -99,7 +120,7 @@
     let at = range.header.and_then(|header| header.revision).unwrap_or_default();
     let items: Vec<Value> = range.kvs.iter().map(record_item).collect();
     let at: u64 = at.parse().unwrap_or(0);
-    respond_json(request, 200, &json!({ "items": items, "truncated": false, "at": at }));
+    respond(store, request, 200, &json!({ "items": items, "truncated": false, "at": at }));
 }
 
 fn handle_watch(store: &MemoryStore, server: &StandinServer, request: HttpRequest) {
@@ -111,6 +132,9 @@
         range_end: Some(STANDARD.encode(prefix_end(&prefix))),
         start_revision: None,
     };
+    if after > store.revision_and_restorations().0 {
+        return respond(store, request, 410, &json!({}));
+    }
     let mut next_revision = after + 1;
     let mut events = Vec::new();
     let steps = wait / WATCH_POLL_INTERVAL.as_millis() as u64;
@@ -122,10 +146,15 @@
             break;
         }
         if server.faults.consume(FaultName::Down) {
-            return respond_json(request, 503, &json!({}));
+            return respond(store, request, 503, &json!({}));
         }
     }
-    respond_json(request, 200, &json!({ "events": events, "at": next_revision.saturating_sub(1) }));
+    respond(
+        store,
+        request,
+        200,
+        &json!({ "events": events, "at": next_revision.saturating_sub(1) }),
+    );
 }
 
 fn parse_events(line: &str) -> Vec<Value> {
@@ -142,7 +171,7 @@
 
 fn handle_transaction(store: &MemoryStore, server: &StandinServer, mut request: HttpRequest) {
     let Some(body) = read_json::<TransactionBody>(&mut request) else {
-        return respond_json(request, 400, &json!({}));
+        return respond(store, request, 400, &json!({}));
     };
     let compare = body.expected.iter().map(|row| CompareTarget {
         key: STANDARD.encode(&row.key),
@@ -170,14 +199,14 @@
     let revision = response.header.and_then(|header| header.revision).unwrap_or_default();
     let revision: u64 = revision.parse().unwrap_or(0);
     let status = if response.succeeded == Some(true) { 200 } else { 412 };
-    respond_json(request, status, &json!({ "revision": revision, "items": [] }));
+    respond(store, request, status, &json!({ "revision": revision, "items": [] }));
 }
 
 fn handle_lease(store: &MemoryStore, mut request: HttpRequest) {
     let body: Value = read_json(&mut request).unwrap_or_default();
     let millis = body["ttl_ms"].as_u64().unwrap_or(1_000).max(1_000);
     let lease = store.grant_lease(Duration::from_millis(millis));
-    respond_json(request, 200, &json!({ "lease": lease, "ttl_ms": millis }));
+    respond(store, request, 200, &json!({ "lease": lease, "ttl_ms": millis }));
 }
 
 fn record_item(record: &StoreRecord) -> Value {
--- a/crates/gentian-standin/src/key_value/memory_store.rs
+++ b/crates/gentian-standin/src/key_value/memory_store.rs
@@ -1,6 +1,6 @@
 //! In-memory key-value store with leases and a history of changes for watches.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::ops::Bound;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
@@ -31,15 +31,29 @@
     value: Option<String>,
 }
 
-#[derive(Debug, Default)]
-struct StoreState {
+/// What a copy of the store holds.
+#[derive(Clone, Debug, Default)]
+struct StoreContent {
     records: BTreeMap<KeyBytes, StoredRecord>,
     revision: u64,
-    history: Vec<StoreChange>,
     leases: BTreeMap<u64, (Duration, Instant)>,
     next_lease: u64,
 }
 
+#[derive(Debug, Default)]
+struct StoreState {
+    content: StoreContent,
+    history: Vec<StoreChange>,
+    /// Copies with the time at which each was made.
+    copies: VecDeque<(Instant, StoreContent)>,
+    /// Number of times that the store was restored from a copy.
+    restorations: u64,
+}
+
+/// Interval between copies, and for how long they are kept.
+const COPY_INTERVAL: Duration = Duration::from_millis(100);
+const COPY_MEMORY: Duration = Duration::from_secs(20);
+
 /// Result of one wait of a watch.
 pub(crate) struct WatchBatch {
     /// Revision from which the watch continues.
@@ -78,7 +92,8 @@
         let state = self.lock();
         let start = decode(&request.key);
         let end = request.range_end.as_deref().map(decode);
-        let records = state.records.range((Bound::Included(start.clone()), Bound::Unbounded));
+        let records =
+            state.content.records.range((Bound::Included(start.clone()), Bound::Unbounded));
         let records = records.take_while(|(key, _)| match &end {
             Some(end) => *key < end,
             None => **key == start,
@@ -89,38 +104,63 @@
             mod_revision: Some(record.revision.to_string()),
             lease: record.lease.map(|lease| lease.to_string()),
         });
-        RangeResponse { header: header(state.revision), kvs: kvs.collect() }
+        RangeResponse { header: header(state.content.revision), kvs: kvs.collect() }
     }
 
     /// Applies the writes of a transaction if all of its comparisons hold.
     pub(crate) fn transact(&self, request: &TxnRequest) -> TxnResponse {
         let mut state = self.lock();
         let is_met = request.compare.iter().all(|target| {
-            let record = state.records.get(&decode(&target.key));
+            let record = state.content.records.get(&decode(&target.key));
             record.map_or(0, |record| record.revision).to_string() == target.mod_revision
         });
         if is_met {
             self.writes.fetch_add(1, Ordering::Relaxed);
-            state.revision += 1;
+            state.make_copy();
+            state.content.revision += 1;
             request.success.iter().for_each(|op| state.apply(op));
             self.changed.notify_all();
         }
-        TxnResponse { header: header(state.revision), succeeded: Some(is_met) }
+        TxnResponse { header: header(state.content.revision), succeeded: Some(is_met) }
+    }
+
+    /// Replaces the content by a copy that was made at least `age` ago, or by the oldest one. Later
+    /// changes and leases are lost, and their numbers are given out again.
+    pub(crate) fn restore(&self, age: Duration) {
+        let mut state = self.lock();
+        let now = Instant::now();
+        let is_old = |(time, _): &&(Instant, StoreContent)| now.duration_since(*time) >= age;
+        let copy = state.copies.iter().rev().find(is_old).or(state.copies.front()).cloned();
+        if let Some((_, mut content)) = copy {
+            content.leases.values_mut().for_each(|(ttl, end)| *end = now + *ttl);
+            let revision = content.revision;
+            state.history.retain(|change| change.revision <= revision);
+            state.content = content;
+        }
+        state.copies.clear();
+        state.restorations += 1;
+        self.changed.notify_all();
+    }
+
+    /// Returns the revision, and the number of times that the store was restored from a copy.
+    pub(crate) fn revision_and_restorations(&self) -> (u64, u64) {
+        let state = self.lock();
+        (state.content.revision, state.restorations)
     }
 
     /// Grants a lease and returns its id.
     pub(crate) fn grant_lease(&self, ttl: Duration) -> u64 {
         let mut state = self.lock();
-        state.next_lease += 1;
-        let id = state.next_lease;
-        state.leases.insert(id, (ttl, Instant::now() + ttl));
+        state.content.next_lease += 1;
+        let id = state.content.next_lease;
+        state.content.leases.insert(id, (ttl, Instant::now() + ttl));
         id
     }
 
     /// Renews a lease and returns its time to live in seconds, or `None` if it does not exist.
     pub(crate) fn renew_lease(&self, id: u64) -> Option<u64> {
         let mut state = self.lock();
-        let (ttl, end) = state.leases.get_mut(&id)?;
+        let (ttl, end) = state.content.leases.get_mut(&id)?;
         *end = Instant::now() + *ttl;
         Some(ttl.as_secs())
     }
@@ -128,7 +168,7 @@
     /// Revokes a lease and deletes its records. Returns whether the lease existed.
     pub(crate) fn revoke_lease(&self, id: u64) -> bool {
         let mut state = self.lock();
-        let lease = state.leases.get_mut(&id);
+        let lease = state.content.leases.get_mut(&id);
         let exists = lease.map(|(_, end)| *end = Instant::now()).is_some();
         state.expire_leases();
         self.changed.notify_all();
@@ -138,7 +178,7 @@
     /// Returns the first response line of a watch, which confirms its creation.
     pub(crate) fn watch_created_line(&self) -> Option<String> {
         let result = WatchResult {
-            header: header(self.lock().revision),
+            header: header(self.lock().content.revision),
             created: Some(true),
             events: Vec::new(),
         };
@@ -153,7 +193,7 @@
         wait: Duration,
     ) -> WatchBatch {
         let mut state = self.lock();
-        if state.revision < next_revision.max(1) {
+        if state.content.revision < next_revision.max(1) {
             let waited = self.changed.wait_timeout(state, wait);
             state = waited.unwrap_or_else(PoisonError::into_inner).0;
         }
@@ -165,11 +205,11 @@
         let first = state.history.partition_point(|record| record.revision < next_revision);
         let records = state.history[first..].iter().filter(|record| is_watched(&record.key));
         let events: Vec<WatchEvent> = records.map(StoreChange::event).collect();
-        let next_revision = next_revision.max(state.revision + 1);
+        let next_revision = next_revision.max(state.content.revision + 1);
         if events.is_empty() {
             return WatchBatch { next_revision, line: None };
         }
-        let result = WatchResult { header: header(state.revision), created: None, events };
+        let result = WatchResult { header: header(state.content.revision), created: None, events };
         WatchBatch { next_revision, line: to_line(WatchResponse { result }) }
     }
 
@@ -181,14 +221,32 @@
 }
 
 impl StoreState {
+    fn make_copy(&mut self) {
+        let now = Instant::now();
+        if self.copies.back().is_some_and(|(time, _)| now.duration_since(*time) < COPY_INTERVAL) {
+            return;
+        }
+        let is_expired =
+            |(time, _): &(Instant, StoreContent)| now.duration_since(*time) > COPY_MEMORY;
+        while self.copies.front().is_some_and(is_expired) {
+            self.copies.pop_front();
+        }
+        self.copies.push_back((now, self.content.clone()));
+    }
+
     fn apply(&mut self, op: &RequestOp) {
         if let Some(put) = &op.request_put {
             let lease = put.lease.as_deref().and_then(|lease| lease.parse().ok());
             let value = put.value.clone().unwrap_or_default();
-            let record = StoredRecord { value: value.clone(), revision: self.revision, lease };
+            let record =
+                StoredRecord { value: value.clone(), revision: self.content.revision, lease };
             let key = decode(&put.key);
-            self.records.insert(key.clone(), record);
-            self.history.push(StoreChange { revision: self.revision, key, value: Some(value) });
+            self.content.records.insert(key.clone(), record);
+            self.history.push(StoreChange {
+                revision: self.content.revision,
+                key,
+                value: Some(value),
+            });
         }
         if let Some(delete) = &op.request_delete_range {
             self.delete(decode(&delete.key));
@@ -196,19 +254,21 @@
     }
 
     fn delete(&mut self, key: KeyBytes) {
-        if self.records.remove(&key).is_some() {
-            self.history.push(StoreChange { revision: self.revision, key, value: None });
+        if self.content.records.remove(&key).is_some() {
+            self.history.push(StoreChange { revision: self.content.revision, key, value: None });
         }
     }
 
     fn expire_leases(&mut self) {
         let now = Instant::now();
-        let ended = self.leases.iter().filter(|(_, (_, end))| *end <= now).map(|(id, _)| *id);
+        let ended =
+            self.content.leases.iter().filter(|(_, (_, end))| *end <= now).map(|(id, _)| *id);
         for lease in ended.collect::<Vec<u64>>() {
-            self.leases.remove(&lease);
-            let records = self.records.iter().filter(|(_, record)| record.lease == Some(lease));
+            self.content.leases.remove(&lease);
+            let records =
+                self.content.records.iter().filter(|(_, record)| record.lease == Some(lease));
             let keys: Vec<KeyBytes> = records.map(|(key, _)| key.clone()).collect();
-            self.revision += 1;
+            self.content.revision += 1;
             keys.into_iter().for_each(|key| self.delete(key));
         }
     }
--- a/crates/gentian-standin/src/shared/standin_server.rs
+++ b/crates/gentian-standin/src/shared/standin_server.rs
@@ -49,7 +49,9 @@
         match request.path() {
             "/control/journal" => respond_json(request, 200, &self.journal.entries()),
             "/control/fault" => self.set_fault(request),
-            _ if self.faults.consume(FaultName::Down) => send(request, HttpResponse::new(503)),
+            path if !path.starts_with("/control/") && self.faults.consume(FaultName::Down) => {
+                send(request, HttpResponse::new(503));
+            }
             _ => {
                 if self.faults.consume(FaultName::Slow) {
                     std::thread::sleep(SLOW_DELAY);
