Order what is read from the store by the era that it names

Callers' requests reached upstreams whose draining had been acknowledged over two seconds before. After the store had been restored from a copy its revisions went back, and whatever compared two of them took what was read for older than what was known: readers dropped whole lists, the table single registrations, entries the new hub, whose fencing number is a revision. Leases and conditions held numbers that meant something else by then.

A revision carries the era of the response that named it, in its upper bits; the order of revisions, what entries send each other, and fencing numbers follow from that. Once records of a later era are believed, copies are too: a registration from before its upstream left counts only when copies have expired. An outage that is no restoration has no new era, and nothing changes.

--- a/crates/gentian-controller/src/io/io_threads.rs
+++ b/crates/gentian-controller/src/io/io_threads.rs
@@ -6,7 +6,7 @@
 use flume::Sender;
 use gentian_config::{ConfigSet, UpstreamSpec};
 use gentian_core::peer::{SeatId, SeatRecord};
-use gentian_core::{MonoTime, SequenceNumber};
+use gentian_core::{MonoTime, StoreRevision};
 use gentian_decide::placement::{OrderOutcome, PlacementOrder};
 use gentian_decide::seat::WriteOutcome;
 use gentian_http::WorkerPool;
@@ -70,7 +70,7 @@
     pub(crate) fn write_seat(
         &mut self,
         record: SeatRecord,
-        expected: SequenceNumber,
+        expected: StoreRevision,
         is_new_holder: bool,
     ) {
         let (store, control, seat) = (self.store.clone(), self.control.clone(), record.seat);
--- a/crates/gentian-core/src/ids.rs
+++ b/crates/gentian-core/src/ids.rs
@@ -65,13 +65,14 @@
     "fencing number"
 );
 number_newtype!(
-    /// Number of a lease in the key-value service.
-    LeaseId,
-    "lease number"
+    /// Era of the key-value service: it rises each time the service is restored from a copy. Zero
+    /// stands for a service that names no era.
+    StoreEra,
+    "era"
 );
 number_newtype!(
     /// Number in an ascending sequence: of messages, queries, grants, renewals of a lease, or
-    /// revisions of a view or of records.
+    /// revisions of a view.
     SequenceNumber,
     "sequence number"
 );
--- a/crates/gentian-core/src/lib.rs
+++ b/crates/gentian-core/src/lib.rs
@@ -5,11 +5,13 @@
 mod event_code;
 mod fast_map;
 mod ids;
+mod lease_id;
 mod mono_time;
 mod newtypes;
 mod parse_error;
 pub mod peer;
 mod request_rate;
+mod store_revision;
 mod time_span;
 mod token_amounts;
 
@@ -17,12 +19,14 @@
 pub use event_code::{EVENT_CATALOGUE, EventCode, EventInfo};
 pub use fast_map::{FastMap, FastSet};
 pub use ids::{
-    AdapterId, BootId, ConfigVersion, DomainId, FenceNumber, InstanceId, KeyDigest, KeyId, LeaseId,
-    ModelId, OrderId, OrganisationId, PartId, PublicationId, RequestId, RouteId, SequenceNumber,
-    ServiceId, ShardNumber, UpstreamId, VmId,
+    AdapterId, BootId, ConfigVersion, DomainId, FenceNumber, InstanceId, KeyDigest, KeyId, ModelId,
+    OrderId, OrganisationId, PartId, PublicationId, RequestId, RouteId, SequenceNumber, ServiceId,
+    ShardNumber, StoreEra, UpstreamId, VmId,
 };
+pub use lease_id::LeaseId;
 pub use mono_time::MonoTime;
 pub use parse_error::ParseError;
 pub use request_rate::RequestRate;
+pub use store_revision::StoreRevision;
 pub use time_span::TimeSpan;
 pub use token_amounts::{SlotCount, TokenCount, TokenRate};
--- a/crates/gentian-core/src/peer/fleet_message.rs
+++ b/crates/gentian-core/src/peer/fleet_message.rs
@@ -10,7 +10,7 @@
 };
 use crate::{
     DomainId, FenceNumber, InstanceId, ModelId, OrganisationId, SequenceNumber, ServiceId,
-    SlotCount, TimeSpan, UpstreamId, VmId,
+    SlotCount, StoreRevision, TimeSpan, UpstreamId, VmId,
 };
 
 /// A message between an entry and the hub.
@@ -145,7 +145,7 @@
     pub upstream: UpstreamId,
     /// Revision of the registration in the key-value service.
     #[serde(rename = "stored")]
-    pub revision: SequenceNumber,
+    pub revision: StoreRevision,
     /// Incarnation of the upstream, as stated in its registration.
     #[serde(rename = "born")]
     pub incarnation: u64,
--- a/crates/gentian-core/src/peer/operator_notice.rs
+++ b/crates/gentian-core/src/peer/operator_notice.rs
@@ -2,12 +2,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::SequenceNumber;
+use crate::StoreRevision;
 
 /// States how recent the operators' records are that the hub has read, so that an entry whose watch
 /// is never answered reads them again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OperatorNotice {
     /// Revision of the newest of these records.
-    pub revision: SequenceNumber,
+    pub revision: StoreRevision,
 }
--- a/crates/gentian-decide/src/orders/holder_lease.rs
+++ b/crates/gentian-decide/src/orders/holder_lease.rs
@@ -1,6 +1,6 @@
 //! Lease of the key-value service whose holder may give orders to engines.
 
-use gentian_core::{FenceNumber, InstanceId, LeaseId, MonoTime, SequenceNumber, TimeSpan, VmId};
+use gentian_core::{FenceNumber, InstanceId, LeaseId, MonoTime, StoreRevision, TimeSpan, VmId};
 use serde::{Deserialize, Serialize};
 
 /// TTL of the lease, counted from its last renewal.
@@ -51,10 +51,10 @@
     Granted(LeaseId),
     /// This process is the holder, with this revision of the record; the flag tells whether the
     /// record of a predecessor was found.
-    Taken(SequenceNumber, bool),
+    Taken(StoreRevision, bool),
     /// This process is the holder, with this revision of the record, after a holder that has
     /// stopped.
-    TakenOver(SequenceNumber),
+    TakenOver(StoreRevision),
     /// The lease was renewed.
     Renewed,
     /// Another process is the holder, or the lease has ended.
@@ -137,12 +137,12 @@
                 let elapsed = LEASE_TTL.saturating_sub(ACTIVE_TIME);
                 let delay = self.takeover_delay.saturating_sub(elapsed) + ORDER_MARGIN;
                 let active_from = if had_holder { sent + delay } else { sent };
-                let fence = FenceNumber::new(revision.get());
+                let fence = revision.fence();
                 self.state = LeaseState::Held { lease, fence, renewed: granted, active_from };
                 return true;
             }
             (LeaseState::Granted(lease, granted), LeaseReply::TakenOver(revision)) => {
-                let fence = FenceNumber::new(revision.get());
+                let fence = revision.fence();
                 self.handover = None;
                 self.state = LeaseState::Held { lease, fence, renewed: granted, active_from: sent };
                 return true;
--- a/crates/gentian-decide/src/seat/seat_action.rs
+++ b/crates/gentian-decide/src/seat/seat_action.rs
@@ -1,6 +1,6 @@
 //! Actions that a seat election requests from its process.
 
-use gentian_core::SequenceNumber;
+use gentian_core::StoreRevision;
 use gentian_core::peer::{SeatElector, SeatQuery, SeatRecord};
 
 /// An action of a seat election. At most one read or write is open at a time.
@@ -14,7 +14,7 @@
         /// The new record.
         record: SeatRecord,
         /// Revision on which the write depends.
-        expected: SequenceNumber,
+        expected: StoreRevision,
     },
     /// Send a query to an elector.
     Query {
@@ -29,7 +29,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteOutcome {
     /// The write took effect with this revision.
-    Applied(SequenceNumber),
+    Applied(StoreRevision),
     /// Nothing was written, for example because the record has another revision.
     NotApplied,
     /// No response arrived. The write may have taken effect or may do so later.
--- a/crates/gentian-decide/src/seat/seat_election.rs
+++ b/crates/gentian-decide/src/seat/seat_election.rs
@@ -1,7 +1,7 @@
 //! Participation of one process in the election of the holder of one seat.
 
 use gentian_core::peer::{SeatElector, SeatId, SeatQuery, SeatRecord, SeatReply};
-use gentian_core::{FastMap, FastSet, FenceNumber, MonoTime, SequenceNumber, VmId};
+use gentian_core::{FastMap, FastSet, FenceNumber, MonoTime, SequenceNumber, StoreRevision, VmId};
 
 use super::held_seat::HeldSeat;
 use super::{
@@ -234,7 +234,7 @@
             renewal: SequenceNumber::default(),
             electors: choose_electors(self.seat, &self.own, &[], candidates),
         };
-        SeatAction::Write { record, expected: SequenceNumber::default() }
+        SeatAction::Write { record, expected: StoreRevision::default() }
     }
 
     /// Returns the record with which the holder renews or releases the seat.
@@ -268,7 +268,7 @@
         has_contact && (is_unchanged || record.holder.is_none())
     }
 
-    fn handle_applied(&mut self, write: OpenWrite, revision: SequenceNumber, now: MonoTime) {
+    fn handle_applied(&mut self, write: OpenWrite, revision: StoreRevision, now: MonoTime) {
         let had_contact = self.contact.has_lasted(self.times.grace, now);
         self.contact.record_response(now);
         self.highest_fence = self.highest_fence.max(write.record.fence);
--- a/crates/gentian-decide/src/seat/stored_seat.rs
+++ b/crates/gentian-decide/src/seat/stored_seat.rs
@@ -1,6 +1,6 @@
 //! A seat record as stored in the key-value service.
 
-use gentian_core::SequenceNumber;
+use gentian_core::StoreRevision;
 use gentian_core::peer::SeatRecord;
 
 /// A seat record with the revision of its last change.
@@ -9,5 +9,5 @@
     /// The record.
     pub record: SeatRecord,
     /// Revision of its last change.
-    pub revision: SequenceNumber,
+    pub revision: StoreRevision,
 }
--- a/crates/gentian-decide/src/serving/fleet_hub.rs
+++ b/crates/gentian-decide/src/serving/fleet_hub.rs
@@ -6,7 +6,7 @@
 };
 use gentian_core::{
     FastMap, FastSet, FenceNumber, InstanceId, MonoTime, OrganisationId, SequenceNumber, ServiceId,
-    TimeSpan, UpstreamId, VmId,
+    StoreRevision, TimeSpan, UpstreamId, VmId,
 };
 
 use super::RevisedMap;
@@ -183,7 +183,7 @@
     pub fn update_listings(
         &mut self,
         listings: impl Iterator<Item = UpstreamListing>,
-        revision: SequenceNumber,
+        revision: StoreRevision,
         now: MonoTime,
     ) {
         self.listings_time = now;
--- a/crates/gentian-decide/src/serving/serving_bounds.rs
+++ b/crates/gentian-decide/src/serving/serving_bounds.rs
@@ -32,6 +32,8 @@
     pub config_delay: TimeSpan,
     /// Time after which a draining upstream gets no more requests.
     pub drain_time: TimeSpan,
+    /// Time after which the registration of an upstream that writes it no more expires.
+    pub registration_ttl: TimeSpan,
     /// Time between SIGTERM and SIGKILL.
     pub shutdown_grace: TimeSpan,
 }
--- a/crates/gentian-decide/src/serving/upstream_registration.rs
+++ b/crates/gentian-decide/src/serving/upstream_registration.rs
@@ -4,7 +4,7 @@
 
 use gentian_core::peer::UpstreamListing;
 use gentian_core::{
-    AdapterId, DomainId, ModelId, SequenceNumber, ServiceId, SlotCount, TimeSpan, UpstreamId,
+    AdapterId, DomainId, ModelId, ServiceId, SlotCount, StoreRevision, TimeSpan, UpstreamId,
 };
 
 /// Whether an upstream accepts requests.
@@ -25,7 +25,7 @@
     /// Name of the upstream.
     pub id: UpstreamId,
     /// Revision of the record in the key-value service; an older record never replaces a newer one.
-    pub revision: SequenceNumber,
+    pub revision: StoreRevision,
     /// Start time of the upstream in Unix milliseconds of its own clock; only compared for
     /// equality, to tell restarts apart.
     pub incarnation: u64,
@@ -47,7 +47,7 @@
 
 impl UpstreamRegistration {
     /// Sets the revision of the registration.
-    pub fn with_revision(self, revision: SequenceNumber) -> Self {
+    pub fn with_revision(self, revision: StoreRevision) -> Self {
         Self { revision, ..self }
     }
 
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -6,14 +6,14 @@
 use gentian_config::serving::{ServiceSpec, ServingConfig};
 use gentian_core::peer::{LimitNotice, ResidentModels, UpstreamListing, UpstreamWork};
 use gentian_core::{
-    DomainId, FastMap, FastSet, InstanceId, MonoTime, RequestRate, SequenceNumber, ServiceId,
+    DomainId, FastMap, FastSet, InstanceId, MonoTime, RequestRate, ServiceId, StoreRevision,
     TimeSpan, UpstreamId,
 };
 
 use super::selection_cost::{hash_of, selection_cost};
 use super::{
-    AttemptOutcome, LimitedCapacity, PickOutcome, PrefillTime, ServingBounds, ServingCall,
-    UpstreamPick, UpstreamRegistration, UpstreamRow, UpstreamState,
+    AttemptOutcome, DepartureLog, LimitedCapacity, PickOutcome, PrefillTime, ServingBounds,
+    ServingCall, UpstreamPick, UpstreamRegistration, UpstreamRow, UpstreamState,
 };
 use crate::limits::{PermitClient, PermitState};
 
@@ -42,6 +42,7 @@
     rows: FastMap<UpstreamId, UpstreamRow>,
     prefill_times: FastMap<ServiceId, PrefillTime>,
     drained_domains: FastSet<DomainId>,
+    departures: DepartureLog,
     /// Index of this entry in the order of VM names, and the number of entries.
     index_and_count: (u32, u32),
     /// When the hub last reported the work of the other entries.
@@ -61,6 +62,7 @@
             rows: FastMap::default(),
             prefill_times: FastMap::default(),
             drained_domains: FastSet::default(),
+            departures: DepartureLog::new(bounds.registration_ttl),
             index_and_count: (0, 1),
             remote_work_time: MonoTime::ORIGIN,
             hub: None,
@@ -87,9 +89,10 @@
     pub fn update_registrations(
         &mut self,
         registrations: Vec<UpstreamRegistration>,
-        revision: SequenceNumber,
+        revision: StoreRevision,
         now: MonoTime,
     ) {
+        self.departures.record_revision(revision, now);
         let listed: FastSet<UpstreamId> =
             registrations.iter().map(|registration| registration.id.clone()).collect();
         for (id, row) in &mut self.rows {
@@ -97,6 +100,7 @@
             if !listed.contains(id) && row.registration.revision <= revision {
                 row.registration.state = UpstreamState::Draining { remaining: None };
                 row.is_registered = false;
+                self.departures.record_departure(&row.registration, revision, now);
             }
         }
         for registration in registrations {
@@ -112,7 +116,26 @@
         }
     }
 
+    /// Returns whether a registration may be the copy of one from before its upstream left, since
+    /// the key-value service has just been restored.
+    pub fn is_outdated(&self, registration: &UpstreamRegistration, now: MonoTime) -> bool {
+        self.departures.is_outdated(registration, now)
+    }
+
     fn update_registration(&mut self, new: UpstreamRegistration, now: MonoTime) {
+        self.departures.record_revision(new.revision, now);
+        if self.departures.is_outdated(&new, now) {
+            return;
+        }
+        let known = self.rows.get(&new.id).map(|row| row.registration.revision);
+        if known.is_none_or(|known| known <= new.revision) {
+            match new.state {
+                UpstreamState::Ready => self.departures.remove(&new.id),
+                UpstreamState::Draining { .. } => {
+                    self.departures.record_departure(&new, new.revision, now);
+                }
+            }
+        }
         match self.rows.get_mut(&new.id) {
             Some(row) if new.revision < row.registration.revision => {}
             Some(row) if row.registration.incarnation == new.incarnation => row.update(new, now),
--- a/crates/gentian-decide/tests/engine_fleet/mod.rs
+++ b/crates/gentian-decide/tests/engine_fleet/mod.rs
@@ -15,7 +15,7 @@
 use gentian_core::peer::{EntryReport, LimitNotice, TargetId};
 use gentian_core::{
     ByteSize, FastMap, FenceNumber, InstanceId, ModelId, MonoTime, RequestId, RequestRate,
-    SequenceNumber, ServiceId, SlotCount, TimeSpan, TokenCount, UpstreamId,
+    SequenceNumber, ServiceId, SlotCount, StoreRevision, TimeSpan, TokenCount, UpstreamId,
 };
 use gentian_decide::limits::PermitLedger;
 use gentian_decide::orders::{EngineCall, FleetPlanner, OrderAction, OrderReply};
@@ -144,6 +144,7 @@
 
 pub(crate) fn bounds() -> ServingBounds {
     ServingBounds {
+        registration_ttl: TimeSpan::from_millis(3_600),
         retry_ratio: 0.2,
         extra_retries: 50.0,
         retry_window: TimeSpan::from_secs(10),
@@ -271,7 +272,7 @@
         let registrations =
             self.engines.keys().enumerate().map(|(number, id)| UpstreamRegistration {
                 id: id.clone(),
-                revision: SequenceNumber::default(),
+                revision: StoreRevision::default(),
                 incarnation: 1,
                 service: service(),
                 address: format!("10.0.{}.{}:80", number / 250, number % 250 + 1).parse().unwrap(),
@@ -283,7 +284,7 @@
             });
         self.table.update_registrations(
             registrations.collect(),
-            SequenceNumber::new(self.ticks),
+            StoreRevision::new(self.ticks),
             self.now,
         );
         self.planner.update_engines(&self.table, self.now);
--- a/crates/gentian-decide/tests/fleet_planner.rs
+++ b/crates/gentian-decide/tests/fleet_planner.rs
@@ -12,7 +12,7 @@
 use gentian_core::peer::{EntryReport, ServingDemand, TargetId};
 use gentian_core::{
     ByteSize, DomainId, FastMap, FenceNumber, InstanceId, ModelId, MonoTime, SequenceNumber,
-    ServiceId, SlotCount, TimeSpan, UpstreamId,
+    ServiceId, SlotCount, StoreRevision, TimeSpan, UpstreamId,
 };
 use gentian_decide::orders::{
     EngineCall, EngineOrder, EngineStateReport, FleetPlanner, OrderAction, OrderReply,
@@ -175,7 +175,7 @@
     fn registration(&self, number: usize) -> UpstreamRegistration {
         UpstreamRegistration {
             id: format!("engine-{number}").parse().unwrap(),
-            revision: SequenceNumber::default(),
+            revision: StoreRevision::default(),
             incarnation: self.engines[number].incarnation,
             service: service(),
             address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
@@ -234,7 +234,7 @@
             self.engines[number] = SimulatedEngine { incarnation, ..SimulatedEngine::default() };
         }
         let registrations = (0..ENGINES).map(|number| self.registration(number)).collect();
-        self.table.update_registrations(registrations, SequenceNumber::new(step), now);
+        self.table.update_registrations(registrations, StoreRevision::new(step), now);
         self.planner.update_engines(&self.table, now);
         if step.is_multiple_of(5) {
             self.report_demand(step, now);
--- a/crates/gentian-decide/tests/holder_lease.rs
+++ b/crates/gentian-decide/tests/holder_lease.rs
@@ -3,7 +3,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use gentian_core::{FenceNumber, LeaseId, MonoTime, SequenceNumber, TimeSpan};
+use gentian_core::{FenceNumber, LeaseId, MonoTime, StoreRevision, TimeSpan};
 use gentian_decide::orders::{HolderLease, LeaseReply, LeaseTask, OrderCooldowns};
 
 const START: MonoTime = MonoTime::from_millis(100_000);
@@ -18,7 +18,7 @@
     assert!(matches!(lease.next_task(true, now), Some(LeaseTask::Grant(_))));
     assert!(!lease.handle_reply(LeaseReply::Granted(LeaseId::new(5)), now));
     assert_eq!(lease.next_task(true, now), Some(LeaseTask::Take(LeaseId::new(5))));
-    assert!(lease.handle_reply(LeaseReply::Taken(SequenceNumber::new(40), had_holder), now));
+    assert!(lease.handle_reply(LeaseReply::Taken(StoreRevision::new(40), had_holder), now));
 }
 
 /// Renews the lease every 400 ms between these times, in milliseconds.
@@ -109,7 +109,7 @@
     assert!(!lease.handle_reply(LeaseReply::Granted(LeaseId::new(6)), at(10)));
     let task = lease.next_task(false, at(20));
     assert_eq!(task, Some(LeaseTask::TakeOver(LeaseId::new(6), FenceNumber::new(40))));
-    assert!(lease.handle_reply(LeaseReply::TakenOver(SequenceNumber::new(50)), at(20)));
+    assert!(lease.handle_reply(LeaseReply::TakenOver(StoreRevision::new(50)), at(20)));
     assert_eq!(lease.acting_fence(at(20)), Some(FenceNumber::new(50)));
 }
 
--- a/crates/gentian-decide/tests/seat_model/mod.rs
+++ b/crates/gentian-decide/tests/seat_model/mod.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use gentian_core::peer::{SeatElector, SeatId, SeatQuery, SeatRecord, SeatReply, SeatRole};
-use gentian_core::{FastSet, InstanceId, MonoTime, SequenceNumber, ShardNumber, TimeSpan, VmId};
+use gentian_core::{FastSet, InstanceId, MonoTime, ShardNumber, StoreRevision, TimeSpan, VmId};
 use gentian_decide::seat::{
     ElectorCandidate, SeatAction, SeatElection, SeatRules, StoredSeat, WriteOutcome,
 };
@@ -72,7 +72,7 @@
     processes: Vec<Process>,
     stored: Option<StoredSeat>,
     outage_until: MonoTime,
-    late_writes: BTreeMap<(MonoTime, u64), (SeatRecord, SequenceNumber)>,
+    late_writes: BTreeMap<(MonoTime, u64), (SeatRecord, StoreRevision)>,
     counter: u64,
 }
 
@@ -185,13 +185,13 @@
         }
     }
 
-    fn apply(&mut self, record: SeatRecord, expected: SequenceNumber) -> WriteOutcome {
-        let current = self.stored.as_ref().map_or(SequenceNumber::default(), |s| s.revision);
+    fn apply(&mut self, record: SeatRecord, expected: StoreRevision) -> WriteOutcome {
+        let current = self.stored.as_ref().map_or(StoreRevision::default(), |s| s.revision);
         if current != expected {
             return WriteOutcome::NotApplied;
         }
         self.counter += 1;
-        let revision = SequenceNumber::new(self.counter);
+        let revision = StoreRevision::new(self.counter);
         self.stored = Some(StoredSeat { record, revision });
         WriteOutcome::Applied(revision)
     }
@@ -246,7 +246,7 @@
         }
     }
 
-    fn carry_out_write(&mut self, i: usize, record: SeatRecord, expected: SequenceNumber) {
+    fn carry_out_write(&mut self, i: usize, record: SeatRecord, expected: StoreRevision) {
         if self.is_call_lost(i) {
             if self.chance(400) {
                 let at = self.now + self.span(6_000);
--- a/crates/gentian-entry/src/chain/intent_store.rs
+++ b/crates/gentian-entry/src/chain/intent_store.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use gentian_core::{RequestId, SequenceNumber, TimeSpan};
+use gentian_core::{RequestId, StoreRevision, TimeSpan};
 use gentian_process::{KeyValueError, KeyValueService, RecordKeys, ValueChange, WriteCondition};
 use gentian_wire::{decode_record, encode_record};
 use serde::{Deserialize, Serialize};
@@ -43,7 +43,7 @@
 pub(crate) struct IntentClaim {
     key: String,
     record: IntentRecord,
-    revision: SequenceNumber,
+    revision: StoreRevision,
 }
 
 /// Result of recording a call.
@@ -83,7 +83,7 @@
         let key = RecordKeys::intent(&route.id, organisation, &digest);
         let body_digest = *blake3::hash(&call.body).as_bytes();
         let record = IntentRecord { request: call.id(), body_digest, answer: None };
-        match self.write(&key, &record, SequenceNumber::default()) {
+        match self.write(&key, &record, StoreRevision::default()) {
             Ok(Some(revision)) => IntentOutcome::New(IntentClaim { key, record, revision }),
             Err(KeyValueError::NotExecuted(cause)) => IntentOutcome::Unavailable(cause),
             Ok(None) | Err(KeyValueError::Unknown(_)) => self.read_back(key, record),
@@ -121,8 +121,8 @@
         &self,
         key: &str,
         record: &IntentRecord,
-        revision: SequenceNumber,
-    ) -> Result<Option<SequenceNumber>, KeyValueError> {
+        revision: StoreRevision,
+    ) -> Result<Option<StoreRevision>, KeyValueError> {
         let value =
             encode_record(record).map_err(|error| KeyValueError::NotExecuted(error.to_string()))?;
         let condition = WriteCondition { key: key.to_owned(), revision };
--- a/crates/gentian-gateway/src/control/control_event.rs
+++ b/crates/gentian-gateway/src/control/control_event.rs
@@ -2,7 +2,7 @@
 
 use flume::Sender;
 use gentian_core::peer::FleetMessage;
-use gentian_core::{MonoTime, RequestId, RequestRate, SequenceNumber, UpstreamId};
+use gentian_core::{MonoTime, RequestId, RequestRate, StoreRevision, UpstreamId};
 use gentian_decide::orders::{EngineOrder, EngineStateReport, LeaseReply, OrderReply};
 use gentian_decide::request::Refusal;
 use gentian_decide::serving::{AttemptEnd, ServingCall, UpstreamPick};
@@ -28,7 +28,7 @@
         is_snapshot: bool,
     },
     /// All upstream registrations at the given revision.
-    Upstreams(Vec<StoredValue>, SequenceNumber),
+    Upstreams(Vec<StoredValue>, StoreRevision),
     /// All records that the entries of the fleet write.
     Fleet(Vec<StoredValue>),
 }
--- a/crates/gentian-gateway/src/control/control_state.rs
+++ b/crates/gentian-gateway/src/control/control_state.rs
@@ -7,7 +7,7 @@
 use gentian_config::serving::ServingConfig;
 use gentian_core::peer::HubHandover;
 use gentian_core::{
-    FastMap, FastSet, FenceNumber, InstanceId, MonoTime, PartId, RequestId, SequenceNumber, VmId,
+    FastMap, FastSet, FenceNumber, InstanceId, MonoTime, PartId, RequestId, StoreRevision, VmId,
 };
 use gentian_decide::limits::PermitLedger;
 use gentian_decide::orders::{FleetPlanner, HolderLease, LeaseTask};
@@ -97,7 +97,7 @@
     /// The hub to which this entry reports, with its fencing number.
     pub(crate) known_hub: Option<(VmId, FenceNumber)>,
     /// Revision of the newest record of the operators that this process has read.
-    pub(crate) operator_revision: SequenceNumber,
+    pub(crate) operator_revision: StoreRevision,
     /// Failure domains that operators have drained.
     pub(crate) drained: FastSet<gentian_core::DomainId>,
     /// Channels to the traffic threads of requests that wait for an assignment.
@@ -143,7 +143,7 @@
             is_stopping: false,
             entries: FastMap::default(),
             known_hub: None,
-            operator_revision: SequenceNumber::default(),
+            operator_revision: StoreRevision::default(),
             drained: FastSet::default(),
             stored_parts: FastSet::default(),
             quarantine_writes: parts.quarantine_writes,
--- a/crates/gentian-gateway/src/control/hub_controller.rs
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -29,7 +29,7 @@
                 entries.insert(entry.vm.clone(), entry);
             }
             Some(FleetRecord::Holder(record)) => {
-                holder = Some((record.vm, FenceNumber::new(value.revision.get())));
+                holder = Some((record.vm, value.revision.fence()));
             }
             Some(FleetRecord::PastHolder | FleetRecord::QuarantinedPart(_)) => {}
             None => log::warn!("ignored malformed record {}", value.key),
--- a/crates/gentian-gateway/src/control/upstream_controller.rs
+++ b/crates/gentian-gateway/src/control/upstream_controller.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use gentian_core::peer::UpstreamListing;
 use gentian_core::{EventCode, FastSet, MonoTime, UpstreamId};
 use gentian_decide::serving::{UpstreamRegistration, UpstreamState};
 
@@ -22,13 +23,16 @@
     }
     log_changes(state, &registrations);
     let has_upstreams = !registrations.is_empty();
+    state.table.update_registrations(registrations.clone(), *revision, now);
     if let Some(hub) = &mut state.hub {
         // A listing is the part of a registration that entries get from the hub.
-        let listings = registrations.iter().map(UpstreamRegistration::listing);
+        let table = &state.table;
+        let listings = registrations.iter().map(|registration| {
+            let is_outdated = table.is_outdated(registration, now);
+            let listing = registration.listing();
+            UpstreamListing { is_ready: listing.is_ready && !is_outdated, ..listing }
+        });
         hub.fleet_hub.update_listings(listings, *revision, now);
-    }
-    state.table.update_registrations(registrations, *revision, now);
-    if let Some(hub) = &mut state.hub {
         hub.planner.update_engines(&state.table, now);
         let planner = &hub.planner;
         hub.fleet_hub.retain_resident_models(|id| planner.has_engine(id));
--- a/crates/gentian-gateway/src/io/fleet_records.rs
+++ b/crates/gentian-gateway/src/io/fleet_records.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use gentian_core::{FenceNumber, LeaseId, PartId, SequenceNumber, TimeSpan, VmId};
+use gentian_core::{FenceNumber, LeaseId, PartId, StoreRevision, TimeSpan, VmId};
 use gentian_decide::orders::HolderRecord;
 use gentian_process::{KeyValueError, KeyValueService, StoredValue, ValueChange, WriteCondition};
 use gentian_wire::{decode_record, encode_record};
@@ -124,16 +124,17 @@
     record: &HolderRecord,
     lease: LeaseId,
     predecessor: Option<FenceNumber>,
-) -> Result<Option<SequenceNumber>, KeyValueError> {
+) -> Result<Option<StoreRevision>, KeyValueError> {
     let (holder, past) = (format!("{prefix}{HOLDER_KEY}"), format!("{prefix}{PAST_HOLDER_KEY}"));
     let value = encode(record)?;
     let current_revision = match predecessor {
         Some(_) => service.read(&holder)?.map(|found| found.revision),
         None => None,
     };
-    if current_revision
-        .is_some_and(|revision| predecessor != Some(FenceNumber::new(revision.get())))
-    {
+    let is_predecessor = |revision: StoreRevision| {
+        predecessor.is_some_and(|fence| revision.is_same_record(StoreRevision::of_fence(fence)))
+    };
+    if current_revision.is_some_and(|revision| !is_predecessor(revision)) {
         return Ok(None);
     }
     // The default revision requires that no record exists.
@@ -155,7 +156,7 @@
     service: &KeyValueService,
     prefix: &str,
     record: &HolderRecord,
-) -> Result<Option<SequenceNumber>, KeyValueError> {
+) -> Result<Option<StoreRevision>, KeyValueError> {
     let found = service.read(&format!("{prefix}{HOLDER_KEY}"))?;
     let is_own = |value: &StoredValue| {
         let bytes = value.value.as_deref().unwrap_or_default();
--- a/crates/gentian-gateway/src/io/hub_updates.rs
+++ b/crates/gentian-gateway/src/io/hub_updates.rs
@@ -2,12 +2,12 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use gentian_core::{MonoTime, SequenceNumber};
+use gentian_core::{MonoTime, StoreRevision};
 
 #[derive(Debug, Default)]
 struct UpdateState {
     fresh_until: MonoTime,
-    operator_revision: SequenceNumber,
+    operator_revision: StoreRevision,
     operator_notice_time: MonoTime,
 }
 
@@ -29,7 +29,7 @@
     }
 
     /// Records a notice of the hub on the revision of the operators' newest record.
-    pub(crate) fn record_operator_notice(&self, revision: SequenceNumber, now: MonoTime) {
+    pub(crate) fn record_operator_notice(&self, revision: StoreRevision, now: MonoTime) {
         let mut state = self.lock();
         if revision > state.operator_revision {
             state.operator_revision = revision;
@@ -38,7 +38,7 @@
     }
 
     /// Returns when the hub first told of records of the operators after `revision`.
-    pub(crate) fn time_of_newer_operators(&self, revision: SequenceNumber) -> Option<MonoTime> {
+    pub(crate) fn time_of_newer_operators(&self, revision: StoreRevision) -> Option<MonoTime> {
         let state = self.lock();
         (state.operator_revision > revision).then_some(state.operator_notice_time)
     }
--- a/crates/gentian-gateway/src/io/lease_worker.rs
+++ b/crates/gentian-gateway/src/io/lease_worker.rs
@@ -4,7 +4,7 @@
 use std::thread::JoinHandle;
 
 use flume::{Receiver, Sender};
-use gentian_core::{FenceNumber, LeaseId, SequenceNumber};
+use gentian_core::{FenceNumber, LeaseId, StoreRevision};
 use gentian_decide::orders::{HolderRecord, LeaseReply, LeaseTask};
 use gentian_http::ProcessClock;
 use gentian_process::{KeyValueError, KeyValueService, LeaseCalls};
@@ -86,7 +86,7 @@
         &self,
         lease: LeaseId,
         predecessor: Option<FenceNumber>,
-    ) -> Result<Option<SequenceNumber>, KeyValueError> {
+    ) -> Result<Option<StoreRevision>, KeyValueError> {
         claim_holder(&self.service, &self.prefix, &self.record, lease, predecessor).or_else(
             |error| {
                 // The record may have been written although the reply was lost; read it back to
--- a/crates/gentian-gateway/src/io/record_readers.rs
+++ b/crates/gentian-gateway/src/io/record_readers.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use flume::Sender;
-use gentian_core::{EventCode, MonoTime, SequenceNumber, TimeSpan};
+use gentian_core::{EventCode, MonoTime, StoreRevision, TimeSpan};
 use gentian_decide::serving::PendingWatch;
 use gentian_http::ProcessClock;
 use gentian_process::{KeyValueError, KeyValueService, ReadFreshness, WatchRequest};
@@ -89,7 +89,7 @@
     }
 
     /// Returns whether the answer to a watch from `revision` on is still waited for.
-    fn is_watch_wanted(&self, watch: PendingWatch, revision: SequenceNumber) -> bool {
+    fn is_watch_wanted(&self, watch: PendingWatch, revision: StoreRevision) -> bool {
         let newer_known_at = self.hub_updates.time_of_newer_operators(revision);
         let now = self.clock.now();
         !self.must_end() && watch.is_wanted(self.has_hub_updates(), newer_known_at, now)
@@ -144,7 +144,7 @@
 
     /// Returns whether a read at `revision` is at least as recent as the `newest` one, and updates
     /// that.
-    fn is_current(&self, revision: SequenceNumber, newest: &mut SequenceNumber) -> bool {
+    fn is_current(&self, revision: StoreRevision, newest: &mut StoreRevision) -> bool {
         if revision < *newest {
             let code = EventCode::READ_IGNORED;
             log::info!("{code} call={} revision={revision} newest={newest}", self.call);
@@ -195,7 +195,7 @@
 ) -> eyre::Result<JoinHandle<()>> {
     reader.spawn("operators", move |reader| {
         let mut monitor = CallMonitor::new("watch");
-        let mut watched_revision: Option<SequenceNumber> = None;
+        let mut watched_revision: Option<StoreRevision> = None;
         let mut retry_delay = MIN_RETRY_DELAY;
         while !reader.must_end() {
             let sent = reader.clock.now();
@@ -214,7 +214,7 @@
     })
 }
 
-fn read_operators(reader: &RecordReader, prefix: &str) -> Result<SequenceNumber, KeyValueError> {
+fn read_operators(reader: &RecordReader, prefix: &str) -> Result<StoreRevision, KeyValueError> {
     let sent = reader.clock.now();
     let (values, revision) = reader.service.read_prefix(prefix)?;
     log_operators_read(reader, sent, revision, "read");
@@ -225,8 +225,8 @@
 fn watch_operators(
     reader: &RecordReader,
     prefix: &str,
-    mut revision: SequenceNumber,
-) -> Result<SequenceNumber, KeyValueError> {
+    mut revision: StoreRevision,
+) -> Result<StoreRevision, KeyValueError> {
     let (sent, after) = (reader.clock.now(), revision);
     let watch = PendingWatch::new(sent);
     let wait = PendingWatch::wait(reader.has_hub_updates());
@@ -246,7 +246,7 @@
 }
 
 /// Logs that records of the operators arrived in the response to a call that was sent at `sent`.
-fn log_operators_read(reader: &RecordReader, sent: MonoTime, revision: SequenceNumber, call: &str) {
+fn log_operators_read(reader: &RecordReader, sent: MonoTime, revision: StoreRevision, call: &str) {
     let waited = reader.clock.now().since(sent);
     log::info!("{} call={call} revision={revision} waited={waited}", EventCode::OPERATORS_READ);
 }
@@ -264,7 +264,7 @@
 ) -> eyre::Result<JoinHandle<()>> {
     reader.spawn("upstreams", move |reader| {
         let mut monitor = CallMonitor::new("read-upstreams");
-        let mut newest = SequenceNumber::default();
+        let mut newest = StoreRevision::default();
         while !reader.must_end() {
             let sent = reader.clock.now();
             let read = reader.service.read_prefix_with(&prefix, reader.freshness());
@@ -298,7 +298,7 @@
         let mut write_monitor = CallMonitor::new("write-member");
         let mut read_monitor = CallMonitor::new("read-own");
         let mut written = None;
-        let mut newest = SequenceNumber::default();
+        let mut newest = StoreRevision::default();
         while !reader.must_end() {
             let now = reader.clock.now();
             if written.is_none_or(|time| now.since(time) > ENTRY_WRITE_INTERVAL) {
--- a/crates/gentian-process/src/config_store.rs
+++ b/crates/gentian-process/src/config_store.rs
@@ -6,7 +6,7 @@
 use gentian_config::{
     ChunkDigest, ConfigFault, ConfigSet, join_chunks, parse_config, split_chunks,
 };
-use gentian_core::{ConfigVersion, PublicationId, SequenceNumber};
+use gentian_core::{ConfigVersion, PublicationId, StoreRevision};
 use gentian_wire::{decode_record, encode_record};
 
 use crate::{
@@ -26,7 +26,7 @@
     /// Head record.
     pub head: ConfigHead,
     /// Revision of the head record; zero if there is none.
-    pub revision: SequenceNumber,
+    pub revision: StoreRevision,
     /// Text of each chunk.
     pub chunks: Vec<String>,
     /// The parsed configuration.
@@ -39,7 +39,7 @@
         let (version, publication) = (ConfigVersion::default(), PublicationId::default());
         Self {
             head: ConfigHead { version, publication, chunks: Vec::new() },
-            revision: SequenceNumber::default(),
+            revision: StoreRevision::default(),
             chunks: Vec::new(),
             set: Arc::default(),
         }
@@ -146,7 +146,7 @@
             return Err(ConfigStoreError::TooLarge(largest));
         }
         let old = self.read(&StoredConfig::new())?;
-        if old.head.publication == publication && old.revision > SequenceNumber::default() {
+        if old.head.publication == publication && old.revision > StoreRevision::default() {
             return Ok(old.head.version);
         }
         if base.is_some_and(|base| base != old.head.version) {
--- a/crates/gentian-process/src/etcd_gateway.rs
+++ b/crates/gentian-process/src/etcd_gateway.rs
@@ -5,7 +5,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use gentian_core::{SequenceNumber, TimeSpan};
+use gentian_core::{StoreRevision, TimeSpan};
 use gentian_http::{CallError, HttpClient};
 use gentian_wire::generated::key_value::{
     CompareTarget, CompareTargetResult, CompareTargetTarget, DeleteRequest, LeaseGrantRequest,
@@ -151,7 +151,7 @@
     Ok(StoredValue { key, value: is_present.then_some(value), revision })
 }
 
-fn parse_revision(header: Option<&StoreHeader>) -> Result<SequenceNumber, KeyValueError> {
+fn parse_revision(header: Option<&StoreHeader>) -> Result<StoreRevision, KeyValueError> {
     let text = header.and_then(|header| header.revision.as_deref()).unwrap_or("0");
     text.parse().map_err(malformed)
 }
--- a/crates/gentian-process/src/key_value_service.rs
+++ b/crates/gentian-process/src/key_value_service.rs
@@ -3,7 +3,7 @@
 
 use std::fmt;
 
-use gentian_core::{LeaseId, SequenceNumber, TimeSpan};
+use gentian_core::{LeaseId, StoreRevision, TimeSpan};
 
 /// A record with the revision of its last change.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,7 +13,7 @@
     /// Value, or `None` if the record was deleted.
     pub value: Option<Vec<u8>>,
     /// Revision of the last change.
-    pub revision: SequenceNumber,
+    pub revision: StoreRevision,
 }
 
 /// Condition of a write: the last change of the record has this revision.
@@ -22,7 +22,7 @@
     /// Name of the record.
     pub key: String,
     /// Revision of its last change; zero if the record must not exist.
-    pub revision: SequenceNumber,
+    pub revision: StoreRevision,
 }
 
 /// A change in a transaction.
@@ -66,7 +66,7 @@
 pub struct WatchBatch {
     /// Revision of the service when it sent the batch; changes up to this revision may still
     /// follow.
-    pub revision: SequenceNumber,
+    pub revision: StoreRevision,
     /// The changes; empty if the service only confirms that the watch is alive.
     pub changes: Vec<StoredValue>,
 }
@@ -102,17 +102,17 @@
 }
 
 /// Values with the revision at which they were read.
-pub type ReadResult = Result<(Vec<StoredValue>, SequenceNumber), KeyValueError>;
+pub type ReadResult = Result<(Vec<StoredValue>, StoreRevision), KeyValueError>;
 type ReadFn = Box<dyn Fn(&str) -> ReadResult + Send + Sync>;
 /// The new revision, or `None` if a condition was not met.
-pub type WriteResult = Result<Option<SequenceNumber>, KeyValueError>;
+pub type WriteResult = Result<Option<StoreRevision>, KeyValueError>;
 /// A watch and when it ends.
 #[derive(Clone, Copy)]
 pub struct WatchRequest<'a> {
     /// Prefix of the watched records.
     pub prefix: &'a str,
     /// Changes after this revision are delivered.
-    pub after: SequenceNumber,
+    pub after: StoreRevision,
     /// Time without a change after which the service answers all the same.
     pub wait: TimeSpan,
     /// Returns whether the watch still goes on; asked at short intervals while no response arrives,
--- a/crates/gentian-process/src/seat_store.rs
+++ b/crates/gentian-process/src/seat_store.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use gentian_core::SequenceNumber;
+use gentian_core::StoreRevision;
 use gentian_core::peer::{SeatId, SeatRecord};
 use gentian_decide::seat::{StoredSeat, WriteOutcome};
 use gentian_wire::{decode_record, encode_record};
@@ -35,7 +35,7 @@
     pub fn write(
         &self,
         record: &SeatRecord,
-        expected: SequenceNumber,
+        expected: StoreRevision,
         is_new_holder: bool,
     ) -> WriteOutcome {
         let Ok(bytes) = encode_record(record) else { return WriteOutcome::NotApplied };
--- a/crates/gentian-process/src/state_watcher.rs
+++ b/crates/gentian-process/src/state_watcher.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use gentian_core::peer::{MemberRecord, SeatRecord};
-use gentian_core::{EventCode, MonoTime, SequenceNumber, TimeSpan};
+use gentian_core::{EventCode, MonoTime, StoreRevision, TimeSpan};
 use gentian_wire::decode_record;
 
 use crate::{
@@ -48,7 +48,7 @@
     clock: ProcessClock,
     stop: Arc<AtomicBool>,
     config: StoredConfig,
-    revision: SequenceNumber,
+    revision: StoreRevision,
     has_contact: bool,
 }
 
@@ -61,7 +61,7 @@
             clock,
             stop,
             config: StoredConfig::new(),
-            revision: SequenceNumber::default(),
+            revision: StoreRevision::default(),
             has_contact: true,
         }
     }
@@ -87,7 +87,7 @@
     }
 
     fn read_and_watch(&mut self, handle: &impl Fn(StateChange)) -> Result<(), String> {
-        if self.revision == SequenceNumber::default() {
+        if self.revision == StoreRevision::default() {
             let sent_at = self.clock.now();
             let (values, revision) =
                 self.service.read_prefix(RecordKeys::WATCHED).map_err(|e| e.to_string())?;
--- a/crates/gentian-process/tests/state_watcher.rs
+++ b/crates/gentian-process/tests/state_watcher.rs
@@ -6,15 +6,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use gentian_core::SequenceNumber;
+use gentian_core::StoreRevision;
 use gentian_process::{KeyValueError, KeyValueService, ProcessClock, StateWatcher, WatchBatch};
 
-const READ_REVISION: SequenceNumber = SequenceNumber::new(3);
-const NEWEST_REVISION: SequenceNumber = SequenceNumber::new(5);
+const READ_REVISION: StoreRevision = StoreRevision::new(3);
+const NEWEST_REVISION: StoreRevision = StoreRevision::new(5);
 
 #[test]
 fn watch_without_changes_does_not_move_the_revision() {
-    let watched: Arc<Mutex<Vec<SequenceNumber>>> = Arc::default();
+    let watched: Arc<Mutex<Vec<StoreRevision>>> = Arc::default();
     let seen = Arc::clone(&watched);
     let unused = || KeyValueError::NotExecuted("not used here".into());
     let service = KeyValueService::new(
