Have entries read registrations themselves once a hub is new

Requests reached an upstream 2.1 s after its removal had been acknowledged. The process that became the hub read its first list after the removal, so it had no listing to withdraw, and entries trusted its updates over their own list, which they read only every 5.4 s.

A hub that has not read any list says so.

an_entry_sent_to_upstreams_that_left_before_the_first_list_of_a_new_hub fails without the change.

--- a/crates/gentian-core/src/peer/fleet_message.rs
+++ b/crates/gentian-core/src/peer/fleet_message.rs
@@ -127,7 +127,8 @@
     pub spent: Vec<(OrganisationId, u64)>,
     /// Work of the other entries, by upstream; `None` if it was sent shortly before.
     pub work: Option<Vec<(UpstreamId, UpstreamWork)>>,
-    /// Time since the hub last read the registrations of upstreams.
+    /// Time since the hub last read the registrations of upstreams; the longest span if it has not
+    /// read them yet.
     pub listing_age: TimeSpan,
     /// Revision of the listings and resident models.
     pub revision: SequenceNumber,
--- a/crates/gentian-decide/src/serving/fleet_hub.rs
+++ b/crates/gentian-decide/src/serving/fleet_hub.rs
@@ -15,6 +15,9 @@
 /// Time constant of the arrival rates.
 const ARRIVAL_TIME_CONSTANT: TimeSpan = TimeSpan::from_secs(5);
 
+/// Age of the listings of a hub that has not read any list yet.
+const UNKNOWN_AGE: TimeSpan = TimeSpan::from_micros(u64::MAX);
+
 /// Use of one target, over all entries.
 #[derive(Clone, Debug, Default)]
 pub struct TargetUse {
@@ -61,7 +64,7 @@
     spent: FastMap<OrganisationId, u64>,
     rates: FastMap<(ServiceId, TargetId), ArrivalRate>,
     listings: RevisedMap<UpstreamId, UpstreamListing>,
-    listings_time: MonoTime,
+    listings_time: Option<MonoTime>,
     resident_models: RevisedMap<UpstreamId, ResidentModels>,
     revision: SequenceNumber,
 }
@@ -75,7 +78,7 @@
             spent: FastMap::default(),
             rates: FastMap::default(),
             listings: RevisedMap::new(),
-            listings_time: MonoTime::ORIGIN,
+            listings_time: None,
             resident_models: RevisedMap::new(),
             revision: SequenceNumber::new(1),
         }
@@ -158,7 +161,7 @@
                 .unwrap_or(u32::MAX),
             spent: spent.collect(),
             work,
-            listing_age: now.since(self.listings_time),
+            listing_age: self.listings_time.map_or(UNKNOWN_AGE, |time| now.since(time)),
             revision: self.revision,
             listings: self.listings.changed_since(known),
             resident_models: self.resident_models.changed_since(known),
@@ -186,7 +189,7 @@
         revision: StoreRevision,
         now: MonoTime,
     ) {
-        self.listings_time = now;
+        self.listings_time = Some(now);
         let mut removed: FastSet<UpstreamId> = self.listings.keys().cloned().collect();
         for listing in listings {
             removed.remove(&listing.upstream);
--- a/crates/gentian-decide/src/serving/hub_client.rs
+++ b/crates/gentian-decide/src/serving/hub_client.rs
@@ -24,6 +24,10 @@
     last_summary: Option<MonoTime>,
     /// When the hub read the listings that it last reported.
     listings_time: MonoTime,
+    /// When the first summary of this hub arrived that had listings. What changed before is seen
+    /// only in a list that this entry reads itself after that time.
+    first_listings: Option<MonoTime>,
+    has_own_list: bool,
     hub: InstanceId,
     last_summary_sequence: SequenceNumber,
     revision: SequenceNumber,
@@ -42,6 +46,8 @@
             work_sent: MonoTime::ORIGIN,
             last_summary: None,
             listings_time: MonoTime::ORIGIN,
+            first_listings: None,
+            has_own_list: false,
             hub: InstanceId::default(),
             last_summary_sequence: SequenceNumber::default(),
             revision: SequenceNumber::default(),
@@ -113,10 +119,15 @@
             self.hub = summary.hub;
             self.revision = SequenceNumber::default();
             self.remote_spent.clear();
+            self.first_listings = None;
+            self.has_own_list = false;
         }
         self.last_summary_sequence = summary.sequence;
         self.last_summary = Some(now);
         self.listings_time = now - summary.listing_age;
+        if self.listings_time > MonoTime::ORIGIN {
+            self.first_listings.get_or_insert(now);
+        }
         for (id, total) in &summary.spent {
             // The first total of a new hub is only a baseline. An organisation that this hub did
             // not list before had a total of zero.
@@ -171,10 +182,17 @@
         self.last_summary.is_some()
     }
 
+    /// Records that this entry has read the registrations itself, by a fresh read that was sent at
+    /// `sent`.
+    pub fn record_own_list(&mut self, sent: MonoTime) {
+        self.has_own_list |= self.first_listings.is_some_and(|time| sent >= time);
+    }
+
     /// Returns until when the listings from the hub are recent enough to use, given that
-    /// draining upstreams must get no requests after `drain_time`.
+    /// draining upstreams must get no requests after `drain_time`. A new hub reports no upstream
+    /// that was removed before its first list, so this entry needs a list of its own first.
     pub fn listings_fresh_until(&self, drain_time: TimeSpan) -> MonoTime {
-        match self.is_connected() {
+        match self.is_connected() && self.has_own_list {
             true => self.listings_time + drain_time * LISTING_FRACTION,
             false => MonoTime::ORIGIN,
         }
--- a/crates/gentian-decide/tests/hub_client.rs
+++ b/crates/gentian-decide/tests/hub_client.rs
@@ -36,12 +36,18 @@
     client
 }
 
+fn client_with_own_list(listing_age: TimeSpan) -> HubClient {
+    let mut client = connected_client(listing_age);
+    client.record_own_list(NOW);
+    client
+}
+
 /// Listings become older while no summary arrives. An entry that relied on them until the hub
 /// timed out would send requests to an upstream that started to drain more than three seconds ago.
 #[test]
 fn listings_expire_well_before_the_drain_time() {
     let age = TimeSpan::from_millis(1_100);
-    let until = connected_client(age).listings_fresh_until(DRAIN);
+    let until = client_with_own_list(age).listings_fresh_until(DRAIN);
     let read = NOW - age;
     assert!(until.since(read) <= TimeSpan::from_secs(2), "{}", until.since(read));
     assert!(until > NOW);
@@ -52,3 +58,21 @@
     let client = HubClient::new("vm-1".parse().unwrap(), InstanceId::new(1));
     assert!(client.listings_fresh_until(DRAIN) < NOW);
 }
+
+/// A new hub does not know of upstreams that were removed before its first list.
+#[test]
+fn an_entry_sent_to_upstreams_that_left_before_the_first_list_of_a_new_hub() {
+    let age = TimeSpan::from_millis(100);
+    let mut client = connected_client(age);
+    assert!(client.listings_fresh_until(DRAIN) < NOW, "no own list yet");
+    client.record_own_list(NOW - TimeSpan::from_millis(1));
+    assert!(client.listings_fresh_until(DRAIN) < NOW, "read before the hub's listings arrived");
+    client.record_own_list(NOW + TimeSpan::from_millis(50));
+    assert!(client.listings_fresh_until(DRAIN) > NOW);
+}
+
+#[test]
+fn a_hub_without_a_list_does_not_stand_in_for_an_own_one() {
+    let client = client_with_own_list(TimeSpan::from_micros(u64::MAX));
+    assert!(client.listings_fresh_until(DRAIN) < NOW);
+}
--- a/crates/gentian-gateway/src/control/control_event.rs
+++ b/crates/gentian-gateway/src/control/control_event.rs
@@ -27,8 +27,15 @@
         /// Whether these are all records of the operators; otherwise only those that changed.
         is_snapshot: bool,
     },
-    /// All upstream registrations at the given revision.
-    Upstreams(Vec<StoredValue>, StoreRevision),
+    /// All upstream registrations.
+    Upstreams {
+        /// The registrations.
+        values: Vec<StoredValue>,
+        /// Revision of the list.
+        revision: StoreRevision,
+        /// When the read was sent, if it was a fresh one.
+        fresh_since: Option<MonoTime>,
+    },
     /// All records that the entries of the fleet write.
     Fleet(Vec<StoredValue>),
 }
--- a/crates/gentian-gateway/src/control/upstream_controller.rs
+++ b/crates/gentian-gateway/src/control/upstream_controller.rs
@@ -10,7 +10,13 @@
 
 /// Applies the current list of upstream registrations.
 pub(super) fn handle_registrations(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
-    let ControlEvent::Store(StoreRecords::Upstreams(values, revision)) = event else { return };
+    let ControlEvent::Store(StoreRecords::Upstreams { values, revision, fresh_since }) = event
+    else {
+        return;
+    };
+    if let Some(sent) = fresh_since {
+        state.hub_client.record_own_list(*sent);
+    }
     let mut registrations = Vec::new();
     for value in values {
         let Some(bytes) = &value.value else { continue };
--- a/crates/gentian-gateway/src/io/record_readers.rs
+++ b/crates/gentian-gateway/src/io/record_readers.rs
@@ -266,8 +266,8 @@
         let mut monitor = CallMonitor::new("read-upstreams");
         let mut newest = StoreRevision::default();
         while !reader.must_end() {
-            let sent = reader.clock.now();
-            let read = reader.service.read_prefix_with(&prefix, reader.freshness());
+            let (sent, freshness) = (reader.clock.now(), reader.freshness());
+            let read = reader.service.read_prefix_with(&prefix, freshness);
             let intervals = ReadIntervals::after_read(
                 read.is_ok(),
                 UPSTREAM_READ_INTERVAL,
@@ -276,7 +276,8 @@
             if let Some((values, revision)) = monitor.record_result(&reader, sent, read)
                 && monitor.is_current(revision, &mut newest)
             {
-                reader.send(StoreRecords::Upstreams(values, revision));
+                let fresh_since = (freshness == ReadFreshness::Fresh).then_some(sent);
+                reader.send(StoreRecords::Upstreams { values, revision, fresh_since });
             }
             reader.wait_for_next_read(intervals);
         }
