Tell the terms of one process as the hub apart

All entries logged that the hub was silent 0.7 s after it had taken its lease, and used only their equal share of each limit until then. A process that becomes the hub again counts its revisions from the start, under the same id as before: entries that still knew the earlier ones took its summaries for old. The id of a hub now depends on its fencing number.

--- a/crates/gentian-core/src/peer/fleet_message.rs
+++ b/crates/gentian-core/src/peer/fleet_message.rs
@@ -72,8 +72,7 @@
     pub instance: InstanceId,
     /// Position of the report in the entry's sequence.
     pub sequence: SequenceNumber,
-    /// Instance id of the hub from which the entry has its listings and resident models, and their
-    /// revision.
+    /// The hub from which the entry has its listings and resident models, and their revision.
     #[serde(rename = "known")]
     pub known_revision: (InstanceId, SequenceNumber),
     /// Tokens spent since the start of the process, by organisation.
@@ -114,7 +113,7 @@
 /// Usage by the other entries, and the models and adapters that upstreams have loaded.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct FleetSummary {
-    /// Instance id of the hub's process.
+    /// Identifies the hub; a process that becomes the hub again has another id.
     pub hub: InstanceId,
     /// Fencing number of the hub's lease, also after the hub has lost that lease.
     pub fence: FenceNumber,
--- a/crates/gentian-decide/src/serving/fleet_hub.rs
+++ b/crates/gentian-decide/src/serving/fleet_hub.rs
@@ -59,7 +59,8 @@
 /// Aggregates the reports of all entries and distributes the state of upstreams to them.
 #[derive(Debug)]
 pub struct FleetHub {
-    instance: InstanceId,
+    /// Identifies the hub towards entries.
+    id: InstanceId,
     entries: FastMap<VmId, EntryState>,
     spent: FastMap<OrganisationId, u64>,
     rates: FastMap<(ServiceId, TargetId), ArrivalRate>,
@@ -70,10 +71,10 @@
 }
 
 impl FleetHub {
-    /// Creates a hub without reports.
+    /// Creates a hub without reports in the process `instance`.
     pub fn new(instance: InstanceId) -> Self {
         Self {
-            instance,
+            id: instance,
             entries: FastMap::default(),
             spent: FastMap::default(),
             rates: FastMap::default(),
@@ -84,6 +85,13 @@
         }
     }
 
+    /// Returns the hub with an id that differs from those of earlier hubs of the same process, which
+    /// had other fencing numbers. Entries would take its summaries for older ones otherwise.
+    pub fn with_fence(self, fence: FenceNumber) -> Self {
+        let id = self.id.get() ^ fence.get();
+        Self { id: InstanceId::new(id), ..self }
+    }
+
     /// Applies a report; `false` if it is not newer than the last one of its process.
     pub fn handle_report(&mut self, report: EntryReport, now: MonoTime) -> bool {
         let known = self.entries.get(&report.vm);
@@ -152,9 +160,9 @@
         });
         let work = self.is_work_due(entry, now).then(|| self.remote_work(vm, now));
         let (hub, known) = entry.report.known_revision;
-        let known = if hub == self.instance { known } else { SequenceNumber::default() };
+        let known = if hub == self.id { known } else { SequenceNumber::default() };
         Some(FleetSummary {
-            hub: self.instance,
+            hub: self.id,
             fence,
             sequence: entry.report.sequence,
             reachable_entries: u32::try_from(self.reachable_entries(now).count())
--- a/crates/gentian-decide/tests/hub_client.rs
+++ b/crates/gentian-decide/tests/hub_client.rs
@@ -4,9 +4,9 @@
 
 mod engine_fleet;
 
-use gentian_core::peer::FleetSummary;
+use gentian_core::peer::{FleetSummary, ResidentModels};
 use gentian_core::{FenceNumber, InstanceId, MonoTime, SequenceNumber, TimeSpan};
-use gentian_decide::serving::{CallScheduler, HubClient, UpstreamTable};
+use gentian_decide::serving::{CallScheduler, FleetHub, HubClient, UpstreamTable};
 
 const NOW: MonoTime = MonoTime::from_millis(10_000);
 const DRAIN: TimeSpan = TimeSpan::from_secs(3);
@@ -76,3 +76,31 @@
     let client = client_with_own_list(TimeSpan::from_micros(u64::MAX));
     assert!(client.listings_fresh_until(DRAIN) < NOW);
 }
+
+/// The new hub counts its revisions from the start again.
+#[test]
+fn summaries_of_a_process_that_became_the_hub_again_were_ignored() {
+    let bounds = engine_fleet::bounds();
+    let mut scheduler = CallScheduler::new(bounds);
+    let mut table = UpstreamTable::new("north".parse().unwrap(), bounds);
+    let mut client = HubClient::new("vm-1".parse().unwrap(), InstanceId::new(1));
+    let mut exchange = |fence: u64, changes: u64, now: MonoTime| {
+        let mut hub = FleetHub::new(InstanceId::new(9)).with_fence(FenceNumber::new(fence));
+        for incarnation in 0..changes {
+            let models = ResidentModels {
+                upstream: "engine-1".parse().unwrap(),
+                incarnation,
+                loaded: Vec::new(),
+                in_transition: None,
+            };
+            hub.update_resident_models([models]);
+        }
+        let report = client.next_report(&mut scheduler, now).unwrap();
+        let vm = report.vm.clone();
+        hub.handle_report(report, now);
+        let summary = hub.make_summary(&vm, FenceNumber::new(fence), now).unwrap();
+        client.handle_summary(summary, 1, &mut scheduler, &mut table, now)
+    };
+    assert!(exchange(82, 5, NOW));
+    assert!(exchange(100, 1, NOW + TimeSpan::from_millis(400)));
+}
--- a/crates/gentian-gateway/src/control/lease_controller.rs
+++ b/crates/gentian-gateway/src/control/lease_controller.rs
@@ -120,7 +120,7 @@
     };
     let mut planner = FleetPlanner::new(config, state.bounds.load_window).with_cooldowns(cooldowns);
     planner.update_engines(&state.table, now);
-    let fleet_hub = FleetHub::new(state.instance);
+    let fleet_hub = FleetHub::new(state.instance).with_fence(fence);
     // No round has been planned yet.
     let planned_at = MonoTime::ORIGIN;
     let permits = PermitLedger::new(now);
