Let a new hub wait for a predecessor that restored records lack

A process that takes the lease orders at once if no record tells of a holder before it. After the store was restored from a copy older than the first holder, it would have ordered while orders of a holder that it knew were still under way.

A process now also waits if it has known a holder, or if its settings do not say that the whole fleet starts for the first time. A hub whose lease ended with the era of the store notifies its successors, which take over from the copied record, instead of leaving the lease to expire.

a_holder_ordered_at_once_although_it_knew_a_predecessor_that_the_records_lack fails without the change. The test of fenced holders acquires the lease twice and now checks every moment of the five seconds after, not only the first.

--- a/crates/gentian-decide/src/orders/holder_lease.rs
+++ b/crates/gentian-decide/src/orders/holder_lease.rs
@@ -78,6 +78,9 @@
     last_task: MonoTime,
     takeover_delay: TimeSpan,
     retired_fence: FenceNumber,
+    /// Whether the lease is known to have had a holder, whatever the stored records say: a service
+    /// that was restored from a copy may have lost them.
+    has_predecessor: bool,
     /// Fencing number of a holder that has stopped, and when its handover message arrived.
     handover: Option<(FenceNumber, MonoTime)>,
 }
@@ -92,10 +95,16 @@
             last_task: MonoTime::ORIGIN,
             takeover_delay,
             retired_fence: FenceNumber::default(),
+            has_predecessor: false,
             handover: None,
         }
     }
 
+    /// Sets whether the lease may have had a holder before this process started.
+    pub fn with_predecessor(self, has_predecessor: bool) -> Self {
+        Self { has_predecessor, ..self }
+    }
+
     /// Returns the call that is due; `is_vacant` tells whether no holder is known.
     pub fn next_task(&mut self, is_vacant: bool, now: MonoTime) -> Option<LeaseTask> {
         if self.is_pending {
@@ -136,7 +145,9 @@
                 // renewal, and its lease ended `LEASE_TTL` after that renewal.
                 let elapsed = LEASE_TTL.saturating_sub(ACTIVE_TIME);
                 let delay = self.takeover_delay.saturating_sub(elapsed) + ORDER_MARGIN;
-                let active_from = if had_holder { sent + delay } else { sent };
+                let has_predecessor = had_holder || self.has_predecessor;
+                let active_from = if has_predecessor { sent + delay } else { sent };
+                self.has_predecessor = true;
                 let fence = revision.fence();
                 self.state = LeaseState::Held { lease, fence, renewed: granted, active_from };
                 return true;
@@ -164,6 +175,7 @@
     /// Handles the announcement that another process holds the lease with `fence`, which
     /// invalidates the handover message of an earlier holder.
     pub fn handle_holder_change(&mut self, fence: FenceNumber) {
+        self.has_predecessor = true;
         self.handover.take_if(|(stopped, _)| *stopped < fence);
     }
 
--- a/crates/gentian-decide/tests/holder_lease.rs
+++ b/crates/gentian-decide/tests/holder_lease.rs
@@ -77,7 +77,8 @@
     lease.retire(FenceNumber::new(40));
     assert!(lease.acting_fence(START).is_none());
     acquire(&mut lease, false, at(400));
-    assert!(lease.acting_fence(at(400)).is_none());
+    renew(&mut lease, 400, 5_000);
+    assert!((400..5_000).all(|millis| lease.acting_fence(at(millis)).is_none()));
 }
 
 #[test]
@@ -139,3 +140,15 @@
     successor.record_order(&busy, at(4_000));
     assert!(!successor.is_cooling_down(&busy, at(4_010)), "own orders need no cooldown");
 }
+
+/// The copy from which the service was restored may be older than the first holder.
+#[test]
+fn a_holder_ordered_at_once_although_it_knew_a_predecessor_that_the_records_lack() {
+    let mut lease = HolderLease::new(TAKEOVER_DELAY);
+    lease.handle_holder_change(FenceNumber::new(30));
+    acquire(&mut lease, false, START);
+    assert!(lease.acting_fence(START).is_none());
+    let mut restarted = HolderLease::new(TAKEOVER_DELAY).with_predecessor(true);
+    acquire(&mut restarted, false, START);
+    assert!(restarted.acting_fence(START).is_none());
+}
--- a/crates/gentian-gateway/src/control/control_state.rs
+++ b/crates/gentian-gateway/src/control/control_state.rs
@@ -52,6 +52,7 @@
     pub(crate) vm: VmId,
     pub(crate) instance: InstanceId,
     pub(crate) bounds: ServingBounds,
+    pub(crate) has_predecessor: bool,
     pub(crate) table: UpstreamTable,
     pub(crate) view: Arc<ArcSwap<TrafficView>>,
     pub(crate) socket: PeerSocket,
@@ -129,7 +130,8 @@
             scheduler: CallScheduler::new(parts.bounds),
             hub_client: HubClient::new(parts.vm.clone(), parts.instance),
             quarantine: PartQuarantine::new(parts.vm.clone()),
-            lease: HolderLease::new(parts.bounds.takeover_delay),
+            lease: HolderLease::new(parts.bounds.takeover_delay)
+                .with_predecessor(parts.has_predecessor),
             codec: parts.codec,
             vm: parts.vm,
             instance: parts.instance,
--- a/crates/gentian-gateway/src/control/lease_controller.rs
+++ b/crates/gentian-gateway/src/control/lease_controller.rs
@@ -26,7 +26,7 @@
 pub(super) fn maintain_lease(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
     match event {
         ControlEvent::LeaseCallEnded(reply, sent) => {
-            let was_held = state.lease.is_held();
+            let held_fence = state.lease.fence();
             if *reply == LeaseReply::Lost {
                 // The lease has ended or another process holds it; the next read of the records
                 // shows which.
@@ -34,8 +34,10 @@
             }
             if state.lease.handle_reply(*reply, *sent) {
                 become_hub(state, now);
-            } else if was_held && !state.lease.is_held() {
+            } else if let Some(fence) = held_fence.filter(|_| !state.lease.is_held()) {
                 log::warn!("{} vm={} reply={reply:?}", EventCode::SEAT_LOST, state.vm);
+                // The lease ended with the store's era; the record of it may still be there.
+                send_handover(state, fence, now);
             }
         }
         ControlEvent::StopRequested => {
--- a/crates/gentian-gateway/src/gateway_process.rs
+++ b/crates/gentian-gateway/src/gateway_process.rs
@@ -87,6 +87,7 @@
         vm: settings.vm.clone(),
         instance,
         bounds: settings.bounds,
+        has_predecessor: !settings.is_first_start,
         table: UpstreamTable::new(settings.domain.clone(), settings.bounds),
         view: Arc::clone(&view),
         socket: socket.clone(),
--- a/crates/gentian-gateway/src/gateway_settings.rs
+++ b/crates/gentian-gateway/src/gateway_settings.rs
@@ -27,6 +27,8 @@
     pub cpu_millicores: u32,
     /// Maximum number of open caller connections.
     pub connection_limit: usize,
+    /// Whether the fleet starts for the first time, so that no hub can have been before.
+    pub is_first_start: bool,
     /// Bounds that the gateway must keep.
     pub bounds: ServingBounds,
 }
--- a/crates/gentian-soak/src/fleet_layout.rs
+++ b/crates/gentian-soak/src/fleet_layout.rs
@@ -91,7 +91,7 @@
         let store = self.store_proxy_address();
         let zone = zone_name(entry);
         let text = format!(
-            "node_name = \"vm-{entry}\"\nzone = \"{zone}\"\nip = \"{ip}\"\n\
+            "node_name = \"vm-{entry}\"\nbootstrap = true\nzone = \"{zone}\"\nip = \"{ip}\"\n\
              internal_ports = [{PEER_PORT}, {PEER_PORT}]\n\
              [listen]\nfront = \"{front}\"\nready = \"{ready}\"\n\
              [limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = {ENTRY_MEMORY_MB}\nfile_descriptors = 4100\n\
