Write an entry's record again after the store was restored

An entry whose record the copy lacked stayed unknown to the others for up to four minutes: the hub sent it no summaries, and every share was divided among fewer entries than there were.

An entry writes its record again once it reads in a later era. Until the store has settled, entries keep the records of others that they knew, and read for themselves, since the hub may not have noticed the restoration yet.

--- a/crates/gentian-gateway/src/control/config_controller.rs
+++ b/crates/gentian-gateway/src/control/config_controller.rs
@@ -28,6 +28,9 @@
 /// watches may never be answered.
 fn update_operator_revision(state: &mut ControlState, values: &[StoredValue], now: MonoTime) {
     let newest = values.iter().map(|value| value.revision).max().unwrap_or_default();
+    if !values.is_empty() {
+        state.eras.record(newest.era(), now);
+    }
     if newest <= state.operator_revision {
         return;
     }
--- a/crates/gentian-gateway/src/control/control_event.rs
+++ b/crates/gentian-gateway/src/control/control_event.rs
@@ -36,8 +36,8 @@
         /// When the read was sent, if it was a fresh one.
         fresh_since: Option<MonoTime>,
     },
-    /// All records that the entries of the fleet write.
-    Fleet(Vec<StoredValue>),
+    /// All records that the entries of the fleet write, at the given revision.
+    Fleet(Vec<StoredValue>, StoreRevision),
 }
 
 /// An event for the control thread.
--- a/crates/gentian-gateway/src/control/control_state.rs
+++ b/crates/gentian-gateway/src/control/control_state.rs
@@ -12,7 +12,9 @@
 use gentian_decide::limits::PermitLedger;
 use gentian_decide::orders::{FleetPlanner, HolderLease, LeaseTask};
 use gentian_decide::quarantine::{MessageRepeats, PartQuarantine};
-use gentian_decide::serving::{CallScheduler, FleetHub, HubClient, ServingBounds, UpstreamTable};
+use gentian_decide::serving::{
+    CallScheduler, EraTracker, FleetHub, HubClient, ServingBounds, UpstreamTable,
+};
 use gentian_process::PeerSocket;
 
 use super::CallAssignment;
@@ -97,6 +99,8 @@
     pub(crate) hub_updates: HubUpdates,
     /// The hub to which this entry reports, with its fencing number.
     pub(crate) known_hub: Option<(VmId, FenceNumber)>,
+    /// Tells when the key-value service was last restored from a copy.
+    pub(crate) eras: EraTracker,
     /// Revision of the newest record of the operators that this process has read.
     pub(crate) operator_revision: StoreRevision,
     /// Failure domains that operators have drained.
@@ -145,6 +149,7 @@
             is_stopping: false,
             entries: FastMap::default(),
             known_hub: None,
+            eras: EraTracker::new(parts.bounds.registration_ttl),
             operator_revision: StoreRevision::default(),
             drained: FastSet::default(),
             stored_parts: FastSet::default(),
--- a/crates/gentian-gateway/src/control/hub_controller.rs
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -19,7 +19,8 @@
 /// Applies the records of the entries and of the lease holder. The index of this entry among all
 /// entries, sorted by VM, is logged as `rank`.
 pub(super) fn handle_fleet_records(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
-    let ControlEvent::Store(StoreRecords::Fleet(values)) = event else { return };
+    let ControlEvent::Store(StoreRecords::Fleet(values, revision)) = event else { return };
+    state.eras.record(revision.era(), now);
     let prefix = state.codec.record_layout.fleet_prefix.clone();
     let mut holder = None;
     let mut entries = gentian_core::FastMap::default();
@@ -35,6 +36,12 @@
             None => log::warn!("ignored malformed record {}", value.key),
         }
     }
+    if state.eras.is_settling(now) {
+        // Entries whose records the copy lacks write them again.
+        for (vm, entry) in &state.entries {
+            entries.entry(vm.clone()).or_insert_with(|| entry.clone());
+        }
+    }
     if entries.len() != state.entries.len() {
         let mut vms: Vec<&VmId> = entries.keys().collect();
         vms.sort();
@@ -96,6 +103,8 @@
         // The hub itself must read fresh records, since the other entries rely on its updates. The
         // origin of time is always past, so the expiry has always passed.
         Some(_) => MonoTime::ORIGIN,
+        // Entries may find out at different times that the service was restored.
+        None if state.eras.is_settling(now) => MonoTime::ORIGIN,
         // Listings that are too old compared with the drain time could hide a drained upstream.
         None => state.hub_client.listings_fresh_until(state.bounds.drain_time),
     });
--- a/crates/gentian-gateway/src/control/upstream_controller.rs
+++ b/crates/gentian-gateway/src/control/upstream_controller.rs
@@ -14,6 +14,7 @@
     else {
         return;
     };
+    state.eras.record(revision.era(), now);
     if let Some(sent) = fresh_since {
         state.hub_client.record_own_list(*sent);
     }
--- a/crates/gentian-gateway/src/io/fleet_records.rs
+++ b/crates/gentian-gateway/src/io/fleet_records.rs
@@ -86,7 +86,7 @@
     Ok(())
 }
 
-/// Writes the record of an entry.
+/// Writes the record of an entry and returns its revision.
 ///
 /// # Errors
 ///
@@ -95,11 +95,12 @@
     service: &KeyValueService,
     prefix: &str,
     entry: &EntryRecord,
-) -> Result<(), KeyValueError> {
+) -> Result<StoreRevision, KeyValueError> {
     let value = encode(entry)?;
     let key = format!("{prefix}{ENTRY_PREFIX}{}", entry.vm);
-    service.write(&[], &[ValueChange::Put { key, value, ttl: Some(ENTRY_TTL) }])?;
-    Ok(())
+    let change = ValueChange::Put { key, value, ttl: Some(ENTRY_TTL) };
+    let lease_ended = || KeyValueError::NotExecuted("the lease of the record has ended".to_owned());
+    service.write(&[], &[change])?.ok_or_else(lease_ended)
 }
 
 /// Returns whether the lease has ever had a holder. If it has, a process that acquires the lease
--- a/crates/gentian-gateway/src/io/record_readers.rs
+++ b/crates/gentian-gateway/src/io/record_readers.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use flume::Sender;
-use gentian_core::{EventCode, MonoTime, StoreRevision, TimeSpan};
+use gentian_core::{EventCode, MonoTime, StoreEra, StoreRevision, TimeSpan};
 use gentian_decide::serving::PendingWatch;
 use gentian_http::ProcessClock;
 use gentian_process::{KeyValueError, KeyValueService, ReadFreshness, WatchRequest};
@@ -298,14 +298,14 @@
     reader.spawn("own-records", move |reader| {
         let mut write_monitor = CallMonitor::new("write-member");
         let mut read_monitor = CallMonitor::new("read-own");
-        let mut written = None;
+        let mut written: Option<(MonoTime, StoreEra)> = None;
         let mut newest = StoreRevision::default();
         while !reader.must_end() {
             let now = reader.clock.now();
-            if written.is_none_or(|time| now.since(time) > ENTRY_WRITE_INTERVAL) {
+            if written.is_none_or(|(time, _)| now.since(time) > ENTRY_WRITE_INTERVAL) {
                 let write = write_entry(&reader.service, &prefix, &entry);
-                written =
-                    write_monitor.record_result(&reader, now, write).map(|()| now).or(written);
+                let revision = write_monitor.record_result(&reader, now, write);
+                written = revision.map(|revision| (now, revision.era())).or(written);
             }
             let sent = reader.clock.now();
             let read = reader.service.read_prefix_with(&prefix, reader.freshness());
@@ -314,7 +314,11 @@
             if let Some((values, revision)) = read_monitor.record_result(&reader, sent, read)
                 && read_monitor.is_current(revision, &mut newest)
             {
-                reader.send(StoreRecords::Fleet(values));
+                reader.send(StoreRecords::Fleet(values, revision));
+                // The copy from which the service was restored may lack the record.
+                if written.take_if(|(_, era)| *era < revision.era()).is_some() {
+                    continue;
+                }
             }
             reader.wait_for_next_read(intervals);
         }
--- a/crates/gentian-soak/src/fleet_layout.rs
+++ b/crates/gentian-soak/src/fleet_layout.rs
@@ -123,6 +123,14 @@
         Ok(())
     }
 
+    /// Returns the number of entries that have a record in the store.
+    pub(crate) fn count_entry_records(self) -> eyre::Result<usize> {
+        let target = "/-/kv-range?path_prefix=gentianwheel/entries/";
+        let (_, body) = self.call_and_read(self.store_address(), "GET", target, b"")?;
+        let range: Value = serde_json::from_slice(&body)?;
+        Ok(range["items"].as_array().map_or(0, Vec::len))
+    }
+
     /// Sets a fault of a stand-in; `extent` is its unit (`count` or `millis`) and amount.
     pub(crate) fn set_fault(
         self,
@@ -155,6 +163,16 @@
         target: &str,
         body: &[u8],
     ) -> eyre::Result<u16> {
+        Ok(self.call_and_read(address, method, target, body)?.0)
+    }
+
+    fn call_and_read(
+        self,
+        address: SocketAddr,
+        method: &str,
+        target: &str,
+        body: &[u8],
+    ) -> eyre::Result<(u16, Vec<u8>)> {
         let clock = ProcessClock::new();
         let client = PooledClient::new(ConnectionPool::new(clock), clock);
         let headers = HeaderList::new()
@@ -164,7 +182,8 @@
         let (method, target) = (method.to_owned(), target.to_owned());
         let head = RequestHead { method, target, is_http11: true, headers };
         let limits = CallLimits { connect: CALL_TIMEOUT, response: CALL_TIMEOUT, send_until: None };
-        Ok(client.call(address, &head, body, limits)?.0.status)
+        let (head, body) = client.call(address, &head, body, limits)?;
+        Ok((head.status, body))
     }
 }
 
--- a/crates/gentian-soak/src/soak_run.rs
+++ b/crates/gentian-soak/src/soak_run.rs
@@ -113,6 +113,7 @@
     let outdated = ConfigLog::check(&records, &fleet.contact_log);
     let drained = check_drains(&settings.folder, &fleet.contact_log)?;
     let over_memory = fleet.check_memory();
+    let registered = fleet.layout.count_entry_records()?;
     fleet.stop();
     let expected_service = match settings.request_limit {
         Some(_) => ExpectedService::Limited,
@@ -126,6 +127,10 @@
     report.violations.extend(check_crashes(&settings.folder, faults_ended_at)?);
     report.violations.extend(overdue);
     report.violations.extend(outdated);
+    if registered < settings.entries {
+        let missing = settings.entries - registered;
+        report.violations.push(format!("the store has no record of {missing} entries"));
+    }
     report.violations.extend(drained);
     report.violations.extend(over_memory);
     Ok(report)
