Keep parts quarantined when the store is restored without their records

A part whose record was there and is gone counts as released. A store that was restored from a copy of before the quarantine would have released the part at every entry, and engines would have crashed on it again.

Entries forget which parts had records once they read those of a later era; the hub writes the missing ones again, as it does whenever they differ.

a_part_was_released_when_the_store_was_restored_without_its_record fails without the change.

--- a/crates/gentian-decide/src/quarantine/part_quarantine.rs
+++ b/crates/gentian-decide/src/quarantine/part_quarantine.rs
@@ -152,6 +152,12 @@
         self.quarantined.extract_if(is_deleted).map(|(part, _)| part).collect()
     }
 
+    /// Forgets which parts have a record, since the key-value service was restored from a copy that
+    /// may lack some.
+    pub fn forget_records(&mut self) {
+        self.quarantined.values_mut().for_each(|state| state.is_stored = false);
+    }
+
     /// Applies the parts that the stored records name; returns those that are new.
     pub fn restore(
         &mut self,
--- a/crates/gentian-decide/tests/part_quarantine.rs
+++ b/crates/gentian-decide/tests/part_quarantine.rs
@@ -357,3 +357,18 @@
     assert_eq!(quarantine.drop_deleted(&none), [CRASH_PART]);
     assert!(!quarantine.is_quarantined(CRASH_PART));
 }
+
+/// The record is missing from the copy, but nobody released the part.
+#[test]
+fn a_part_was_released_when_the_store_was_restored_without_its_record() {
+    let mut quarantine = PartQuarantine::new("vm-0".parse().unwrap());
+    let notice = QuarantineNotice { part: CRASH_PART, is_quarantined: true };
+    quarantine.handle_notice(notice, MonoTime::from_millis(1_000));
+    let (none, stored) = (FastSet::default(), FastSet::from_iter([CRASH_PART]));
+    quarantine.drop_deleted(&stored);
+    quarantine.forget_records();
+    assert!(quarantine.drop_deleted(&none).is_empty());
+    assert!(quarantine.is_quarantined(CRASH_PART));
+    quarantine.drop_deleted(&stored);
+    assert_eq!(quarantine.drop_deleted(&none), [CRASH_PART], "deleted after it was stored again");
+}
--- a/crates/gentian-gateway/src/control/control_state.rs
+++ b/crates/gentian-gateway/src/control/control_state.rs
@@ -7,7 +7,8 @@
 use gentian_config::serving::ServingConfig;
 use gentian_core::peer::HubHandover;
 use gentian_core::{
-    FastMap, FastSet, FenceNumber, InstanceId, MonoTime, PartId, RequestId, StoreRevision, VmId,
+    FastMap, FastSet, FenceNumber, InstanceId, MonoTime, PartId, RequestId, StoreEra,
+    StoreRevision, VmId,
 };
 use gentian_decide::limits::PermitLedger;
 use gentian_decide::orders::{FleetPlanner, HolderLease, LeaseTask};
@@ -109,6 +110,8 @@
     pub(crate) assignment_senders: FastMap<RequestId, Sender<CallAssignment>>,
     /// Parts of prompts that make upstreams end.
     pub(crate) quarantine: PartQuarantine,
+    /// Era of the key-value service in which its records of these parts were read.
+    pub(crate) quarantine_era: StoreEra,
     /// Parts of which the key-value service has a record, as far as this process knows.
     pub(crate) stored_parts: FastSet<PartId>,
     /// Queue of the thread that writes these records.
@@ -152,6 +155,7 @@
             eras: EraTracker::new(parts.bounds.registration_ttl),
             operator_revision: StoreRevision::default(),
             drained: FastSet::default(),
+            quarantine_era: StoreEra::default(),
             stored_parts: FastSet::default(),
             quarantine_writes: parts.quarantine_writes,
             message_repeats: MessageRepeats::new(),
--- a/crates/gentian-gateway/src/control/quarantine_controller.rs
+++ b/crates/gentian-gateway/src/control/quarantine_controller.rs
@@ -15,7 +15,13 @@
 pub(super) fn handle_quarantine(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
     match event {
         ControlEvent::Peer(message) => handle_message(state, message, now),
-        ControlEvent::Store(StoreRecords::Fleet(values, _)) => restore_parts(state, values, now),
+        ControlEvent::Store(StoreRecords::Fleet(values, revision)) => {
+            if state.quarantine_era < revision.era() {
+                state.quarantine_era = revision.era();
+                state.quarantine.forget_records();
+            }
+            restore_parts(state, values, now);
+        }
         _ => {}
     }
     for part in state.quarantine.decide(now) {
