Keep failure domains drained when the store is restored without their records

One from a copy older than the drain would have sent requests into the domain until the operators had written the record again.

A domain that was drained before a restoration stays so until the store has settled, unless a record of it is written or removed.

--- a/crates/gentian-gateway/src/control/config_controller.rs
+++ b/crates/gentian-gateway/src/control/config_controller.rs
@@ -3,25 +3,27 @@
 use std::sync::Arc;
 
 use gentian_core::peer::{FleetMessage, OperatorNotice};
-use gentian_core::{EventCode, FastSet, MonoTime};
+use gentian_core::{EventCode, MonoTime, StoreRevision};
 use gentian_process::StoredValue;
 
 use super::fleet_broadcast::broadcast;
 use super::{ControlEvent, ControlState, StoreRecords, TrafficView};
 
-/// Applies changed records of the operators.
+/// Applies changed records of the operators, and updates which failure domains are drained.
 pub(super) fn handle_operator_records(
     state: &mut ControlState,
     event: &ControlEvent,
     now: MonoTime,
 ) {
-    let ControlEvent::Store(StoreRecords::Operator { values, is_snapshot }) = event else { return };
-    let config_key = state.codec.record_layout.config_key.clone();
-    for value in values.iter().filter(|value| value.key == config_key) {
-        apply_config(state, value, now);
+    if let ControlEvent::Store(StoreRecords::Operator { values, snapshot }) = event {
+        let config_key = state.codec.record_layout.config_key.clone();
+        for value in values.iter().filter(|value| value.key == config_key) {
+            apply_config(state, value, now);
+        }
+        apply_drains(state, values, *snapshot, now);
+        update_operator_revision(state, values, now);
     }
-    update_drained(state, values, *is_snapshot);
-    update_operator_revision(state, values, now);
+    update_drained(state, now);
 }
 
 /// Records the revision of the newest of these records. The hub tells the other entries, whose
@@ -83,15 +85,30 @@
     state.view.store(Arc::new(TrafficView { config, has_upstreams }));
 }
 
-fn update_drained(state: &mut ControlState, values: &[StoredValue], is_snapshot: bool) {
-    let mut drained = if is_snapshot { FastSet::default() } else { state.drained.clone() };
-    for value in values {
-        let Some(domain) = (state.codec.decode_drained_domain)(&value.key) else { continue };
-        match value.value {
-            Some(_) => drained.insert(domain),
-            None => drained.remove(&domain),
-        };
+fn apply_drains(
+    state: &mut ControlState,
+    values: &[StoredValue],
+    snapshot: Option<StoreRevision>,
+    now: MonoTime,
+) {
+    let codec = Arc::clone(&state.codec);
+    let drains = values.iter().filter_map(|value| {
+        Some(((codec.decode_drained_domain)(&value.key)?, value.value.is_some()))
+    });
+    match snapshot {
+        Some(revision) => {
+            let drained = drains.filter(|(_, is_drained)| *is_drained);
+            let domains = drained.map(|(domain, _)| domain).collect();
+            state.drained_domains.replace(domains, revision, now);
+        }
+        None => {
+            drains.for_each(|(domain, is_drained)| state.drained_domains.apply(domain, is_drained));
+        }
     }
+}
+
+fn update_drained(state: &mut ControlState, now: MonoTime) {
+    let drained = state.drained_domains.current(now);
     if drained != state.drained {
         let names: Vec<String> = drained.iter().map(ToString::to_string).collect();
         log::info!("{} domains={}", EventCode::DOMAINS_DRAINED, names.join(","));
--- a/crates/gentian-gateway/src/control/control_event.rs
+++ b/crates/gentian-gateway/src/control/control_event.rs
@@ -24,8 +24,9 @@
     Operator {
         /// The records.
         values: Vec<StoredValue>,
-        /// Whether these are all records of the operators; otherwise only those that changed.
-        is_snapshot: bool,
+        /// Revision at which all records of the operators were read; `None` if these are only those
+        /// that changed.
+        snapshot: Option<StoreRevision>,
     },
     /// All upstream registrations.
     Upstreams {
--- a/crates/gentian-gateway/src/control/control_state.rs
+++ b/crates/gentian-gateway/src/control/control_state.rs
@@ -14,7 +14,7 @@
 use gentian_decide::orders::{FleetPlanner, HolderLease, LeaseTask};
 use gentian_decide::quarantine::{MessageRepeats, PartQuarantine};
 use gentian_decide::serving::{
-    CallScheduler, EraTracker, FleetHub, HubClient, ServingBounds, UpstreamTable,
+    CallScheduler, DrainedDomains, EraTracker, FleetHub, HubClient, ServingBounds, UpstreamTable,
 };
 use gentian_process::PeerSocket;
 
@@ -104,7 +104,9 @@
     pub(crate) eras: EraTracker,
     /// Revision of the newest record of the operators that this process has read.
     pub(crate) operator_revision: StoreRevision,
-    /// Failure domains that operators have drained.
+    /// Failure domains that operators have drained, as their records say.
+    pub(crate) drained_domains: DrainedDomains,
+    /// Failure domains that are drained now.
     pub(crate) drained: FastSet<gentian_core::DomainId>,
     /// Channels to the traffic threads of requests that wait for an assignment.
     pub(crate) assignment_senders: FastMap<RequestId, Sender<CallAssignment>>,
@@ -154,6 +156,7 @@
             known_hub: None,
             eras: EraTracker::new(parts.bounds.registration_ttl),
             operator_revision: StoreRevision::default(),
+            drained_domains: DrainedDomains::new(parts.bounds.registration_ttl),
             drained: FastSet::default(),
             quarantine_era: StoreEra::default(),
             stored_parts: FastSet::default(),
--- a/crates/gentian-gateway/src/io/record_readers.rs
+++ b/crates/gentian-gateway/src/io/record_readers.rs
@@ -218,7 +218,7 @@
     let sent = reader.clock.now();
     let (values, revision) = reader.service.read_prefix(prefix)?;
     log_operators_read(reader, sent, revision, "read");
-    reader.send(StoreRecords::Operator { values, is_snapshot: true });
+    reader.send(StoreRecords::Operator { values, snapshot: Some(revision) });
     Ok(revision)
 }
 
@@ -236,7 +236,7 @@
         revision = revision.max(batch.revision);
         if !batch.changes.is_empty() {
             log_operators_read(reader, sent, revision, "watch");
-            reader.send(StoreRecords::Operator { values: batch.changes, is_snapshot: false });
+            reader.send(StoreRecords::Operator { values: batch.changes, snapshot: None });
             // Changes in quick succession then arrive in one batch.
             std::thread::sleep(reader.watch_pause);
         }
