Heed what upstreams say about themselves in their responses

An upstream that announces its departure gets no new requests, whatever its registration says, until it starts anew: the announcement is kept beside the departures that registrations showed, so it survives the loss of a registration in an outage. A pause is kept for each incarnation likewise. A request that the end of the pause cannot serve before it must be refused is refused at once, with the wait. GW1411 logs both. Departures of long ago are now forgotten at each list, not only after a restoration.

The stand-in of a replica gains these and other faults of answers; the soak checks, from what its callers saw, that no call reaches a replica over two seconds after its entry had passed on that it leaves.

--- a/crates/gentian-decide/src/serving/call_scheduler.rs
+++ b/crates/gentian-decide/src/serving/call_scheduler.rs
@@ -14,7 +14,8 @@
 
 use super::{
     AttemptOutcome, FleetPartition, LimitedCapacity, PickOutcome, QuotaLimit, QuotaLimiter,
-    QuotaOutcome, ServingBounds, ServingCall, SharedRetryBudget, UpstreamPick, UpstreamTable,
+    QuotaOutcome, ServingBounds, ServingCall, SharedRetryBudget, UpstreamNotice, UpstreamPick,
+    UpstreamTable,
 };
 use crate::request::{Refusal, RefusalCode};
 
@@ -44,6 +45,7 @@
 struct RunningCall {
     call: ServingCall,
     upstream: UpstreamId,
+    incarnation: u64,
     /// Pending prompt tokens at the upstream when it was sent, its own included.
     prefill_tokens: u32,
     sent: MonoTime,
@@ -70,6 +72,8 @@
     waiting: Vec<ServingCall>,
     /// Whether a request waits for capacity at upstreams that have its target loaded.
     waits_for_capacity: bool,
+    /// When an upstream accepts requests again that turned one away.
+    pause_end: Option<MonoTime>,
     running: FastMap<RequestId, RunningCall>,
     targets: FastMap<(ServiceId, TargetId), TargetRecord>,
 }
@@ -84,6 +88,7 @@
             retry_budgets: FastMap::default(),
             waiting: Vec::new(),
             waits_for_capacity: false,
+            pause_end: None,
             running: FastMap::default(),
             targets: FastMap::default(),
         }
@@ -162,6 +167,7 @@
                             .work
                             .pending_prefill_tokens
                             .saturating_add(call.prompt_tokens),
+                        incarnation: table.incarnation(&pick.upstream).unwrap_or_default(),
                         upstream: pick.upstream,
                         sent: now,
                         is_prefilled: false,
@@ -181,13 +187,20 @@
                     let refusal = self.refuse_limited(&call, capacity, now);
                     decisions.push(ScheduleDecision::Refuse(call.id, refusal));
                 }
+                PickOutcome::Paused(end) if end > queue_deadline(&call) => {
+                    let refusal = self.refuse_paused(&call, end, now);
+                    decisions.push(ScheduleDecision::Refuse(call.id, refusal));
+                }
                 outcome => {
-                    self.waits_for_capacity |=
-                        !matches!(outcome, PickOutcome::NotLoaded | PickOutcome::NoUpstream);
+                    self.waits_for_capacity |= !matches!(
+                        outcome,
+                        PickOutcome::NotLoaded | PickOutcome::NoUpstream | PickOutcome::Paused(_)
+                    );
                     self.waiting.push(call);
                 }
             }
         }
+        self.pause_end = table.next_pause_end(now);
         decisions
     }
 
@@ -221,6 +234,20 @@
         is_changed.then(|| running.upstream.clone())
     }
 
+    /// Records what the response to a request says about its upstream. Returns the upstream if that is
+    /// new.
+    pub fn record_notice(
+        &self,
+        id: RequestId,
+        notice: UpstreamNotice,
+        table: &mut UpstreamTable,
+        now: MonoTime,
+    ) -> Option<UpstreamId> {
+        let running = self.running.get(&id)?;
+        let is_new = table.record_notice(&running.upstream, running.incarnation, notice, now);
+        is_new.then(|| running.upstream.clone())
+    }
+
     fn record_prefill_end(&mut self, id: RequestId, table: &mut UpstreamTable) {
         if let Some(running) = self.running.get_mut(&id)
             && !std::mem::replace(&mut running.is_prefilled, true)
@@ -272,7 +299,8 @@
     /// Returns when a queued request must be rechecked even without an event.
     pub fn due(&self, now: MonoTime) -> Option<MonoTime> {
         let recheck = self.waits_for_capacity.then(|| now + FULL_RECHECK_INTERVAL);
-        self.waiting.iter().map(queue_deadline).chain(recheck).min()
+        let pause_end = self.pause_end.filter(|_| self.is_waiting());
+        self.waiting.iter().map(queue_deadline).chain(recheck).chain(pause_end).min()
     }
 
     /// Returns whether requests wait for an upstream.
@@ -416,7 +444,9 @@
             PickOutcome::Full | PickOutcome::AwaitsPermit | PickOutcome::Limited(_) => {
                 "the upstreams bear no more now"
             }
-            PickOutcome::Send(_) | PickOutcome::NoUpstream => "no upstream takes work",
+            PickOutcome::Send(_) | PickOutcome::Paused(_) | PickOutcome::NoUpstream => {
+                "no upstream takes work"
+            }
         };
         self.refuse(call, &format!("{message}{}", for_target(call)))
     }
@@ -445,6 +475,18 @@
         }
     }
 
+    fn refuse_paused(&mut self, call: &ServingCall, end: MonoTime, now: MonoTime) -> Refusal {
+        if call.possible_executions == 0 {
+            self.refund(call, now);
+        }
+        let message = format!("the upstreams turn requests away for now{}", for_target(call));
+        let refusal = self.refuse(call, &message);
+        match call.possible_executions {
+            0 => refusal.with_retry_after(end.since(now)),
+            _ => refusal,
+        }
+    }
+
     fn refuse_retry(&self, call: &ServingCall) -> Refusal {
         self.refuse(call, "the upstream did not serve the request and the retry budget is used up")
     }
--- a/crates/gentian-decide/src/serving/departure_log.rs
+++ b/crates/gentian-decide/src/serving/departure_log.rs
@@ -4,8 +4,8 @@
 
 use super::{EraTracker, UpstreamRegistration, UpstreamState};
 
-/// Time for which a departure is remembered. Copies from which the key-value service is restored
-/// are some seconds old.
+/// Time for which a departure is remembered after the upstream was last known. Copies from which the
+/// key-value service is restored are some seconds old.
 const DEPARTURE_MEMORY: TimeSpan = TimeSpan::from_secs(300);
 
 #[derive(Clone, Copy, Debug)]
@@ -13,10 +13,13 @@
     incarnation: u64,
     era: StoreEra,
     time: MonoTime,
+    /// Whether the upstream itself announced it in a response.
+    is_announced: bool,
 }
 
 /// Remembers which upstreams are leaving or have left. After a restoration of the key-value
-/// service, their registrations may be back as they were before.
+/// service, their registrations may be back as they were before; those of upstreams that announced
+/// their departure in a response may not show it yet.
 #[derive(Debug)]
 pub(super) struct DepartureLog {
     eras: EraTracker,
@@ -31,9 +34,14 @@
 
     /// Records the revision of a list of registrations, or of one of them.
     pub(super) fn record_revision(&mut self, revision: StoreRevision, now: MonoTime) {
-        if self.eras.record(revision.era(), now) {
-            self.departures.retain(|_, it| now.since(it.time) < DEPARTURE_MEMORY);
-        }
+        self.eras.record(revision.era(), now);
+    }
+
+    /// Forgets departures of long ago, except of upstreams that are still known.
+    pub(super) fn prune(&mut self, is_known: impl Fn(&UpstreamId) -> bool, now: MonoTime) {
+        self.departures.retain(|upstream, departure| {
+            now.since(departure.time) < DEPARTURE_MEMORY || is_known(upstream)
+        });
     }
 
     /// Records that an upstream drains or is no longer registered, as `revision` shows.
@@ -44,21 +52,38 @@
         now: MonoTime,
     ) {
         let incarnation = registration.incarnation;
-        let departure = Departure { incarnation, era: revision.era(), time: now };
+        let known = self.departures.get(&registration.id);
+        let is_announced =
+            known.is_some_and(|known| known.is_announced && known.incarnation == incarnation);
+        let departure = Departure { incarnation, era: revision.era(), time: now, is_announced };
         self.departures.insert(registration.id.clone(), departure);
     }
 
+    /// Records that a response of an upstream announces its departure; returns whether it is the
+    /// first one.
+    pub(super) fn record_announcement(
+        &mut self,
+        registration: &UpstreamRegistration,
+        now: MonoTime,
+    ) -> bool {
+        let (incarnation, era) = (registration.incarnation, registration.revision.era());
+        let departure = Departure { incarnation, era, time: now, is_announced: true };
+        let known = self.departures.insert(registration.id.clone(), departure);
+        !known.is_some_and(|known| known.is_announced && known.incarnation == incarnation)
+    }
+
     /// Removes the departure of an upstream that is ready.
     pub(super) fn remove(&mut self, upstream: &UpstreamId) {
         self.departures.remove(upstream);
     }
 
-    /// Returns whether a registration may be the copy of one from before its upstream left.
+    /// Returns whether a registration doesn't show that its upstream is leaving or has left: it was
+    /// announced only in a response, or the registration may be a copy from before.
     pub(super) fn is_outdated(&self, registration: &UpstreamRegistration, now: MonoTime) -> bool {
         let Some(departure) = self.departures.get(&registration.id) else { return false };
+        let may_be_copy = registration.revision.era() > departure.era && self.eras.is_settling(now);
         registration.state == UpstreamState::Ready
             && registration.incarnation == departure.incarnation
-            && registration.revision.era() > departure.era
-            && self.eras.is_settling(now)
+            && (departure.is_announced || may_be_copy)
     }
 }
--- a/crates/gentian-decide/src/serving/pick_outcome.rs
+++ b/crates/gentian-decide/src/serving/pick_outcome.rs
@@ -1,5 +1,7 @@
 //! Outcome of the selection of an upstream.
 
+use gentian_core::MonoTime;
+
 use super::{LimitedCapacity, UpstreamPick};
 
 /// Outcome of a selection.
@@ -15,6 +17,8 @@
     AwaitsPermit,
     /// All of them name limits that are used up.
     Limited(LimitedCapacity),
+    /// The upstreams that have it loaded turn requests of this entry away until this time at least.
+    Paused(MonoTime),
     /// No upstream of the service is available.
     NoUpstream,
 }
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -13,7 +13,8 @@
 use super::selection_cost::{hash_of, selection_cost};
 use super::{
     AttemptOutcome, DepartureLog, LimitedCapacity, PickOutcome, PrefillTime, ServingBounds,
-    ServingCall, UpstreamPick, UpstreamRegistration, UpstreamRow, UpstreamState,
+    ServingCall, UpstreamNotice, UpstreamPauses, UpstreamPick, UpstreamRegistration, UpstreamRow,
+    UpstreamState,
 };
 use crate::limits::{PermitClient, PermitState};
 
@@ -43,6 +44,7 @@
     prefill_times: FastMap<ServiceId, PrefillTime>,
     drained_domains: FastSet<DomainId>,
     departures: DepartureLog,
+    pauses: UpstreamPauses,
     /// Index of this entry in the order of VM names, and the number of entries.
     index_and_count: (u32, u32),
     /// When the hub last reported the work of the other entries.
@@ -63,6 +65,7 @@
             prefill_times: FastMap::default(),
             drained_domains: FastSet::default(),
             departures: DepartureLog::new(bounds.registration_ttl),
+            pauses: UpstreamPauses::default(),
             index_and_count: (0, 1),
             remote_work_time: MonoTime::ORIGIN,
             hub: None,
@@ -107,6 +110,7 @@
             self.update_registration(registration, now);
         }
         self.rows.retain(|_, row| row.is_registered || row.local_work.running > 0);
+        self.departures.prune(|id| self.rows.contains_key(id), now);
     }
 
     /// Applies changed listings from the hub.
@@ -116,8 +120,8 @@
         }
     }
 
-    /// Returns whether a registration may be the copy of one from before its upstream left, since
-    /// the key-value service has just been restored.
+    /// Returns whether a registration doesn't show that its upstream is leaving or has left: it said so
+    /// only in a response, or the key-value service has just been restored from a copy.
     pub fn is_outdated(&self, registration: &UpstreamRegistration, now: MonoTime) -> bool {
         self.departures.is_outdated(registration, now)
     }
@@ -208,6 +212,9 @@
         if ranked.is_empty() {
             return PickOutcome::NotLoaded;
         }
+        if let Some(end) = self.retain_accepting(&mut ranked, now) {
+            return PickOutcome::Paused(end);
+        }
         let accepted_rate = self.accepted_rate(&ranked, now);
         let backlog = ranked.iter().map(|(_, id)| self.permits.backlog(id)).sum();
         ranked.retain(|(_, id)| !self.is_denied(id, now));
@@ -232,6 +239,61 @@
         PickOutcome::Full
     }
 
+    /// Removes the upstreams that accept no requests from this entry for a while; returns when the
+    /// first of them does again if none is left.
+    fn retain_accepting(
+        &self,
+        ranked: &mut Vec<(f64, UpstreamId)>,
+        now: MonoTime,
+    ) -> Option<MonoTime> {
+        let pause_end = |id: &UpstreamId| {
+            let row = self.rows.get(id)?;
+            self.pauses.end(id, row.registration.incarnation, now)
+        };
+        let first_end = ranked.iter().filter_map(|(_, id)| pause_end(id)).min();
+        ranked.retain(|(_, id)| pause_end(id).is_none());
+        first_end.filter(|_| ranked.is_empty())
+    }
+
+    /// Returns when the next upstream accepts requests of this entry again that turned one away.
+    pub fn next_pause_end(&self, now: MonoTime) -> Option<MonoTime> {
+        self.pauses.next_end(now)
+    }
+
+    /// Returns the incarnation of an upstream.
+    pub fn incarnation(&self, id: &UpstreamId) -> Option<u64> {
+        Some(self.rows.get(id)?.registration.incarnation)
+    }
+
+    /// Records what a response of this incarnation of an upstream says about it; returns whether that
+    /// is new.
+    pub fn record_notice(
+        &mut self,
+        id: &UpstreamId,
+        incarnation: u64,
+        notice: UpstreamNotice,
+        now: MonoTime,
+    ) -> bool {
+        match notice {
+            UpstreamNotice::Leaving => self.record_leaving(id, incarnation, now),
+            UpstreamNotice::Pause(span) => {
+                self.pauses.record(id, incarnation, now + span, now);
+                true
+            }
+        }
+    }
+
+    fn record_leaving(&mut self, id: &UpstreamId, incarnation: u64, now: MonoTime) -> bool {
+        let row = self.rows.get_mut(id);
+        let Some(row) = row.filter(|row| row.registration.incarnation == incarnation) else {
+            return false;
+        };
+        if row.registration.state == UpstreamState::Ready {
+            row.registration.state = UpstreamState::Draining { remaining: None };
+        }
+        self.departures.record_announcement(&row.registration, now)
+    }
+
     /// Returns the limit that an upstream names.
     pub fn limit(&self, id: &UpstreamId) -> Option<RequestRate> {
         self.rows.get(id)?.limit
--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt to serve a request at one upstream.
 
 use gentian_core::TimeSpan;
-use gentian_decide::serving::{AttemptOutcome, AttemptProgress, UpstreamPick};
+use gentian_decide::serving::{AttemptOutcome, AttemptProgress, UpstreamNotice, UpstreamPick};
 use gentian_http::forward::{
     BodyFraming, BodyProgress, BodyReader, BufferedStream, EventSplitter, ResponseHead,
 };
@@ -99,11 +99,18 @@
         id: call.id,
         request_limit: metadata.request_limit,
         is_success: (200..300).contains(&head.status),
+        notices: read_notices(&metadata),
     });
     let response = UpstreamResponse { head, metadata, time_to_head, is_request_complete };
     handle_response(handles, call, pick, stream, response)
 }
 
+/// Returns what a response says about its upstream.
+fn read_notices(metadata: &ResponseMetadata) -> Vec<UpstreamNotice> {
+    let leaving = metadata.is_leaving.then_some(UpstreamNotice::Leaving);
+    leaving.into_iter().chain(metadata.pause.map(UpstreamNotice::Pause)).collect()
+}
+
 struct UpstreamResponse {
     head: ResponseHead,
     metadata: ResponseMetadata,
--- a/crates/gentian-gateway/src/control/call_controller.rs
+++ b/crates/gentian-gateway/src/control/call_controller.rs
@@ -2,7 +2,7 @@
 
 use gentian_core::peer::FleetMessage;
 use gentian_core::{EventCode, MonoTime, RequestId, RequestRate};
-use gentian_decide::serving::ScheduleDecision;
+use gentian_decide::serving::{ScheduleDecision, UpstreamNotice};
 
 use super::fleet_broadcast::broadcast;
 use super::permit_controller::log_limit;
@@ -27,8 +27,11 @@
                 }
             }
         }
-        ControlEvent::Head { id, request_limit, is_success } => {
+        ControlEvent::Head { id, request_limit, is_success, notices } => {
             state.scheduler.record_response_start(*id, &mut state.table, now);
+            for notice in notices {
+                record_notice(state, *id, *notice, now);
+            }
             let limit = request_limit.map(Some).or(is_success.then_some(None));
             if let Some(limit) = limit {
                 record_limit(state, *id, limit, now);
@@ -48,6 +51,13 @@
     }
 }
 
+/// Records what the response to a request says about its upstream, and logs it if it is new.
+fn record_notice(state: &mut ControlState, id: RequestId, notice: UpstreamNotice, now: MonoTime) {
+    if let Some(upstream) = state.scheduler.record_notice(id, notice, &mut state.table, now) {
+        log::info!("{} upstream={upstream} {notice}", EventCode::UPSTREAM_NOTICE);
+    }
+}
+
 /// Records the limit that the response to a request names, if any, and logs a change.
 fn record_limit(
     state: &mut ControlState,
--- a/crates/gentian-gateway/src/control/control_event.rs
+++ b/crates/gentian-gateway/src/control/control_event.rs
@@ -5,7 +5,7 @@
 use gentian_core::{MonoTime, RequestId, RequestRate, StoreRevision, UpstreamId};
 use gentian_decide::orders::{EngineOrder, EngineStateReport, LeaseReply, OrderReply};
 use gentian_decide::request::Refusal;
-use gentian_decide::serving::{AttemptEnd, ServingCall, UpstreamPick};
+use gentian_decide::serving::{AttemptEnd, ServingCall, UpstreamNotice, UpstreamPick};
 use gentian_process::StoredValue;
 
 /// Reply of the control thread to a traffic thread that needs an upstream for a request.
@@ -59,6 +59,8 @@
         request_limit: Option<RequestRate>,
         /// Whether it is a success; the response of an overloaded upstream may lack the limit.
         is_success: bool,
+        /// What else the response says about its upstream.
+        notices: Vec<UpstreamNotice>,
     },
     /// An attempt of a request ended.
     EndAttempt(AttemptEnd),
--- a/crates/gentian-gateway/src/control/upstream_controller.rs
+++ b/crates/gentian-gateway/src/control/upstream_controller.rs
@@ -28,7 +28,7 @@
             }
         }
     }
-    log_changes(state, &registrations);
+    log_changes(state, &registrations, now);
     let has_upstreams = !registrations.is_empty();
     state.table.update_registrations(registrations.clone(), *revision, now);
     if let Some(hub) = &mut state.hub {
@@ -51,7 +51,7 @@
     }
 }
 
-fn log_changes(state: &ControlState, registrations: &[UpstreamRegistration]) {
+fn log_changes(state: &ControlState, registrations: &[UpstreamRegistration], now: MonoTime) {
     let listed: FastSet<&UpstreamId> =
         registrations.iter().map(|registration| &registration.id).collect();
     for row in state.table.rows().filter(|row| !listed.contains(&row.registration.id)) {
@@ -63,7 +63,8 @@
             );
         }
     }
-    for registration in registrations {
+    let is_current = |it: &&UpstreamRegistration| !state.table.is_outdated(it, now);
+    for registration in registrations.iter().filter(is_current) {
         let known = state.table.rows().find(|row| row.registration.id == registration.id);
         if known.is_some_and(|row| {
             row.registration.incarnation == registration.incarnation
--- a/crates/gentian-gateway/src/request_metadata.rs
+++ b/crates/gentian-gateway/src/request_metadata.rs
@@ -53,4 +53,8 @@
     /// Requests that the upstream accepts from all entries together, for as long as its responses
     /// name this limit.
     pub request_limit: Option<RequestRate>,
+    /// Whether the upstream states that it is leaving.
+    pub is_leaving: bool,
+    /// For how long the upstream, which turned the request away, wants no request from this entry.
+    pub pause: Option<TimeSpan>,
 }
--- a/crates/gentian-soak/src/call_record.rs
+++ b/crates/gentian-soak/src/call_record.rs
@@ -51,4 +51,6 @@
     pub(crate) has_crash_part: bool,
     /// How it ended.
     pub(crate) outcome: CallOutcome,
+    /// Replica that the response said is leaving, and when the response arrived.
+    pub(crate) leaving: Option<(String, Instant)>,
 }
--- a/crates/gentian-soak/src/contact_log.rs
+++ b/crates/gentian-soak/src/contact_log.rs
@@ -33,6 +33,16 @@
         self.is_calm(time, time, |harmed| harmed.is_none_or(|harmed| harmed == entry))
     }
 
+    /// Returns whether no fault harmed an entry from `from` until `until`.
+    pub(crate) fn is_undisturbed(&self, entry: usize, from: Instant, until: Instant) -> bool {
+        let disturbances = self.disturbances.lock().unwrap_or_else(PoisonError::into_inner);
+        !disturbances.iter().any(|disturbance| {
+            disturbance.entry == Some(entry)
+                && disturbance.from <= until
+                && disturbance.until >= from
+        })
+    }
+
     /// Returns whether no entry and not the store was harmed from shortly before `from` until
     /// `until`.
     pub(crate) fn is_fleet_calm(&self, from: Instant, until: Instant) -> bool {
--- a/crates/gentian-soak/src/lib.rs
+++ b/crates/gentian-soak/src/lib.rs
@@ -7,6 +7,7 @@
 mod fault_plan;
 mod fleet_layout;
 mod loopback_proxy;
+mod notice_check;
 mod process_set;
 mod soak_caller;
 mod soak_check;
--- a/crates/gentian-soak/src/soak_caller.rs
+++ b/crates/gentian-soak/src/soak_caller.rs
@@ -39,6 +39,8 @@
     crash_percent: u32,
     clock: ProcessClock,
     kept_connection: Option<(usize, BufferedStream)>,
+    /// Replica that the last response said is leaving.
+    leaving_replica: Option<String>,
 }
 
 impl SoakCaller {
@@ -53,6 +55,7 @@
             crash_percent: 0,
             clock: ProcessClock::new(),
             kept_connection: None,
+            leaving_replica: None,
         }
     }
 
@@ -107,6 +110,7 @@
             sent,
             has_crash_part: false,
             outcome,
+            leaving: self.take_leaving(),
         }
     }
 
@@ -153,9 +157,14 @@
             sent,
             has_crash_part,
             outcome,
+            leaving: self.take_leaving(),
         }
     }
 
+    fn take_leaving(&mut self) -> Option<(String, Instant)> {
+        Some((self.leaving_replica.take()?, Instant::now()))
+    }
+
     fn prompt_prefix(&mut self, has_crash_part: bool, count: u64) -> String {
         let second = SHARED_PARTS[self.random.random_range(1..SHARED_PARTS.len())];
         let crash_part = if has_crash_part { format!("{CRASH_PART}:40,") } else { String::new() };
@@ -171,6 +180,7 @@
         kind: CallKind,
         id: &str,
     ) -> CallOutcome {
+        self.leaving_replica = None;
         let kept_connection = self.kept_connection.take().map(|(_, stream)| stream);
         let stream = match kept_connection {
             Some(stream) => stream,
@@ -229,6 +239,9 @@
         if response.keeps_connection() && self.random.random_range(0..10) > 0 {
             self.kept_connection = Some((entry, stream));
         }
+        let header = |name| response.headers.text(name).map(ToOwned::to_owned);
+        self.leaving_replica =
+            header("Server-Leaving").and_then(|_| header("X-Gentianwheel-Server-Stamp"));
         check_response(&response, &body, kind, id)
     }
 }
--- a/crates/gentian-soak/src/soak_check.rs
+++ b/crates/gentian-soak/src/soak_check.rs
@@ -22,7 +22,7 @@
 const MAX_LATER_CRASHES: usize = 3;
 
 /// Time from the acceptance of a replica's leaving until no request may reach it.
-const DRAIN_TIME: Duration = Duration::from_millis(2_000);
+pub(crate) const DRAIN_TIME: Duration = Duration::from_millis(2_000);
 
 /// Window in which requests to an upstream that names a limit are counted.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
@@ -76,11 +76,18 @@
 }
 
 /// One line of the journal of a replica.
-struct JournalLine {
-    event: String,
-    id: String,
-    instance: String,
-    detail: String,
+pub(crate) struct JournalLine {
+    pub(crate) event: String,
+    pub(crate) id: String,
+    pub(crate) instance: String,
+    pub(crate) detail: String,
+}
+
+impl JournalLine {
+    /// Returns the Unix time of the event in milliseconds.
+    pub(crate) fn millis(&self) -> Option<u64> {
+        self.detail.strip_prefix("at=")?.parse().ok()
+    }
 }
 
 /// Checks a run: `records` has all calls, `final_records` those sent after the recovery from the
@@ -263,7 +270,8 @@
     violations
 }
 
-fn read_journals(folder: &Path) -> eyre::Result<Vec<JournalLine>> {
+/// Reads the journals of all replicas.
+pub(crate) fn read_journals(folder: &Path) -> eyre::Result<Vec<JournalLine>> {
     let mut lines = Vec::new();
     for file in std::fs::read_dir(folder)? {
         let path = file?.path();
--- a/crates/gentian-soak/src/soak_run.rs
+++ b/crates/gentian-soak/src/soak_run.rs
@@ -18,6 +18,7 @@
     CRASH_PART, ENTRY_MEMORY_MB, FIRST_VERSION, FleetLayout, MODELS, VERSION_STEP, zone_name,
 };
 use crate::loopback_proxy::{LinkMode, LoopbackProxy};
+use crate::notice_check::{check_departures, check_pauses};
 use crate::process_set::ProcessSet;
 use crate::soak_caller::SoakCaller;
 use crate::soak_check::{ExpectedService, check_crashes, check_drains, check_limits, check_run};
@@ -112,6 +113,7 @@
         records.iter().filter(|record| record.sent >= recovered_at).cloned().collect();
     let outdated = ConfigLog::check(&records, &fleet.contact_log);
     let drained = check_drains(&settings.folder, &fleet.contact_log)?;
+    let departed = check_departures(&records, &settings.folder, &fleet.contact_log)?;
     let over_memory = fleet.check_memory();
     let registered = fleet.layout.count_entry_records()?;
     fleet.stop();
@@ -124,6 +126,9 @@
     if let Some(limit) = settings.request_limit {
         report.violations.extend(check_limits(&settings.folder, limit)?);
     }
+    if settings.answer_fault.as_deref() == Some("turned-away") {
+        report.violations.extend(check_pauses(&settings.folder)?);
+    }
     report.violations.extend(check_crashes(&settings.folder, faults_ended_at)?);
     report.violations.extend(overdue);
     report.violations.extend(outdated);
@@ -132,6 +137,7 @@
         report.violations.push(format!("the store has no record of {missing} entries"));
     }
     report.violations.extend(drained);
+    report.violations.extend(departed);
     report.violations.extend(over_memory);
     Ok(report)
 }
@@ -275,8 +281,9 @@
 
     fn set_answer_fault(&self) {
         let Some(name) = &self.settings.answer_fault else { return };
-        for replica in 0..REPLICAS {
-            let address = self.layout.replica_address(replica);
+        let all: Vec<usize> = (0..REPLICAS).collect();
+        for replica in self.settings.faulty_replicas.as_ref().unwrap_or(&all) {
+            let address = self.layout.replica_address(*replica);
             self.set_fault(address, name, ("count", FAULTY_ANSWERS));
         }
     }
--- a/crates/gentian-soak/src/soak_settings.rs
+++ b/crates/gentian-soak/src/soak_settings.rs
@@ -21,8 +21,10 @@
     pub callers: usize,
     /// Percentage of streams whose prompt holds a part on which engines crash.
     pub crash_percent: u32,
-    /// Fault that the first answers of each replica have.
+    /// Fault that the first answers of these replicas have.
     pub answer_fault: Option<String>,
+    /// Replicas with that fault; all of them if this is `None`.
+    pub faulty_replicas: Option<Vec<usize>>,
     /// Requests a second that each replica names as the limit for all entries together.
     pub request_limit: Option<RequestRate>,
     /// Folder with the compiled programs.
@@ -42,6 +44,7 @@
             callers: 6,
             crash_percent: 0,
             answer_fault: None,
+            faulty_replicas: None,
             request_limit: None,
             programs,
             folder,
@@ -68,11 +71,17 @@
         Self { crash_percent, ..self }
     }
 
-    /// Sets the fault that the first answers of each replica have.
+    /// Sets the fault that the first answers of each replica have, or of those of
+    /// [`Self::with_faulty_replicas`].
     pub fn with_answer_fault(self, name: impl Into<String>) -> Self {
         Self { answer_fault: Some(name.into()), ..self }
     }
 
+    /// Sets which replicas have the fault.
+    pub fn with_faulty_replicas(self, replicas: impl Into<Vec<usize>>) -> Self {
+        Self { faulty_replicas: Some(replicas.into()), ..self }
+    }
+
     /// Sets the limit that each replica names.
     pub fn with_request_limit(self, limit: RequestRate) -> Self {
         Self { request_limit: Some(limit), ..self }
--- a/crates/gentian-soak/tests/faulty_answers.rs
+++ b/crates/gentian-soak/tests/faulty_answers.rs
@@ -26,3 +26,13 @@
 fn bytes_without_end_held_an_entry(#[case] fault: &str, #[case] seed: u64) {
     run_clean(&settings(seed).with_size(2, 24).with_answer_fault(fault));
 }
+
+#[test]
+fn an_answer_whose_head_was_cut_short_looked_whole() {
+    run_clean(&settings(199).with_size(2, 8).with_answer_fault("cut-head"));
+}
+
+#[test]
+fn an_error_got_into_a_stream_that_had_begun() {
+    run_clean(&settings(200).with_size(2, 8).with_answer_fault("failed-resume"));
+}
--- a/crates/gentian-standin/src/commands/fleet_replica.rs
+++ b/crates/gentian-standin/src/commands/fleet_replica.rs
@@ -8,13 +8,16 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use gentian_core::{EventCode, TimeSpan};
+use gentian_core::{EventCode, FastSet, TimeSpan};
 use gentian_http::forward::{BufferedStream, ResponseHead};
 use gentian_http::{HttpClient, ProcessClock, join_threads};
 use gentian_process::StopSignal;
 use serde_json::{Value, json};
 
-use crate::fleet::{OrderOutcome, ReplicaRequest, ReplicaSettings, ReplicaState, serve_requests};
+use crate::fleet::{
+    FaultyResponse, OrderOutcome, ReplicaRequest, ReplicaSettings, ReplicaState, encode_chunk,
+    event_text, serve_requests,
+};
 use crate::shared::{FaultName, FaultSwitch};
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
@@ -29,12 +32,6 @@
 /// request on which it crashes.
 const CRASH_EXIT_CODE: i32 = 9;
 
-/// Size of a chunk of a body without end, and of a write of it.
-const ENDLESS_CHUNK_BYTES: usize = 1_000;
-const ENDLESS_BLOCK_BYTES: usize = 64 << 10;
-/// Bytes that a truncated event lacks.
-const TRUNCATED_BYTES: usize = 5;
-
 struct Replica {
     settings: ReplicaSettings,
     id: String,
@@ -44,6 +41,8 @@
     faults: FaultSwitch,
     clock: ProcessClock,
     is_draining: AtomicBool,
+    /// Requests that were refused because of a fault; each is refused only once.
+    refused: Mutex<FastSet<String>>,
 }
 
 /// Runs a replica until the process receives a stop signal.
@@ -62,6 +61,7 @@
         settings,
         clock,
         is_draining: AtomicBool::new(false),
+        refused: Mutex::default(),
     });
     let shared = Arc::clone(&replica);
     let server_must_end = Arc::new(AtomicBool::new(false));
@@ -135,13 +135,21 @@
 
     fn run_request(&self, request: &ReplicaRequest, stream: &mut BufferedStream) -> bool {
         let id = request.header("X-Gentianwheel-Request-Id");
+        let named = ("X-Gentianwheel-Request-Id", id);
         if self.is_misdirected(request) {
             let instance = ("X-Gentianwheel-Instance-Id", self.id.as_str());
-            return self.send(stream, 421, &[instance], b"");
+            return self.send(stream, 421, &[instance, named], b"");
         }
         let target = request.header("X-Gentianwheel-Model");
         if self.settings.memory > 0 && !self.state().can_run(target, Instant::now()) {
-            return self.send(stream, 421, &[("X-Gentianwheel-Not-Executed", "1")], b"");
+            return self.send(stream, 421, &[("X-Gentianwheel-Not-Executed", "1"), named], b"");
+        }
+        self.record("arrival", id, &format!("at={}", unix_millis()));
+        let is_refused = self.refused().contains(id);
+        if !is_refused
+            && let Some(is_kept) = self.send_faulty(&FaultyResponse::REFUSALS, request, stream)
+        {
+            return is_kept;
         }
         let after = request.header("Last-Event-Id");
         let fields = [
@@ -157,12 +165,11 @@
         let fields: Vec<String> =
             fields.iter().map(|(name, value)| format!("{name}={value}")).collect();
         self.record("run", id, &fields.join(" "));
-        self.record("arrival", id, &format!("at={}", unix_millis()));
         if self.faults.consume(FaultName::LostResponse) {
             std::thread::sleep(self.settings.event_time.into());
             return false;
         }
-        if let Some(is_kept) = self.send_faulty(id, stream) {
+        if let Some(is_kept) = self.send_faulty(&FaultyResponse::RESPONSES, request, stream) {
             return is_kept;
         }
         match self.settings.memory {
@@ -174,51 +181,30 @@
         }
     }
 
-    /// Sends a response with one of the faults of framing, if one is set; returns whether the
-    /// connection stays open.
-    fn send_faulty(&self, id: &str, stream: &mut BufferedStream) -> Option<bool> {
-        if self.faults.consume(FaultName::EndlessHead) {
-            return Some(self.send_endless(stream, "", "HTTP/1.1 100 Continue\r\n\r\n"));
-        }
-        let head = ResponseHead::new(200)
-            .with_header("X-Gentianwheel-Request-Id", id)
-            .with_header("X-Gentianwheel-Server-Stamp", self.id.clone());
-        let chunked = head.clone().with_header("Transfer-Encoding", "chunked");
-        let chunked = String::from_utf8_lossy(&chunked.to_bytes()).into_owned();
-        if self.faults.consume(FaultName::EndlessBody) {
-            return Some(self.send_endless(
-                stream,
-                &chunked,
-                &encode_text(&"x".repeat(ENDLESS_CHUNK_BYTES)),
-            ));
-        }
-        if self.faults.consume(FaultName::EndlessTrailer) {
-            return Some(self.send_endless(stream, &format!("{chunked}0\r\n"), "Trailer: x\r\n"));
+    /// Sends a response with one of these faults, if one is set; returns whether the connection stays
+    /// open.
+    fn send_faulty(
+        &self,
+        faults: &[FaultName],
+        request: &ReplicaRequest,
+        stream: &mut BufferedStream,
+    ) -> Option<bool> {
+        let fault = self.faults.consume_any(faults)?;
+        let id = request.header("X-Gentianwheel-Request-Id");
+        if FaultyResponse::REFUSALS.contains(&fault) {
+            self.refused().insert(id.to_owned());
         }
-        let is_whole = self.faults.consume(FaultName::UnframedResponse);
-        if !is_whole && !self.faults.consume(FaultName::UnframedTruncation) {
-            return None;
+        if fault == FaultName::TurnedAway {
+            self.record("turned-away", id, &format!("at={}", unix_millis()));
         }
-        let body = match self.settings.memory {
-            0 => json!({ "done": id }).to_string(),
-            _ => (1..=self.settings.events).map(|event| event_text(id, event)).collect(),
+        let response = FaultyResponse {
+            request: id,
+            replica: &self.id,
+            events: (self.settings.memory > 0).then_some(self.settings.events),
+            after: request.header("Last-Event-Id").parse().unwrap_or(0),
+            clock: self.clock,
         };
-        // Without a length, a truncated plain body looks like a whole one.
-        let cut = if is_whole || self.settings.memory == 0 { 0 } else { TRUNCATED_BYTES };
-        let mut bytes = head.to_bytes();
-        bytes.extend_from_slice(&body.as_bytes()[..body.len() - cut]);
-        self.write(stream, &bytes);
-        Some(false)
-    }
-
-    /// Sends `start`, then `text` again and again until the peer closes the connection.
-    fn send_endless(&self, stream: &mut BufferedStream, start: &str, text: &str) -> bool {
-        let mut is_open = self.write(stream, start.as_bytes());
-        let block = text.repeat(ENDLESS_BLOCK_BYTES.div_ceil(text.len()));
-        while is_open {
-            is_open = self.write(stream, block.as_bytes());
-        }
-        false
+        Some(response.send(fault, stream))
     }
 
     fn run_plain(&self, id: &str, stream: &mut BufferedStream) -> bool {
@@ -251,7 +237,7 @@
         stream: &mut BufferedStream,
     ) -> bool {
         let head = self
-            .with_limit(ResponseHead::new(200))
+            .with_notices(ResponseHead::new(200))
             .with_header("Content-Type", "text/event-stream")
             .with_header("X-Gentianwheel-Request-Id", id)
             .with_header("X-Gentianwheel-Server-Stamp", self.id.clone())
@@ -267,10 +253,10 @@
             std::thread::sleep(self.settings.event_time.into());
             let text = event_text(id, event);
             if self.faults.consume(FaultName::TruncatedResponse) {
-                self.write(stream, &encode_chunk(&text[..text.len() / 2]));
+                self.write(stream, encode_chunk(&text[..text.len() / 2]).as_bytes());
                 return false;
             }
-            if !self.write(stream, &encode_chunk(&text)) {
+            if !self.write(stream, encode_chunk(&text).as_bytes()) {
                 return false;
             }
         }
@@ -296,7 +282,7 @@
 
     fn head(&self, status: u16, headers: &[(&str, &str)], length: usize) -> ResponseHead {
         let mut head = self
-            .with_limit(ResponseHead::new(status))
+            .with_notices(ResponseHead::new(status))
             .with_header("Content-Length", length.to_string())
             .with_header("X-Gentianwheel-Server-Stamp", self.id.clone())
             .with_header("Keep-Alive", "timeout=5");
@@ -306,11 +292,16 @@
         head
     }
 
-    /// Adds the limit of requests, if the replica has one.
-    fn with_limit(&self, head: ResponseHead) -> ResponseHead {
-        match self.settings.request_limit {
+    /// Adds the limit of requests, if the replica has one, and whether it is leaving.
+    fn with_notices(&self, head: ResponseHead) -> ResponseHead {
+        let head = match self.settings.request_limit {
             Some(limit) => head.with_header("Server-Limit", limit.per_second().to_string()),
             None => head,
+        };
+        let is_draining = self.is_draining.load(Ordering::Acquire);
+        match is_draining || self.faults.consume(FaultName::Leaving) {
+            true => head.with_header("Server-Leaving", "1"),
+            false => head,
         }
     }
 
@@ -384,23 +375,15 @@
         }
     }
 
+    fn refused(&self) -> std::sync::MutexGuard<'_, FastSet<String>> {
+        self.refused.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn state(&self) -> std::sync::MutexGuard<'_, ReplicaState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-fn event_text(id: &str, event: u64) -> String {
-    format!("id: {event}\ndata: {id} {event}\n\n")
-}
-
-fn encode_text(text: &str) -> String {
-    format!("{:x}\r\n{text}\r\n", text.len())
-}
-
 fn unix_millis() -> u128 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_millis())
 }
-
-fn encode_chunk(text: &str) -> Vec<u8> {
-    encode_text(text).into_bytes()
-}
--- a/crates/gentian-standin/src/shared/fault_switch.rs
+++ b/crates/gentian-standin/src/shared/fault_switch.rs
@@ -29,6 +29,19 @@
     EndlessBody,
     /// The trailer of a chunked body has no end.
     EndlessTrailer,
+    /// The connection ends inside the head of a response.
+    TruncatedHead,
+    /// A stream breaks off, and the request that resumes it gets an error.
+    FailedResume,
+    /// A request is refused, and the refusal is sent once more with the next request on the
+    /// connection.
+    RepeatedRefusal,
+    /// The same, with refusals that do not name their request.
+    RepeatedBareRefusal,
+    /// A request is turned away with a time for which no other one is wanted.
+    TurnedAway,
+    /// Responses state that the server is leaving.
+    Leaving,
     /// A response carries the id of another request.
     WrongRequestId,
     /// A load fails after its memory was allocated.
@@ -47,6 +60,12 @@
             Self::EndlessHead => "endless-head",
             Self::EndlessBody => "endless-body",
             Self::EndlessTrailer => "endless-trailer",
+            Self::TruncatedHead => "cut-head",
+            Self::FailedResume => "failed-resume",
+            Self::RepeatedRefusal => "repeated-refusal",
+            Self::RepeatedBareRefusal => "repeated-bare-refusal",
+            Self::TurnedAway => "turned-away",
+            Self::Leaving => "leaving",
             Self::WrongRequestId => "crossed-answer",
             Self::FailedLoad => "failed-load",
         })
@@ -67,6 +86,12 @@
             Self::EndlessHead,
             Self::EndlessBody,
             Self::EndlessTrailer,
+            Self::TruncatedHead,
+            Self::FailedResume,
+            Self::RepeatedRefusal,
+            Self::RepeatedBareRefusal,
+            Self::TurnedAway,
+            Self::Leaving,
             Self::WrongRequestId,
             Self::FailedLoad,
         ];
@@ -76,7 +101,9 @@
                 "fault",
                 text,
                 "one of down, slow, lost-answer, cut-answer, unframed-answer, unframed-cut, \
-                 endless-head, endless-body, endless-trailer, crossed-answer, failed-load",
+                 endless-head, endless-body, endless-trailer, cut-head, failed-resume, \
+                 repeated-refusal, repeated-bare-refusal, turned-away, leaving, crossed-answer, \
+                 failed-load",
             )
         })
     }
@@ -120,6 +147,12 @@
         }
     }
 
+    /// Returns the first of these faults that applies to this call, and uses it up like
+    /// [`Self::consume`].
+    pub(crate) fn consume_any(&self, names: &[FaultName]) -> Option<FaultName> {
+        names.iter().copied().find(|name| self.consume(*name))
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<FaultName, FaultExtent>> {
         self.faults.lock().unwrap_or_else(PoisonError::into_inner)
     }
