Tell a repeated refusal from the answer to a request

Callers were told that a request had not run which had, or it ran at a second replica: a refusal that names no request was taken for the answer to the next one on its connection; and one with an id, for that of a later attempt of the same request at the same upstream.

An answer on a kept connection counts only if it names the request; without an id, the outcome of the attempt is unknown. A further attempt at an upstream that was tried already uses a connection of its own, and so do orders, whose replies carry no id at all. An answer to another request that interrupts the sending of a body ends the attempt, instead of a wait for an answer to half a request.

The random faults of the soak include these.

--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -65,7 +65,12 @@
     let now = handles.clock.now();
     call.progress = AttemptProgress::Unsent;
     let limit = CONNECT_TIMEOUT.min(call.time_left(now));
-    let mut stream = match handles.connections.acquire(pick.address, limit) {
+    // A repeated refusal of an earlier attempt has the same id as the response to this one.
+    let connected = match call.tried.contains(&pick.upstream) {
+        true => handles.connections.connect(pick.address, limit),
+        false => handles.connections.acquire(pick.address, limit),
+    };
+    let mut stream = match connected {
         Ok(stream) => stream,
         Err(error) => {
             let cause = format!("no connection: {error}");
@@ -88,7 +93,7 @@
             );
         }
     };
-    let (head, metadata) = match read_head(handles, call, &mut stream) {
+    let (head, metadata) = match read_head(handles, call, &mut stream, is_request_complete) {
         Ok(response) => response,
         Err(error) => return error.into(),
     };
--- a/crates/gentian-gateway/src/chain/response_reader.rs
+++ b/crates/gentian-gateway/src/chain/response_reader.rs
@@ -25,12 +25,13 @@
     Broken(String),
 }
 
-/// Reads response heads until one belongs to this request. A late response to an earlier request on
-/// the same connection is skipped.
+/// Reads response heads until one belongs to this request. A late or repeated response to an earlier
+/// request on the same connection is skipped, unless it interrupted the sending of this one.
 pub(super) fn read_head(
     handles: &CallHandles,
     call: &CallContext,
     stream: &mut BufferedStream,
+    is_request_complete: bool,
 ) -> Result<(ResponseHead, ResponseMetadata), ReadError> {
     let mut stray_count = 0;
     let mut interim_count = 0;
@@ -51,13 +52,16 @@
                     continue;
                 }
                 let metadata = (handles.codec.decode_response)(&head);
-                let is_stray =
-                    metadata.request_id.as_ref().is_some_and(|it| *it != call.metadata.request_id);
-                if !is_stray {
-                    return Ok((head, metadata));
+                match &metadata.request_id {
+                    Some(id) if *id == call.metadata.request_id => return Ok((head, metadata)),
+                    None if !stream.is_reused() => return Ok((head, metadata)),
+                    None => {
+                        let cause = "an answer without a request id on a kept connection";
+                        return Err(ReadError::Broken(cause.to_owned()));
+                    }
+                    Some(_) => stray_count += 1,
                 }
-                stray_count += 1;
-                if stray_count > MAX_STRAY_RESPONSES {
+                if stray_count > MAX_STRAY_RESPONSES || !is_request_complete {
                     return Err(ReadError::Broken("answers to other requests".to_owned()));
                 }
                 read_body(handles, call, stream, &head)?;
--- a/crates/gentian-gateway/src/io/engine_calls.rs
+++ b/crates/gentian-gateway/src/io/engine_calls.rs
@@ -6,9 +6,7 @@
 use flume::Sender;
 use gentian_core::{EventCode, MonoTime, TimeSpan, UpstreamId, VmId};
 use gentian_decide::orders::{EngineCall, EngineOrder, EngineStateReport, OrderReply};
-use gentian_http::forward::{
-    CallLimits, ConnectionPool, HeaderList, PooledCallError, PooledClient, RequestHead,
-};
+use gentian_http::forward::{CallLimits, ConnectionPool, HeaderList, PooledClient, RequestHead};
 use gentian_http::{ProcessClock, WorkerPool};
 
 use crate::PlatformCodec;
@@ -21,6 +19,8 @@
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_millis(300);
 /// Longest wait for a response; engines acknowledge orders at once and carry them out later.
 const RESPONSE_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
+const CALL_LIMITS: CallLimits =
+    CallLimits { connect: CONNECT_TIMEOUT, response: RESPONSE_TIMEOUT, send_until: None };
 /// Age, counted from the start of its call, after which an order is no longer sent, since another
 /// process may hold the lease by then.
 const MAX_ORDER_AGE: TimeSpan = TimeSpan::from_millis(250);
@@ -84,9 +84,11 @@
 
     fn send_order(&self, order: EngineOrder, started: MonoTime) {
         let (head, body) = (self.codec.encode_order)(&order, self.holder.as_str());
-        let reply = self.call(order.address, &head, &body, Some(started + MAX_ORDER_AGE));
+        let limits = CallLimits { send_until: Some(started + MAX_ORDER_AGE), ..CALL_LIMITS };
+        // Replies to orders do not name the order that they belong to.
+        let reply = self.http_client.call_on_new_connection(order.address, &head, &body, limits);
         let reply = match reply {
-            Ok((status, _)) => (self.codec.decode_order_reply)(status),
+            Ok((head, _)) => (self.codec.decode_order_reply)(head.status),
             Err(error) => {
                 log::debug!("the call with an order to {} failed: {error}", order.upstream);
                 OrderReply::Unknown
@@ -117,27 +119,14 @@
             is_http11: true,
             headers: HeaderList::new().with("Host", address.to_string()),
         };
-        let response = self.call(address, &head, &[], None).map_err(eyre::Error::from);
-        let response = response.and_then(|(status, body)| {
-            eyre::ensure!(status == 200, "status {status}");
+        let response = self.http_client.call(address, &head, &[], CALL_LIMITS);
+        let response = response.map_err(eyre::Error::from).and_then(|(head, body)| {
+            eyre::ensure!(head.status == 200, "status {}", head.status);
             (self.codec.decode_report)(&body)
         });
         response.inspect_err(|error| log::debug!("no report from {upstream}: {error:#}")).ok()
     }
 
-    fn call(
-        &self,
-        address: SocketAddr,
-        head: &RequestHead,
-        body: &[u8],
-        send_until: Option<MonoTime>,
-    ) -> Result<(u16, Vec<u8>), PooledCallError> {
-        let limits =
-            CallLimits { connect: CONNECT_TIMEOUT, response: RESPONSE_TIMEOUT, send_until };
-        let (head, body) = self.http_client.call(address, head, body, limits)?;
-        Ok((head.status, body))
-    }
-
     fn send_event(&self, event: ControlEvent) {
         if self.events.send(event).is_err() {
             log::debug!("event dropped: the control thread has ended");
--- a/crates/gentian-http/src/forward/buffered_stream.rs
+++ b/crates/gentian-http/src/forward/buffered_stream.rs
@@ -39,6 +39,7 @@
     start: usize,
     is_at_eof: bool,
     is_abortive: bool,
+    is_reused: bool,
     clock: ProcessClock,
 }
 
@@ -62,6 +63,7 @@
             start: 0,
             is_at_eof: false,
             is_abortive: false,
+            is_reused: false,
             clock,
         })
     }
@@ -86,6 +88,16 @@
         self.is_abortive = is_abortive;
     }
 
+    /// Marks the connection as one on which responses to earlier requests have arrived.
+    pub(super) fn mark_reused(&mut self) {
+        self.is_reused = true;
+    }
+
+    /// Returns whether the connection has served earlier requests, whose responses may be repeated.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Returns the bytes that were read and not consumed yet.
     pub fn buffered(&self) -> &[u8] {
         &self.buffer[self.start..]
--- a/crates/gentian-http/src/forward/connection_pool.rs
+++ b/crates/gentian-http/src/forward/connection_pool.rs
@@ -51,9 +51,19 @@
     ///
     /// Returns an error if no connection is established; no byte was sent in that case.
     pub fn acquire(&self, address: SocketAddr, timeout: TimeSpan) -> io::Result<BufferedStream> {
-        if let Some(stream) = self.acquire_idle(address) {
-            return Ok(stream);
+        match self.acquire_idle(address) {
+            Some(stream) => Ok(stream),
+            None => self.connect(address, timeout),
         }
+    }
+
+    /// Connects to `address` within `timeout`, even if a connection is idle. Until it is released,
+    /// the connection is like one of [`Self::acquire`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no connection is established; no byte was sent in that case.
+    pub fn connect(&self, address: SocketAddr, timeout: TimeSpan) -> io::Result<BufferedStream> {
         let mut stream = BufferedStream::connect(address, timeout, self.clock)?;
         stream.set_abortive(true);
         Ok(stream)
@@ -71,6 +81,7 @@
             return;
         }
         stream.set_abortive(false);
+        stream.mark_reused();
         let span = keep_alive_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT).saturating_sub(CLOSE_MARGIN);
         let now = self.clock.now();
         let idle_stream = IdleStream { stream, usable_until: now + span };
--- a/crates/gentian-http/src/forward/pooled_client.rs
+++ b/crates/gentian-http/src/forward/pooled_client.rs
@@ -1,6 +1,7 @@
 //! HTTP calls over pooled connections.
 
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 
 use gentian_core::{MonoTime, TimeSpan};
@@ -87,11 +88,39 @@
         body: &[u8],
         limits: CallLimits,
         is_wanted: impl Fn() -> bool,
+    ) -> Result<(ResponseHead, Vec<u8>), PooledCallError> {
+        let connected = self.connections.acquire(address, limits.connect);
+        self.exchange(connected, address, (head, body), limits, is_wanted)
+    }
+
+    /// Makes a call like [`Self::call`] on a connection of its own: its response cannot be a repeated
+    /// one to an earlier request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PooledCallError::NotSent`] only if no byte of the request was sent.
+    pub fn call_on_new_connection(
+        &self,
+        address: SocketAddr,
+        head: &RequestHead,
+        body: &[u8],
+        limits: CallLimits,
+    ) -> Result<(ResponseHead, Vec<u8>), PooledCallError> {
+        let connected = self.connections.connect(address, limits.connect);
+        self.exchange(connected, address, (head, body), limits, || true)
+    }
+
+    fn exchange(
+        &self,
+        connected: io::Result<BufferedStream>,
+        address: SocketAddr,
+        (head, body): (&RequestHead, &[u8]),
+        limits: CallLimits,
+        is_wanted: impl Fn() -> bool,
     ) -> Result<(ResponseHead, Vec<u8>), PooledCallError> {
         let not_sent = |cause: &dyn fmt::Display| PooledCallError::NotSent(cause.to_string());
         let unknown = |cause: &dyn fmt::Display| PooledCallError::Unknown(cause.to_string());
-        let pooled = self.connections.acquire(address, limits.connect);
-        let mut stream = pooled.map_err(|error| not_sent(&error))?;
+        let mut stream = connected.map_err(|error| not_sent(&error))?;
         let now = self.clock.now();
         if limits.send_until.is_some_and(|limit| now > limit) {
             return Err(not_sent(&"the call is too old"));
@@ -140,6 +169,6 @@
 }
 
 /// Returns whether the wait ended, rather than the connection itself by a timeout of the kernel.
-fn is_timeout(error: &std::io::Error) -> bool {
-    error.kind() == std::io::ErrorKind::TimedOut && error.raw_os_error().is_none()
+fn is_timeout(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::TimedOut && error.raw_os_error().is_none()
 }
--- a/crates/gentian-http/tests/forward.rs
+++ b/crates/gentian-http/tests/forward.rs
@@ -5,6 +5,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -267,22 +268,23 @@
     thread.join().unwrap();
 }
 
-fn call(
-    client: &PooledClient,
-    address: SocketAddr,
-) -> Result<(ResponseHead, Vec<u8>), PooledCallError> {
-    let head = RequestHead {
+const CALL_LIMITS: CallLimits =
+    CallLimits { connect: TIMEOUT, response: TIMEOUT, send_until: None };
+
+fn request_head() -> RequestHead {
+    RequestHead {
         method: "GET".into(),
         target: "/".into(),
         is_http11: true,
         headers: headers(&[("Host", "a")]),
-    };
-    client.call(
-        address,
-        &head,
-        b"",
-        CallLimits { connect: TIMEOUT, response: TIMEOUT, send_until: None },
-    )
+    }
+}
+
+fn call(
+    client: &PooledClient,
+    address: SocketAddr,
+) -> Result<(ResponseHead, Vec<u8>), PooledCallError> {
+    client.call(address, &request_head(), b"", CALL_LIMITS)
 }
 
 /// Bytes after a response belong to no request, so the connection must not be reused.
@@ -367,3 +369,29 @@
     drop(first);
     assert!(second.grow_to(100));
 }
+
+/// The server refuses the first request, and writes the refusal once more when the next one arrives
+/// on the same connection.
+#[test]
+fn a_repeated_refusal_is_not_the_response_to_a_call_on_a_new_connection() {
+    let connections = AtomicUsize::new(0);
+    let (address, thread) = serve(2, move |mut peer| {
+        assert!(peer.read(&mut [0; 100]).unwrap() > 0);
+        let is_first = connections.fetch_add(1, Ordering::Relaxed) == 0;
+        let status = if is_first { "409 Conflict" } else { "202 Accepted" };
+        let response = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+        peer.write_all(response.as_bytes()).unwrap();
+        std::thread::spawn(move || {
+            while peer.read(&mut [0; 100]).is_ok_and(|count| count > 0) {
+                peer.write_all(response.as_bytes()).unwrap();
+            }
+        });
+    });
+    let clock = ProcessClock::new();
+    let client = PooledClient::new(ConnectionPool::new(clock), clock);
+    assert_eq!(call(&client, address).unwrap().0.status, 409);
+    assert_eq!(call(&client, address).unwrap().0.status, 409, "the kept connection is used");
+    let result = client.call_on_new_connection(address, &request_head(), b"", CALL_LIMITS);
+    assert_eq!(result.unwrap().0.status, 202);
+    thread.join().unwrap();
+}
--- a/crates/gentian-soak/src/soak_fault.rs
+++ b/crates/gentian-soak/src/soak_fault.rs
@@ -10,8 +10,18 @@
 use crate::loopback_proxy::{FAULT_MODES, LinkMode};
 
 /// Faults of answers that the stand-in of a replica knows.
-const ANSWER_FAULTS: [&str; 5] =
-    ["unframed-answer", "unframed-cut", "endless-head", "endless-body", "endless-trailer"];
+const ANSWER_FAULTS: [&str; 10] = [
+    "unframed-answer",
+    "unframed-cut",
+    "endless-head",
+    "endless-body",
+    "endless-trailer",
+    "cut-head",
+    "failed-resume",
+    "repeated-refusal",
+    "repeated-bare-refusal",
+    "turned-away",
+];
 
 /// A fault of a process or a link; the first field is the index of the entry or replica.
 #[derive(Clone, Copy, Debug)]
