--- a/crates/gentian-soak/src/fault_plan.rs
+++ b/crates/gentian-soak/src/fault_plan.rs
@@ -1,5 +1,10 @@
 //! Which faults a run injects.
 
+use std::fmt;
+use std::str::FromStr;
+
+use gentian_core::ParseError;
+
 /// Which faults a run injects.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum FaultPlan {
@@ -12,3 +17,27 @@
     /// copy.
     RestoredStore,
 }
+
+impl FaultPlan {
+    const ALL: [Self; 3] = [Self::Random, Self::SilentStore, Self::RestoredStore];
+}
+
+impl fmt::Display for FaultPlan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Random => "random",
+            Self::SilentStore => "silent-store",
+            Self::RestoredStore => "restored-store",
+        })
+    }
+}
+
+impl FromStr for FaultPlan {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let found = Self::ALL.into_iter().find(|plan| plan.to_string() == text);
+        let expected = "one of random, silent-store, restored-store";
+        found.ok_or_else(|| ParseError::new("fault plan", text, expected))
+    }
+}
--- a/crates/gentian-soak/src/main.rs
+++ b/crates/gentian-soak/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use gentian_soak::{SoakSettings, run_soak};
+use gentian_soak::{FaultPlan, SoakSettings, run_soak};
 
 /// Randomized fault soak of the real programs on loopback.
 #[derive(FromArgs)]
@@ -18,6 +18,9 @@
     /// seconds of faults in each run (default 12)
     #[argh(option, default = "12")]
     seconds: u64,
+    /// faults: random (default), silent-store or restored-store
+    #[argh(option, default = "FaultPlan::default()")]
+    plan: FaultPlan,
     /// entries (default 3)
     #[argh(option, default = "3")]
     entries: usize,
@@ -42,6 +45,7 @@
         let folder = arguments.folder.join(format!("seed-{seed}"));
         let settings = SoakSettings::new(seed, arguments.programs.clone(), folder)
             .with_seconds(arguments.seconds)
+            .with_fault_plan(arguments.plan)
             .with_size(arguments.entries, arguments.callers)
             .with_crash_percent(arguments.crash_percent);
         match run_soak(&settings) {
