Split demand and refusals from the call scheduler

What an entry reports of the demand for models and adapters is a DemandLog of its own, and refusals are built in one place.

--- a/crates/gentian-decide/src/serving/call_scheduler.rs
+++ b/crates/gentian-decide/src/serving/call_scheduler.rs
@@ -6,16 +6,15 @@
 use std::sync::Arc;
 
 use gentian_config::serving::ServingConfig;
-use gentian_core::peer::{ServingDemand, TargetId, UpstreamWork};
+use gentian_core::peer::{ServingDemand, UpstreamWork};
 use gentian_core::{
-    FastMap, FastSet, MonoTime, OrganisationId, RequestId, RequestRate, ServiceId, TimeSpan,
-    UpstreamId,
+    FastMap, MonoTime, OrganisationId, RequestId, RequestRate, ServiceId, TimeSpan, UpstreamId,
 };
 
+use super::call_refusal::{refuse_limited, refuse_paused, refuse_queued, refuse_retry};
 use super::{
-    AttemptOutcome, FleetPartition, LimitedCapacity, PickOutcome, QuotaLimit, QuotaLimiter,
-    QuotaOutcome, ServingBounds, ServingCall, SharedRetryBudget, UpstreamNotice, UpstreamPick,
-    UpstreamTable,
+    AttemptOutcome, DemandLog, FleetPartition, PickOutcome, QuotaLimit, QuotaLimiter, QuotaOutcome,
+    ServingBounds, ServingCall, SharedRetryBudget, UpstreamNotice, UpstreamPick, UpstreamTable,
 };
 use crate::request::{Refusal, RefusalCode};
 
@@ -24,14 +23,9 @@
 const MAX_QUEUE_FRACTION: f64 = 0.5;
 /// Number of entries assumed before the members are known.
 const DEFAULT_FLEET_ENTRIES: u32 = 16;
-/// Retry delay in refusals because no upstream is available.
-const OVERLOAD_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(500);
 /// Interval at which requests that wait for capacity are rechecked: engines prefill pending prompts
 /// and thus gain capacity without an event at this entry.
 const FULL_RECHECK_INTERVAL: TimeSpan = TimeSpan::from_millis(40);
-/// Time for which a target stays in the reports after its last request.
-const DEMAND_RETENTION: TimeSpan = TimeSpan::from_secs(10);
-
 /// Decision on a queued request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ScheduleDecision {
@@ -52,16 +46,6 @@
     is_prefilled: bool,
 }
 
-#[derive(Debug, Default)]
-struct TargetRecord {
-    arrived: u64,
-    last_arrival: MonoTime,
-    /// Value of `arrived` in the last report to the hub.
-    reported_arrivals: u64,
-    /// Whether the last report to the hub included waiting requests.
-    is_wait_reported: bool,
-}
-
 /// Decides when each request starts and at which upstream.
 #[derive(Debug)]
 pub struct CallScheduler {
@@ -75,7 +59,7 @@
     /// When an upstream accepts requests again that turned one away.
     pause_end: Option<MonoTime>,
     running: FastMap<RequestId, RunningCall>,
-    targets: FastMap<(ServiceId, TargetId), TargetRecord>,
+    demands: DemandLog,
 }
 
 impl CallScheduler {
@@ -90,7 +74,7 @@
             waits_for_capacity: false,
             pause_end: None,
             running: FastMap::default(),
-            targets: FastMap::default(),
+            demands: DemandLog::default(),
         }
     }
 
@@ -139,9 +123,9 @@
         let retry_budget = self.retry_budgets.entry(call.service.clone()).or_default();
         if call.tried.is_empty() {
             retry_budget.record_first_attempt(now);
-            self.record_target(&call, now);
+            self.demands.record_arrival(&call, now);
         } else if !retry_budget.acquire_retry(&self.bounds, self.partition.total, now) {
-            return Err(self.refuse_retry(&call));
+            return Err(refuse_retry(&call));
         }
         self.charge(&mut call, now)?;
         // Requests are ordered by priority, the smallest number first, and within a priority the
@@ -176,19 +160,20 @@
                     self.running.insert(running.call.id, running);
                 }
                 outcome if now >= queue_deadline(&call) => {
-                    decisions.push(ScheduleDecision::Refuse(
-                        call.id,
-                        self.refuse_queued(&call, &outcome, now),
-                    ));
+                    self.refund_unexecuted(&call, now);
+                    decisions
+                        .push(ScheduleDecision::Refuse(call.id, refuse_queued(&call, &outcome)));
                 }
                 PickOutcome::Limited(capacity)
                     if capacity.is_too_late(&call, self.waiting_before(&call), now) =>
                 {
-                    let refusal = self.refuse_limited(&call, capacity, now);
+                    self.refund_unexecuted(&call, now);
+                    let refusal = refuse_limited(&call, capacity, self.waiting_before(&call));
                     decisions.push(ScheduleDecision::Refuse(call.id, refusal));
                 }
                 PickOutcome::Paused(end) if end > queue_deadline(&call) => {
-                    let refusal = self.refuse_paused(&call, end, now);
+                    self.refund_unexecuted(&call, now);
+                    let refusal = refuse_paused(&call, end, now);
                     decisions.push(ScheduleDecision::Refuse(call.id, refusal));
                 }
                 outcome => {
@@ -281,9 +266,7 @@
         let (removed, kept) = std::mem::take(&mut self.waiting).into_iter().partition(is_refused);
         self.waiting = kept;
         let removed: Vec<ServingCall> = removed;
-        for call in removed.iter().filter(|call| call.possible_executions == 0) {
-            self.refund(call, now);
-        }
+        removed.iter().for_each(|call| self.refund_unexecuted(call, now));
         removed
     }
 
@@ -329,7 +312,7 @@
     /// Returns whether requests wait for a target for which the last report to the hub included no
     /// waiting requests.
     pub fn has_unreported_wait(&self) -> bool {
-        self.waiting.iter().any(|call| self.is_unreported(call))
+        self.waiting.iter().any(|call| self.demands.is_unreported(call))
     }
 
     /// Returns whether an organisation near its limit has unreported use.
@@ -341,64 +324,9 @@
     /// last report, and marks it and all use as reported.
     pub fn report_demands(&mut self, now: MonoTime) -> Vec<ServingDemand> {
         self.limiters.values_mut().for_each(QuotaLimiter::mark_reported);
-        let in_use: FastSet<(ServiceId, TargetId)> = self
-            .running
-            .values()
-            .map(|running| &running.call)
-            .chain(&self.waiting)
-            .filter_map(target_key)
-            .collect();
-        self.targets.retain(|key, record| {
-            now.since(record.last_arrival) < DEMAND_RETENTION || in_use.contains(key)
-        });
-        let is_included = |key: &(ServiceId, TargetId), record: &TargetRecord| {
-            in_use.contains(key) || record.arrived != record.reported_arrivals
-        };
-        let reported = self.targets.iter().filter(|(key, record)| is_included(key, record));
-        let demands = reported.map(|(key, record)| self.demand(key, record, now)).collect();
-        let waiting: FastSet<_> = self.waiting.iter().filter_map(target_key).collect();
-        for (key, record) in &mut self.targets {
-            record.reported_arrivals = record.arrived;
-            record.is_wait_reported = waiting.contains(key);
-        }
-        demands
-    }
-
-    fn is_unreported(&self, call: &ServingCall) -> bool {
-        let record = target_key(call).and_then(|key| self.targets.get(&key));
-        record.is_some_and(|record| !record.is_wait_reported)
-    }
-
-    fn demand(
-        &self,
-        key: &(ServiceId, TargetId),
-        record: &TargetRecord,
-        now: MonoTime,
-    ) -> ServingDemand {
-        let is_for_target = |call: &ServingCall| target_key(call).as_ref() == Some(key);
-        let waiting: Vec<&ServingCall> =
-            self.waiting.iter().filter(|call| is_for_target(call)).collect();
-        let slack = waiting.iter().map(|call| queue_deadline(call).since(now)).min();
-        let mut running: FastMap<UpstreamId, u32> = FastMap::default();
-        for run in self.running.values().filter(|run| is_for_target(&run.call)) {
-            *running.entry(run.upstream.clone()).or_default() += 1;
-        }
-        ServingDemand {
-            service: key.0.clone(),
-            target: key.1.clone(),
-            arrived: record.arrived,
-            waiting: u32::try_from(waiting.len()).unwrap_or(u32::MAX),
-            slack: slack.unwrap_or(TimeSpan::ZERO),
-            running: running.into_iter().collect(),
-        }
-    }
-
-    fn record_target(&mut self, call: &ServingCall, now: MonoTime) {
-        if let Some(key) = target_key(call) {
-            let record = self.targets.entry(key).or_default();
-            record.arrived += 1;
-            record.last_arrival = now;
-        }
+        let running: Vec<(&ServingCall, &UpstreamId)> =
+            self.running.values().map(|running| (&running.call, &running.upstream)).collect();
+        self.demands.report(&self.waiting, &running, now)
     }
 
     fn charge(&mut self, call: &mut ServingCall, now: MonoTime) -> Result<(), Refusal> {
@@ -421,6 +349,13 @@
         }
     }
 
+    /// Refunds a request that no upstream can have executed, before it is refused.
+    fn refund_unexecuted(&mut self, call: &ServingCall, now: MonoTime) {
+        if call.possible_executions == 0 {
+            self.refund(call, now);
+        }
+    }
+
     fn refund(&mut self, call: &ServingCall, now: MonoTime) {
         let organisation = call.organisation.as_ref().filter(|_| call.is_charged);
         if let Some(limiter) =
@@ -430,85 +365,11 @@
         }
     }
 
-    fn refuse_queued(
-        &mut self,
-        call: &ServingCall,
-        outcome: &PickOutcome,
-        now: MonoTime,
-    ) -> Refusal {
-        if call.possible_executions == 0 {
-            self.refund(call, now);
-        }
-        let message = match outcome {
-            PickOutcome::NotLoaded => "no upstream could load the model in time",
-            PickOutcome::Full | PickOutcome::AwaitsPermit | PickOutcome::Limited(_) => {
-                "the upstreams bear no more now"
-            }
-            PickOutcome::Send(_) | PickOutcome::Paused(_) | PickOutcome::NoUpstream => {
-                "no upstream takes work"
-            }
-        };
-        self.refuse(call, &format!("{message}{}", for_target(call)))
-    }
-
     /// Returns the number of requests for the target of `call` that this round left waiting.
     fn waiting_before(&self, call: &ServingCall) -> usize {
         let key = (&call.service, &call.target);
         self.waiting.iter().filter(|other| (&other.service, &other.target) == key).count()
     }
-
-    fn refuse_limited(
-        &mut self,
-        call: &ServingCall,
-        capacity: LimitedCapacity,
-        now: MonoTime,
-    ) -> Refusal {
-        if call.possible_executions == 0 {
-            self.refund(call, now);
-        }
-        let limit = capacity.rate;
-        let message = format!("the upstreams accept only {limit} at present{}", for_target(call));
-        let refusal = self.refuse(call, &message);
-        match call.possible_executions {
-            0 => refusal.with_retry_after(capacity.wait(self.waiting_before(call))),
-            _ => refusal,
-        }
-    }
-
-    fn refuse_paused(&mut self, call: &ServingCall, end: MonoTime, now: MonoTime) -> Refusal {
-        if call.possible_executions == 0 {
-            self.refund(call, now);
-        }
-        let message = format!("the upstreams turn requests away for now{}", for_target(call));
-        let refusal = self.refuse(call, &message);
-        match call.possible_executions {
-            0 => refusal.with_retry_after(end.since(now)),
-            _ => refusal,
-        }
-    }
-
-    fn refuse_retry(&self, call: &ServingCall) -> Refusal {
-        self.refuse(call, "the upstream did not serve the request and the retry budget is used up")
-    }
-
-    fn refuse(&self, call: &ServingCall, message: &str) -> Refusal {
-        // A request that no upstream can have executed may be sent again later. For any other one,
-        // it is unknown whether it was executed.
-        match call.possible_executions {
-            0 => Refusal::new(RefusalCode::Overloaded, message)
-                .with_retry_after(OVERLOAD_RETRY_AFTER),
-            _ => Refusal::new(RefusalCode::UpstreamFailed, message).with_unknown_run(),
-        }
-    }
-}
-
-/// Returns the target of the call as the end of a message.
-fn for_target(call: &ServingCall) -> String {
-    call.target.as_ref().map_or_else(String::new, |target| format!(" for {target}"))
-}
-
-fn target_key(call: &ServingCall) -> Option<(ServiceId, TargetId)> {
-    Some((call.service.clone(), call.target.clone()?))
 }
 
 fn priority_of(call: &ServingCall) -> u8 {
--- a/crates/gentian-decide/src/serving/mod.rs
+++ b/crates/gentian-decide/src/serving/mod.rs
@@ -3,8 +3,10 @@
 
 mod attempt_end;
 mod attempt_progress;
+mod call_refusal;
 mod call_scheduler;
 mod cold_limiter;
+mod demand_log;
 mod departure_log;
 mod drained_domains;
 mod era_tracker;
@@ -33,6 +35,7 @@
 pub use attempt_progress::AttemptProgress;
 pub use call_scheduler::{CallScheduler, ScheduleDecision};
 pub use cold_limiter::ColdLimiter;
+use demand_log::DemandLog;
 use departure_log::DepartureLog;
 pub use drained_domains::DrainedDomains;
 pub use era_tracker::EraTracker;
