--- a/crates/gentian-decide/src/serving/pending_watch.rs
+++ b/crates/gentian-decide/src/serving/pending_watch.rs
@@ -2,13 +2,13 @@
 
 use gentian_core::{MonoTime, TimeSpan};
 
-/// Wait of a watch while the hub sends updates: it also tells of changes that the watch misses.
+/// Wait of a watch while the hub sends updates: it also announces changes that the watch misses.
 const ATTENDED_WAIT: TimeSpan = TimeSpan::from_secs(15);
 /// Wait of a watch at the hub, and of one at another entry while the hub sends no updates.
 const UNATTENDED_WAIT: TimeSpan = TimeSpan::from_secs(1);
 /// Time beyond this wait after which an answer is no longer expected.
 const RESPONSE_MARGIN: TimeSpan = TimeSpan::from_secs(1);
-/// Time for a watch to deliver a change of which the hub has told.
+/// Time for a watch to deliver a change that the hub has announced.
 const NOTICE_WAIT: TimeSpan = TimeSpan::from_millis(300);
 
 /// A watch that was sent and has no answer yet. The service may have been silent when it was sent,
@@ -31,15 +31,15 @@
     }
 
     /// Returns whether an answer is still waited for. `newer_known_at` is the time at which the hub
-    /// told of a change that the watch has to deliver, if it did.
+    /// announced a change that the watch has to deliver, if it did.
     pub fn is_wanted(
         &self,
         has_hub_updates: bool,
         newer_known_at: Option<MonoTime>,
         now: MonoTime,
     ) -> bool {
-        let is_overdue =
-            newer_known_at.is_some_and(|told| now.since(told.max(self.sent)) > NOTICE_WAIT);
+        let is_overdue = newer_known_at
+            .is_some_and(|announced| now.since(announced.max(self.sent)) > NOTICE_WAIT);
         let is_attended =
             has_hub_updates || now.since(self.sent) < UNATTENDED_WAIT + RESPONSE_MARGIN;
         is_attended && !is_overdue
--- a/crates/gentian-gateway/src/io/hub_updates.rs
+++ b/crates/gentian-gateway/src/io/hub_updates.rs
@@ -37,7 +37,7 @@
         }
     }
 
-    /// Returns when the hub first told of records of the operators after `revision`.
+    /// Returns when the hub first announced records of the operators after `revision`.
     pub(crate) fn time_of_newer_operators(&self, revision: StoreRevision) -> Option<MonoTime> {
         let state = self.lock();
         (state.operator_revision > revision).then_some(state.operator_notice_time)
