Space reports of engines that name a limit of requests

An engine that had named a limit of one request a second got 17 in four seconds where 11 are allowed (LIMIT): four of callers, and the reports that the hub fetches every 100 ms while an order is open.

The interval between two reports of such an engine is the time in which it accepts two requests, if that is longer.

reports_used_up_the_limit_that_an_engine_named failed on the code before (40 reports in 4 s at one request a second) and passes.

--- a/crates/gentian-decide/src/orders/engine_tracker.rs
+++ b/crates/gentian-decide/src/orders/engine_tracker.rs
@@ -5,7 +5,7 @@
 use gentian_config::serving::EngineSpec;
 use gentian_core::peer::TargetId;
 use gentian_core::{
-    AdapterId, ByteSize, FastSet, FenceNumber, ModelId, MonoTime, TimeSpan, UpstreamId,
+    AdapterId, ByteSize, FastSet, FenceNumber, ModelId, MonoTime, RequestRate, TimeSpan, UpstreamId,
 };
 
 use super::confirmed_state::ConfirmedState;
@@ -16,6 +16,9 @@
 const REPORT_LAG: TimeSpan = TimeSpan::from_millis(250);
 /// Interval between two report calls while the engine executes an order.
 const REPORT_INTERVAL: TimeSpan = TimeSpan::from_millis(100);
+/// Requests that an engine with a limit accepts in the time of one report call, which it counts as
+/// a request.
+const REQUESTS_PER_REPORT: usize = 2;
 /// Interval between two report calls to an engine that does not respond.
 const UNREACHABLE_REPORT_INTERVAL: TimeSpan = TimeSpan::from_millis(500);
 /// Time from the acceptance of an adapter until requests can use it.
@@ -57,6 +60,7 @@
     confirmed: Option<ConfirmedState>,
     open: Option<OpenOrder>,
     next_report: MonoTime,
+    report_interval: TimeSpan,
     is_report_pending: bool,
     activating: Vec<(TargetId, MonoTime)>,
 }
@@ -71,11 +75,18 @@
             confirmed: None,
             open: None,
             next_report: now,
+            report_interval: REPORT_INTERVAL,
             is_report_pending: false,
             activating: Vec::new(),
         }
     }
 
+    /// Sets the limit of requests that the engine names.
+    pub(super) fn update_limit(&mut self, limit: Option<RequestRate>) {
+        let interval = limit.map_or(TimeSpan::ZERO, |limit| limit.time_for(REQUESTS_PER_REPORT));
+        self.report_interval = interval.max(REPORT_INTERVAL);
+    }
+
     /// Returns the incarnation of the engine that this tracker is for.
     pub fn incarnation(&self) -> u64 {
         self.incarnation
@@ -270,13 +281,13 @@
     ) -> Option<(EngineOrder, TimeSpan)> {
         self.is_report_pending = false;
         let Some(report) = report else {
-            self.next_report = now + UNREACHABLE_REPORT_INTERVAL;
+            self.next_report = now + self.report_interval.max(UNREACHABLE_REPORT_INTERVAL);
             return None;
         };
         let is_old =
             self.confirmed.as_ref().is_some_and(|confirmed| report.sequence < confirmed.sequence);
         if is_old || report.is_busy {
-            self.next_report = now + REPORT_INTERVAL;
+            self.next_report = now + self.report_interval;
             return None;
         }
         if self.open.as_ref().is_some_and(|open| !open.is_accepted) {
--- a/crates/gentian-decide/src/orders/fleet_planner.rs
+++ b/crates/gentian-decide/src/orders/fleet_planner.rs
@@ -168,6 +168,9 @@
         fence: Option<FenceNumber>,
         now: MonoTime,
     ) -> Vec<EngineCall> {
+        for (upstream, tracker) in &mut self.trackers {
+            tracker.update_limit(table.limit(upstream));
+        }
         let mut calls = self.due_calls(fence, now);
         let due_count = calls.len();
         let Some(fence) = fence else { return calls };
--- a/crates/gentian-decide/tests/fleet_planner.rs
+++ b/crates/gentian-decide/tests/fleet_planner.rs
@@ -6,13 +6,14 @@
 mod engine_fleet;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 
 use gentian_config::serving::{CatalogueModel, EngineSpec, ServiceSpec, ServingConfig};
 use gentian_core::peer::{EntryReport, ServingDemand, TargetId};
 use gentian_core::{
-    ByteSize, DomainId, FastMap, FenceNumber, InstanceId, ModelId, MonoTime, SequenceNumber,
-    ServiceId, SlotCount, StoreRevision, TimeSpan, UpstreamId,
+    ByteSize, DomainId, FastMap, FenceNumber, InstanceId, ModelId, MonoTime, RequestRate,
+    SequenceNumber, ServiceId, SlotCount, StoreRevision, TimeSpan, UpstreamId,
 };
 use gentian_decide::orders::{
     EngineCall, EngineOrder, EngineStateReport, FleetPlanner, OrderAction, OrderReply,
@@ -23,6 +24,7 @@
 use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use rstest::rstest;
 
 const START: MonoTime = MonoTime::from_millis(1_000_000);
 const STEP: TimeSpan = TimeSpan::from_millis(50);
@@ -317,3 +319,44 @@
     let loaded: usize = run.engines.iter().map(|engine| engine.loaded.len()).sum();
     assert!(loaded >= 2, "{loaded} models loaded after two seconds");
 }
+
+/// The engine is busy all the time, and counts reports as requests.
+#[rstest]
+#[case::without_a_limit(None, 20..=40)]
+#[case::one_a_second(Some(1_000), 1..=2)]
+#[case::fifty_a_second(Some(50_000), 20..=40)]
+fn reports_used_up_the_limit_that_an_engine_named(
+    #[case] limit_millis: Option<u64>,
+    #[case] expected: RangeInclusive<usize>,
+) {
+    let mut table = UpstreamTable::new("north".parse().unwrap(), engine_fleet::bounds());
+    let upstream: UpstreamId = "i-0".parse().unwrap();
+    let registration = UpstreamRegistration {
+        id: upstream.clone(),
+        revision: StoreRevision::new(1),
+        incarnation: 1,
+        service: service(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        domain: "north".parse().unwrap(),
+        state: UpstreamState::Ready,
+        slots: SlotCount::new(16),
+        cold_remaining: TimeSpan::ZERO,
+        models: Some(EngineModels::default()),
+    };
+    table.update_registrations(vec![registration], StoreRevision::new(1), START);
+    let limit = limit_millis.map(RequestRate::from_millis);
+    table.record_limit(&upstream, limit, START, START + STEP);
+    let mut planner = FleetPlanner::new(config(), TimeSpan::from_secs(5));
+    planner.update_engines(&table, START);
+    let busy = EngineStateReport { is_busy: true, ..SimulatedEngine::default().report() };
+    let mut reports = 0;
+    for step in 0..80 {
+        let now = START + STEP * step;
+        for call in planner.decide(&FastMap::default(), &table, None, now) {
+            assert!(matches!(call, EngineCall::Report { .. }), "{call:?}");
+            reports += 1;
+            planner.handle_report(&upstream, Some(busy.clone()), now);
+        }
+    }
+    assert!(expected.contains(&reports), "{reports} reports in 4 s");
+}
