Let the interval between reports of limited engines grow

The interval begins at 100 ms, doubles with each report that finds the engine at work, and is bounded by the limit: at most six reports in 4 s at one request a second.

--- a/crates/gentian-decide/src/orders/engine_tracker.rs
+++ b/crates/gentian-decide/src/orders/engine_tracker.rs
@@ -14,10 +14,10 @@
 /// Time after the known state was discarded before a report is fetched, because reports lag behind
 /// the state. It is also the expected time until an engine with an unknown state is free.
 const REPORT_LAG: TimeSpan = TimeSpan::from_millis(250);
-/// Interval between two report calls while the engine executes an order.
+/// First interval between two report calls while the engine executes an order.
 const REPORT_INTERVAL: TimeSpan = TimeSpan::from_millis(100);
-/// Requests that an engine with a limit accepts in the time of one report call, which it counts as
-/// a request.
+/// Requests that an engine with a limit accepts in the longest interval between two report calls,
+/// which it counts as requests.
 const REQUESTS_PER_REPORT: usize = 2;
 /// Interval between two report calls to an engine that does not respond.
 const UNREACHABLE_REPORT_INTERVAL: TimeSpan = TimeSpan::from_millis(500);
@@ -61,6 +61,7 @@
     open: Option<OpenOrder>,
     next_report: MonoTime,
     report_interval: TimeSpan,
+    max_report_interval: TimeSpan,
     is_report_pending: bool,
     activating: Vec<(TargetId, MonoTime)>,
 }
@@ -76,6 +77,7 @@
             open: None,
             next_report: now,
             report_interval: REPORT_INTERVAL,
+            max_report_interval: REPORT_INTERVAL,
             is_report_pending: false,
             activating: Vec::new(),
         }
@@ -84,7 +86,7 @@
     /// Sets the limit of requests that the engine names.
     pub(super) fn update_limit(&mut self, limit: Option<RequestRate>) {
         let interval = limit.map_or(TimeSpan::ZERO, |limit| limit.time_for(REQUESTS_PER_REPORT));
-        self.report_interval = interval.max(REPORT_INTERVAL);
+        self.max_report_interval = interval.max(REPORT_INTERVAL);
     }
 
     /// Returns the incarnation of the engine that this tracker is for.
@@ -281,13 +283,14 @@
     ) -> Option<(EngineOrder, TimeSpan)> {
         self.is_report_pending = false;
         let Some(report) = report else {
-            self.next_report = now + self.report_interval.max(UNREACHABLE_REPORT_INTERVAL);
+            self.next_report = now + self.max_report_interval.max(UNREACHABLE_REPORT_INTERVAL);
             return None;
         };
         let is_old =
             self.confirmed.as_ref().is_some_and(|confirmed| report.sequence < confirmed.sequence);
         if is_old || report.is_busy {
             self.next_report = now + self.report_interval;
+            self.report_interval = (self.report_interval * 2).min(self.max_report_interval);
             return None;
         }
         if self.open.as_ref().is_some_and(|open| !open.is_accepted) {
@@ -327,6 +330,7 @@
         open.accepted_at = now;
         open.expected_end = now + load_time;
         self.next_report = open.expected_end;
+        self.report_interval = REPORT_INTERVAL;
         self.open = Some(open);
     }
 
@@ -362,6 +366,7 @@
         self.confirmed = None;
         self.open = None;
         self.next_report = now + REPORT_LAG;
+        self.report_interval = REPORT_INTERVAL;
     }
 
     fn needs_report(&self) -> bool {
