--- a/crates/gentian-decide/src/serving/upstream_pauses.rs
+++ b/crates/gentian-decide/src/serving/upstream_pauses.rs
@@ -31,6 +31,11 @@
         self.pauses.insert(upstream.clone(), pause);
     }
 
+    /// Returns whether no upstream is known to have turned a request away lately.
+    pub(super) fn is_empty(&self) -> bool {
+        self.pauses.is_empty()
+    }
+
     /// Returns until when this incarnation of an upstream accepts no requests; `None` if it accepts
     /// them now.
     pub(super) fn end(
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -246,10 +246,10 @@
         ranked: &mut Vec<(f64, UpstreamId)>,
         now: MonoTime,
     ) -> Option<MonoTime> {
-        let pause_end = |id: &UpstreamId| {
-            let row = self.rows.get(id)?;
-            self.pauses.end(id, row.registration.incarnation, now)
-        };
+        if self.pauses.is_empty() {
+            return None;
+        }
+        let pause_end = |id: &UpstreamId| self.pauses.end(id, self.incarnation(id)?, now);
         let first_end = ranked.iter().filter_map(|(_, id)| pause_end(id)).min();
         ranked.retain(|(_, id)| pause_end(id).is_none());
         first_end.filter(|_| ranked.is_empty())
