Close connections after refusals, instead of one for each order

What may be repeated is a refusal: a connection on which a request or an order was refused is closed, and the others are kept, for orders too. A further attempt at the same upstream needs no rule of its own any more. Both cases of a_repeated_refusal_was_taken_for_the_answer_to_another_request still pass.

--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -65,12 +65,7 @@
     let now = handles.clock.now();
     call.progress = AttemptProgress::Unsent;
     let limit = CONNECT_TIMEOUT.min(call.time_left(now));
-    // A repeated refusal of an earlier attempt has the same id as the response to this one.
-    let connected = match call.tried.contains(&pick.upstream) {
-        true => handles.connections.connect(pick.address, limit),
-        false => handles.connections.acquire(pick.address, limit),
-    };
-    let mut stream = match connected {
+    let mut stream = match handles.connections.acquire(pick.address, limit) {
         Ok(stream) => stream,
         Err(error) => {
             let cause = format!("no connection: {error}");
@@ -180,7 +175,8 @@
     if ends_with_connection(&head) && is_refusing(handles, pick) {
         return ReadError::Broken("the upstream ended".to_owned()).into();
     }
-    if is_request_complete {
+    // A faulty upstream may write a refusal once more with the next request on the connection.
+    if is_request_complete && !metadata.is_not_executed {
         keep_connection(handles, pick, stream, &head);
     }
     if metadata.is_not_executed {
--- a/crates/gentian-gateway/src/io/engine_calls.rs
+++ b/crates/gentian-gateway/src/io/engine_calls.rs
@@ -52,7 +52,7 @@
         clock: ProcessClock,
         metrics: GatewayMetrics,
     ) -> Self {
-        let http_client = PooledClient::new(connections, clock);
+        let http_client = PooledClient::new(connections, clock).with_close_after_refusal();
         let client = EngineClient { codec, http_client, events, holder, clock, metrics };
         Self { pool: WorkerPool::new(MAX_CONCURRENT_CALLS), client }
     }
@@ -85,8 +85,7 @@
     fn send_order(&self, order: EngineOrder, started: MonoTime) {
         let (head, body) = (self.codec.encode_order)(&order, self.holder.as_str());
         let limits = CallLimits { send_until: Some(started + MAX_ORDER_AGE), ..CALL_LIMITS };
-        // Replies to orders do not name the order that they belong to.
-        let reply = self.http_client.call_on_new_connection(order.address, &head, &body, limits);
+        let reply = self.http_client.call(order.address, &head, &body, limits);
         let reply = match reply {
             Ok((head, _)) => (self.codec.decode_order_reply)(head.status),
             Err(error) => {
--- a/crates/gentian-http/src/forward/connection_pool.rs
+++ b/crates/gentian-http/src/forward/connection_pool.rs
@@ -51,19 +51,9 @@
     ///
     /// Returns an error if no connection is established; no byte was sent in that case.
     pub fn acquire(&self, address: SocketAddr, timeout: TimeSpan) -> io::Result<BufferedStream> {
-        match self.acquire_idle(address) {
-            Some(stream) => Ok(stream),
-            None => self.connect(address, timeout),
+        if let Some(stream) = self.acquire_idle(address) {
+            return Ok(stream);
         }
-    }
-
-    /// Connects to `address` within `timeout`, even if a connection is idle. Until it is released,
-    /// the connection is like one of [`Self::acquire`].
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if no connection is established; no byte was sent in that case.
-    pub fn connect(&self, address: SocketAddr, timeout: TimeSpan) -> io::Result<BufferedStream> {
         let mut stream = BufferedStream::connect(address, timeout, self.clock)?;
         stream.set_abortive(true);
         Ok(stream)
--- a/crates/gentian-http/src/forward/pooled_client.rs
+++ b/crates/gentian-http/src/forward/pooled_client.rs
@@ -1,7 +1,6 @@
 //! HTTP calls over pooled connections.
 
 use std::fmt;
-use std::io;
 use std::net::SocketAddr;
 
 use gentian_core::{MonoTime, TimeSpan};
@@ -51,13 +50,20 @@
 #[derive(Clone, Debug)]
 pub struct PooledClient {
     connections: ConnectionPool,
+    closes_after_refusal: bool,
     clock: ProcessClock,
 }
 
 impl PooledClient {
     /// Creates a client that uses `connections`.
     pub const fn new(connections: ConnectionPool, clock: ProcessClock) -> Self {
-        Self { connections, clock }
+        Self { connections, closes_after_refusal: false, clock }
+    }
+
+    /// Closes a connection after a response without success. A faulty server may write such a response
+    /// once more when the next request arrives, and responses do not name their request.
+    pub fn with_close_after_refusal(self) -> Self {
+        Self { closes_after_refusal: true, ..self }
     }
 
     /// Calls the server at `address` and reads its whole response.
@@ -88,39 +94,11 @@
         body: &[u8],
         limits: CallLimits,
         is_wanted: impl Fn() -> bool,
-    ) -> Result<(ResponseHead, Vec<u8>), PooledCallError> {
-        let connected = self.connections.acquire(address, limits.connect);
-        self.exchange(connected, address, (head, body), limits, is_wanted)
-    }
-
-    /// Makes a call like [`Self::call`] on a connection of its own: its response cannot be a repeated
-    /// one to an earlier request.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`PooledCallError::NotSent`] only if no byte of the request was sent.
-    pub fn call_on_new_connection(
-        &self,
-        address: SocketAddr,
-        head: &RequestHead,
-        body: &[u8],
-        limits: CallLimits,
-    ) -> Result<(ResponseHead, Vec<u8>), PooledCallError> {
-        let connected = self.connections.connect(address, limits.connect);
-        self.exchange(connected, address, (head, body), limits, || true)
-    }
-
-    fn exchange(
-        &self,
-        connected: io::Result<BufferedStream>,
-        address: SocketAddr,
-        (head, body): (&RequestHead, &[u8]),
-        limits: CallLimits,
-        is_wanted: impl Fn() -> bool,
     ) -> Result<(ResponseHead, Vec<u8>), PooledCallError> {
         let not_sent = |cause: &dyn fmt::Display| PooledCallError::NotSent(cause.to_string());
         let unknown = |cause: &dyn fmt::Display| PooledCallError::Unknown(cause.to_string());
-        let mut stream = connected.map_err(|error| not_sent(&error))?;
+        let pooled = self.connections.acquire(address, limits.connect);
+        let mut stream = pooled.map_err(|error| not_sent(&error))?;
         let now = self.clock.now();
         if limits.send_until.is_some_and(|limit| now > limit) {
             return Err(not_sent(&"the call is too old"));
@@ -134,7 +112,8 @@
         let framing = framing.map_err(|error| unknown(&error))?;
         let body = read_response_body(&mut stream, framing, MAX_RESPONSE_BYTES, deadline);
         let body = body.map_err(|error| unknown(&error))?;
-        if head.keeps_connection() {
+        let is_refusal = !(200..300).contains(&head.status);
+        if head.keeps_connection() && !(is_refusal && self.closes_after_refusal) {
             self.connections.release(address, stream, head.keep_alive_timeout());
         }
         Ok((head, body))
@@ -169,6 +148,6 @@
 }
 
 /// Returns whether the wait ended, rather than the connection itself by a timeout of the kernel.
-fn is_timeout(error: &io::Error) -> bool {
-    error.kind() == io::ErrorKind::TimedOut && error.raw_os_error().is_none()
+fn is_timeout(error: &std::io::Error) -> bool {
+    error.kind() == std::io::ErrorKind::TimedOut && error.raw_os_error().is_none()
 }
