Ignore registrations that are older than the departure of their upstream

Cause: an entry that had read that a registration was removed kept no revision of that. The hub, suspended since before the removal, continued and listed the upstream as it had been; the entry had no row to compare with, or one with the old revision, and took the upstream back as ready. Departures were compared by era only.

Change: a departure keeps the revision of the record or list that shows it, and a ready registration with a lower revision is outdated, whoever names it.

Evidence: a_listing_from_before_an_upstream_left_brought_it_back failed in both cases before.

--- a/crates/gentian-decide/src/serving/departure_log.rs
+++ b/crates/gentian-decide/src/serving/departure_log.rs
@@ -1,6 +1,6 @@
 //! Upstreams that are leaving or have left.
 
-use gentian_core::{FastMap, MonoTime, StoreEra, StoreRevision, TimeSpan, UpstreamId};
+use gentian_core::{FastMap, MonoTime, StoreRevision, TimeSpan, UpstreamId};
 
 use super::{EraTracker, UpstreamRegistration, UpstreamState};
 
@@ -11,15 +11,16 @@
 #[derive(Clone, Copy, Debug)]
 struct Departure {
     incarnation: u64,
-    era: StoreEra,
+    /// Revision of the record or the list that shows it.
+    revision: StoreRevision,
     time: MonoTime,
     /// Whether the upstream itself announced it in a response.
     is_announced: bool,
 }
 
-/// Remembers which upstreams are leaving or have left. After a restoration of the key-value
-/// service, their registrations may be back as they were before; those of upstreams that announced
-/// their departure in a response may not show it yet.
+/// Remembers which upstreams are leaving or have left. A former hub may still list them as they were
+/// before, and after a restoration of the key-value service their registrations may be back; those of
+/// upstreams that announced their departure in a response may not show it yet.
 #[derive(Debug)]
 pub(super) struct DepartureLog {
     eras: EraTracker,
@@ -55,7 +56,7 @@
         let known = self.departures.get(&registration.id);
         let is_announced =
             known.is_some_and(|known| known.is_announced && known.incarnation == incarnation);
-        let departure = Departure { incarnation, era: revision.era(), time: now, is_announced };
+        let departure = Departure { incarnation, revision, time: now, is_announced };
         self.departures.insert(registration.id.clone(), departure);
     }
 
@@ -66,8 +67,8 @@
         registration: &UpstreamRegistration,
         now: MonoTime,
     ) -> bool {
-        let (incarnation, era) = (registration.incarnation, registration.revision.era());
-        let departure = Departure { incarnation, era, time: now, is_announced: true };
+        let (incarnation, revision) = (registration.incarnation, registration.revision);
+        let departure = Departure { incarnation, revision, time: now, is_announced: true };
         let known = self.departures.insert(registration.id.clone(), departure);
         !known.is_some_and(|known| known.is_announced && known.incarnation == incarnation)
     }
@@ -77,13 +78,15 @@
         self.departures.remove(upstream);
     }
 
-    /// Returns whether a registration doesn't show that its upstream is leaving or has left: it was
-    /// announced only in a response, or the registration may be a copy from before.
+    /// Returns whether a registration doesn't show that its upstream is leaving or has left: it is
+    /// older than that, the departure was announced only in a response, or the registration may be a
+    /// copy from before.
     pub(super) fn is_outdated(&self, registration: &UpstreamRegistration, now: MonoTime) -> bool {
         let Some(departure) = self.departures.get(&registration.id) else { return false };
-        let may_be_copy = registration.revision.era() > departure.era && self.eras.is_settling(now);
+        let revision = registration.revision;
+        let may_be_copy = revision.era() > departure.revision.era() && self.eras.is_settling(now);
         registration.state == UpstreamState::Ready
             && registration.incarnation == departure.incarnation
-            && (departure.is_announced || may_be_copy)
+            && (departure.is_announced || revision < departure.revision || may_be_copy)
     }
 }
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -120,8 +120,9 @@
         }
     }
 
-    /// Returns whether a registration doesn't show that its upstream is leaving or has left: it said so
-    /// only in a response, or the key-value service has just been restored from a copy.
+    /// Returns whether a registration doesn't show that its upstream is leaving or has left: the
+    /// registration is older, the upstream said so only in a response, or the key-value service has
+    /// just been restored from a copy.
     pub fn is_outdated(&self, registration: &UpstreamRegistration, now: MonoTime) -> bool {
         self.departures.is_outdated(registration, now)
     }
--- a/crates/gentian-decide/tests/store_eras.rs
+++ b/crates/gentian-decide/tests/store_eras.rs
@@ -1,4 +1,5 @@
-//! Registrations of upstreams before and after the key-value service was restored from a copy.
+//! Registrations of upstreams that are older than what an entry knows: copies from which the
+//! key-value service was restored, and listings of a former hub.
 
 #![allow(clippy::unwrap_used)]
 
@@ -82,6 +83,25 @@
     assert!(reader.read(Some(ready), revision(2, 70), later));
 }
 
+/// A hub that was suspended sends its listings when it continues.
+#[rstest]
+#[case::drained(Some(DRAINING))]
+#[case::removed(None)]
+fn a_listing_from_before_an_upstream_left_brought_it_back(#[case] state: Option<UpstreamState>) {
+    let mut reader = Reader::new();
+    let ready = registration(UpstreamState::Ready, revision(1, 30));
+    reader.read(Some(ready.clone()), revision(1, 40), NOW);
+    let left = state.map(|state| registration(state, revision(1, 45)));
+    assert!(!reader.read(left, revision(1, 50), NOW));
+    assert!(!reader.read(None, revision(1, 55), NOW));
+    let later = NOW + TimeSpan::from_secs(2);
+    reader.table.update_listings(vec![ready.listing()], later);
+    assert!(!reader.table.rows().any(|row| row.is_usable(later)));
+    let back = registration(UpstreamState::Ready, revision(1, 56));
+    reader.table.update_listings(vec![back.listing()], later);
+    assert!(reader.table.rows().any(|row| row.is_usable(later)));
+}
+
 #[test]
 fn a_registration_that_expired_in_an_outage_is_believed_at_once_when_it_is_back() {
     let mut reader = Reader::new();
