Log what the hub's listings change

GW1406 now also names listings of the hub that are news, with the source, the revision and the hub's fencing number. An upstream that drains is no longer logged again at each read when only its remaining time differs.

--- a/crates/gentian-core/src/event_code.rs
+++ b/crates/gentian-core/src/event_code.rs
@@ -85,7 +85,7 @@
     1403 LOAD_FAILED "load-failed": "An upstream refused a load or an unload, or the outcome is unknown."; "Check the upstream and the weight store."
     1404 UNLOAD_ORDERED "unload-ordered": "Placement decided to unload an idle model or adapter to free its memory."; "None."
     1405 UPSTREAM_LOST "upstream-lost": "An upstream does not reply to status calls, or its registration was removed while it was ready."; "Check the upstream unless it was removed on purpose."
-    1406 UPSTREAM_SEEN "upstream-seen": "An upstream replies to status calls for the first time or again, or its registration is new, has a new state or states a new start."; "None."
+    1406 UPSTREAM_SEEN "upstream-seen": "An upstream replies to status calls for the first time or again, or its registration is new, has a new state or states a new start; the line says whether this process read it or the hub listed it."; "None."
     1407 UPSTREAM_RESTARTED "upstream-restarted": "An upstream has a new boot id and lost its memory contents."; "None."
     1408 ORDER_SENT "order-sent": "The hub is about to send an order to an engine."; "None."
     1409 ORDER_ENDED "order-ended": "An engine replied to an order, or the order ended without a reply."; "Check the upstream if it did not reply."
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -127,6 +127,17 @@
         self.departures.is_outdated(registration, now)
     }
 
+    /// Returns whether `new` is news about whether its upstream is ready, or about its start.
+    pub fn is_news(&self, new: &UpstreamRegistration, now: MonoTime) -> bool {
+        let known = self.rows.get(&new.id).map(|row| &row.registration);
+        let is_ready = |it: &UpstreamRegistration| it.state == UpstreamState::Ready;
+        let is_newer = known.is_none_or(|known| {
+            new.revision >= known.revision
+                && (new.incarnation != known.incarnation || is_ready(new) != is_ready(known))
+        });
+        is_newer && !self.is_outdated(new, now)
+    }
+
     fn update_registration(&mut self, new: UpstreamRegistration, now: MonoTime) {
         self.departures.record_revision(new.revision, now);
         if self.departures.is_outdated(&new, now) {
--- a/crates/gentian-gateway/src/control/hub_controller.rs
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -1,12 +1,16 @@
 //! Controllers of the fleet's entries, of the exchange with the hub and of the hub's own work.
 
-use gentian_core::peer::{EntryReport, FleetMessage, HubAnnouncement, OperatorNotice};
+use gentian_core::peer::{
+    EntryReport, FleetMessage, FleetSummary, HubAnnouncement, OperatorNotice,
+};
 use gentian_core::{EventCode, FenceNumber, MonoTime, TimeSpan, VmId};
 use gentian_decide::orders::EngineCall;
+use gentian_decide::serving::UpstreamRegistration;
 
 use super::fleet_broadcast::send_to_vm;
 use super::lease_controller::receive_handover;
 use super::quarantine_controller::send_quarantine;
+use super::upstream_controller::log_registration;
 use super::{ControlEvent, ControlState, StoreRecords};
 use crate::io::{FleetRecord, decode_fleet_record};
 
@@ -77,16 +81,7 @@
             state.hub_updates.record_operator_notice(notice.revision, now);
         }
         FleetMessage::Report(report) => handle_report(state, report.clone(), now),
-        FleetMessage::Summary(summary) => {
-            let entry_count = state.fleet_size();
-            state.hub_client.handle_summary(
-                summary.clone(),
-                entry_count,
-                &mut state.scheduler,
-                &mut state.table,
-                now,
-            );
-        }
+        FleetMessage::Summary(summary) => handle_summary(state, summary.clone(), now),
         // The controllers of the quarantine and of permits handle the others.
         _ => {}
     }
@@ -194,19 +189,24 @@
     let Some(hub) = &mut state.hub else { return };
     let Some(summary) = hub.fleet_hub.make_summary(vm, hub.fence, now) else { return };
     if *vm == state.vm {
-        let entry_count = state.fleet_size();
-        state.hub_client.handle_summary(
-            summary,
-            entry_count,
-            &mut state.scheduler,
-            &mut state.table,
-            now,
-        );
+        handle_summary(state, summary, now);
     } else if let Some(entry) = state.entries.get(vm) {
         state.socket.send(&FleetMessage::Summary(summary), entry.address);
     }
 }
 
+/// Applies a summary, and logs the listings in it that are news to this entry.
+fn handle_summary(state: &mut ControlState, summary: FleetSummary, now: MonoTime) {
+    let listed = summary.listings.iter().cloned().map(UpstreamRegistration::from);
+    let news: Vec<_> = listed.filter(|it| state.table.is_news(it, now)).collect();
+    let (fence, entry_count) = (summary.fence, state.fleet_size());
+    let (scheduler, table) = (&mut state.scheduler, &mut state.table);
+    if state.hub_client.handle_summary(summary, entry_count, scheduler, table, now) {
+        let source = format!("hub fence={fence}");
+        news.iter().for_each(|registration| log_registration(registration, &source));
+    }
+}
+
 fn update_hub(state: &mut ControlState, vm: VmId, fence: FenceNumber) {
     if state.known_hub.as_ref().is_some_and(|(_, known)| *known >= fence) {
         return;
--- a/crates/gentian-gateway/src/control/upstream_controller.rs
+++ b/crates/gentian-gateway/src/control/upstream_controller.rs
@@ -63,25 +63,25 @@
             );
         }
     }
-    let is_current = |it: &&UpstreamRegistration| !state.table.is_outdated(it, now);
-    for registration in registrations.iter().filter(is_current) {
-        let known = state.table.rows().find(|row| row.registration.id == registration.id);
-        if known.is_some_and(|row| {
-            row.registration.incarnation == registration.incarnation
-                && row.registration.state == registration.state
-        }) {
-            continue;
-        }
-        log::info!(
-            "{} upstream={} service={} address={} domain={} state={:?} born={} cold={}",
-            EventCode::UPSTREAM_SEEN,
-            registration.id,
-            registration.service,
-            registration.address,
-            registration.domain,
-            registration.state,
-            registration.incarnation,
-            registration.cold_remaining
-        );
+    for registration in registrations.iter().filter(|it| state.table.is_news(it, now)) {
+        log_registration(registration, "read");
     }
 }
+
+/// Logs a registration that is news to this entry; `source` tells whether the entry read it or the
+/// hub listed it.
+pub(super) fn log_registration(registration: &UpstreamRegistration, source: &str) {
+    log::info!(
+        "{} upstream={} service={} address={} domain={} state={:?} born={} cold={} revision={} \
+         source={source}",
+        EventCode::UPSTREAM_SEEN,
+        registration.id,
+        registration.service,
+        registration.address,
+        registration.domain,
+        registration.state,
+        registration.incarnation,
+        registration.cold_remaining,
+        registration.revision
+    );
+}
