Ignore summaries of a former hub

Cause: an entry told summaries of different hubs apart, but not which of two hubs is the later one, although each summary carries the fencing number.

Change: the client of the hub keeps the highest fencing number that it knows, from announcements, stored records and summaries, and ignores summaries with a lower one (GW1501).

Evidence: a_summary_of_a_former_hub_was_believed failed before.

--- a/crates/gentian-core/src/event_code.rs
+++ b/crates/gentian-core/src/event_code.rs
@@ -91,7 +91,7 @@
     1409 ORDER_ENDED "order-ended": "An engine replied to an order, or the order ended without a reply."; "Check the upstream if it did not reply."
     1410 LIMIT_CHANGED "limit-changed": "An upstream names another limit of requests per second for all entries together, or none any more."; "Check the upstream if it lasts."
     1411 UPSTREAM_NOTICE "upstream-notice": "An upstream stated in a response that it is leaving, or it turned a request away and wants none from this entry for the time in the line."; "None unless it lasts; then check the upstream."
-    1501 GRANT_VOID "grant-void": "A grant or a placement reply arrived late, twice or from a former holder and was ignored."; "None unless frequent."
+    1501 GRANT_VOID "grant-void": "A grant, a placement reply or a summary of the hub arrived late, twice or from a former holder and was ignored."; "None unless frequent."
     1502 DATAGRAM_REFUSED "datagram-refused": "A datagram failed authentication or decoding."; "Check the cluster key of the sender."
     1601 PLATFORM_LOST "platform-lost": "Calls to the key-value service fail or return malformed records; on the users' platform the line gives how long the failed call waited."; "Check the key-value service."
     1602 PLATFORM_BACK "platform-back": "Calls to the key-value service succeed again."; "None."
--- a/crates/gentian-decide/src/serving/hub_client.rs
+++ b/crates/gentian-decide/src/serving/hub_client.rs
@@ -1,7 +1,9 @@
 //! An entry's side of the exchange with the hub.
 
 use gentian_core::peer::{EntryReport, FleetSummary};
-use gentian_core::{FastMap, InstanceId, MonoTime, OrganisationId, SequenceNumber, TimeSpan, VmId};
+use gentian_core::{
+    FastMap, FenceNumber, InstanceId, MonoTime, OrganisationId, SequenceNumber, TimeSpan, VmId,
+};
 
 use super::report_interval::{
     UNREPORTED_WAIT_INTERVAL, hub_timeout, near_limit_interval, report_interval, work_interval,
@@ -29,6 +31,8 @@
     first_listings: Option<MonoTime>,
     has_own_list: bool,
     hub: InstanceId,
+    /// Fencing number of the newest hub that this entry knows.
+    fence: FenceNumber,
     last_summary_sequence: SequenceNumber,
     revision: SequenceNumber,
     remote_spent: FastMap<OrganisationId, u64>,
@@ -49,6 +53,7 @@
             first_listings: None,
             has_own_list: false,
             hub: InstanceId::default(),
+            fence: FenceNumber::default(),
             last_summary_sequence: SequenceNumber::default(),
             revision: SequenceNumber::default(),
             remote_spent: FastMap::default(),
@@ -98,6 +103,11 @@
         })
     }
 
+    /// Records the fencing number of a hub; summaries of earlier hubs are out of date from then on.
+    pub fn record_hub(&mut self, fence: FenceNumber) {
+        self.fence = self.fence.max(fence);
+    }
+
     /// Applies a summary; `false` if it is out of date.
     pub fn handle_summary(
         &mut self,
@@ -112,9 +122,10 @@
         // the same report.
         let is_old =
             summary.sequence < self.last_summary_sequence || summary.revision < self.revision;
-        if is_same_hub && is_old {
+        if summary.fence < self.fence || (is_same_hub && is_old) {
             return false;
         }
+        self.fence = summary.fence;
         if !is_same_hub {
             self.hub = summary.hub;
             self.revision = SequenceNumber::default();
--- a/crates/gentian-decide/tests/hub_client.rs
+++ b/crates/gentian-decide/tests/hub_client.rs
@@ -104,3 +104,23 @@
     assert!(exchange(82, 5, NOW));
     assert!(exchange(100, 1, NOW + TimeSpan::from_millis(400)));
 }
+
+/// A hub that was suspended, and has a successor, replies to the reports that had arrived before.
+#[test]
+fn a_summary_of_a_former_hub_was_believed() {
+    let bounds = engine_fleet::bounds();
+    let mut scheduler = CallScheduler::new(bounds);
+    let mut table = UpstreamTable::new("north".parse().unwrap(), bounds);
+    let mut client = HubClient::new("vm-1".parse().unwrap(), InstanceId::new(1));
+    let mut handle = |client: &mut HubClient, hub: u64, fence: u64| {
+        let (hub, fence) = (InstanceId::new(hub), FenceNumber::new(fence));
+        let summary = FleetSummary { hub, fence, ..summary(TimeSpan::ZERO) };
+        client.handle_summary(summary, 90, &mut scheduler, &mut table, NOW)
+    };
+    assert!(handle(&mut client, 9, 5));
+    client.record_hub(FenceNumber::new(7));
+    assert!(!handle(&mut client, 9, 5), "its successor is known");
+    assert!(handle(&mut client, 8, 7));
+    assert!(handle(&mut client, 6, 9));
+    assert!(!handle(&mut client, 8, 7), "its successor has sent a summary");
+}
--- a/crates/gentian-gateway/src/control/hub_controller.rs
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -204,6 +204,8 @@
     if state.hub_client.handle_summary(summary, entry_count, scheduler, table, now) {
         let source = format!("hub fence={fence}");
         news.iter().for_each(|registration| log_registration(registration, &source));
+    } else if let Some((_, known)) = state.known_hub.as_ref().filter(|(_, known)| *known > fence) {
+        log::info!("{} message=summary fence={fence} known={known}", EventCode::GRANT_VOID);
     }
 }
 
@@ -216,6 +218,7 @@
         log::info!("{} vm={} successor={vm}", EventCode::SEAT_LOST, state.vm);
     }
     state.lease.handle_holder_change(fence);
+    state.hub_client.record_hub(fence);
     state.known_hub = Some((vm, fence));
     state.vacant_since = None;
 }
--- a/crates/gentian-gateway/src/control/lease_controller.rs
+++ b/crates/gentian-gateway/src/control/lease_controller.rs
@@ -129,6 +129,7 @@
     state.hub =
         Some(HubState { fleet_hub, planner, permits, fence, planned_at, deferred_plan_at: None });
     state.known_hub = Some((state.vm.clone(), fence));
+    state.hub_client.record_hub(fence);
     let announcement = FleetMessage::Announcement(HubAnnouncement { vm: state.vm.clone(), fence });
     let notice = FleetMessage::Operators(OperatorNotice { revision: state.operator_revision });
     broadcast(state, announcement, now);
