Close idle connections of callers soon after the load balancer has left

Cause: a stopping entry closes idle connections 2.3 s after the signal, but each of them looked only once a second, so one could accept a request until 3.3 s, too late for the grace time.

Change: while the process is stopping, idle connections look ten times a second.

For it the soak has callers that stay idle for seconds on an open connection, which also take part in random runs, a plan that stops entries in turn, and a check of what a stopping entry accepts.

--- a/crates/gentian-gateway/src/front/caller_session.rs
+++ b/crates/gentian-gateway/src/front/caller_session.rs
@@ -13,8 +13,11 @@
 
 use crate::chain::{CallContext, CallHandles};
 
-/// Interval between checks whether an idle connection must be closed.
+/// Interval between checks at an idle connection whether the process is stopping.
 const STOP_CHECK_INTERVAL: TimeSpan = TimeSpan::from_millis(1_000);
+/// Interval between checks, while the process is stopping, whether the connection must be closed. A
+/// request that arrives long after the stop signal may not end within the grace time.
+const CLOSE_CHECK_INTERVAL: TimeSpan = TimeSpan::from_millis(100);
 /// How long to read and discard bytes that still arrive after the write side was closed, so that
 /// the caller can read the response.
 const LINGER_TIME: TimeSpan = TimeSpan::from_millis(500);
@@ -133,7 +136,11 @@
         if now >= idle_until || context.closing.load(Ordering::Acquire) {
             return false;
         }
-        match stream.fill(idle_until.min(now + STOP_CHECK_INTERVAL)) {
+        let interval = match context.stopping.load(Ordering::Acquire) {
+            true => CLOSE_CHECK_INTERVAL,
+            false => STOP_CHECK_INTERVAL,
+        };
+        match stream.fill(idle_until.min(now + interval)) {
             Ok(0) => return false,
             Ok(_) => {}
             Err(error) if error.kind() == std::io::ErrorKind::TimedOut => {}
--- a/crates/gentian-soak/src/call_record.rs
+++ b/crates/gentian-soak/src/call_record.rs
@@ -45,6 +45,8 @@
     pub(crate) body_bytes: usize,
     /// Entry to which it was sent.
     pub(crate) entry: usize,
+    /// When its connection was opened.
+    pub(crate) connected: Instant,
     /// When it was sent.
     pub(crate) sent: Instant,
     /// Whether its prompt holds the part on which engines crash.
--- a/crates/gentian-soak/src/fault_plan.rs
+++ b/crates/gentian-soak/src/fault_plan.rs
@@ -16,10 +16,13 @@
     /// Replicas that leave and changes of the configuration after the store was restored from a
     /// copy.
     RestoredStore,
+    /// Entries that are stopped in turn.
+    StoppedEntries,
 }
 
 impl FaultPlan {
-    const ALL: [Self; 3] = [Self::Random, Self::SilentStore, Self::RestoredStore];
+    const ALL: [Self; 4] =
+        [Self::Random, Self::SilentStore, Self::RestoredStore, Self::StoppedEntries];
 }
 
 impl fmt::Display for FaultPlan {
@@ -28,6 +31,7 @@
             Self::Random => "random",
             Self::SilentStore => "silent-store",
             Self::RestoredStore => "restored-store",
+            Self::StoppedEntries => "stopped-entries",
         })
     }
 }
@@ -37,7 +41,7 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let found = Self::ALL.into_iter().find(|plan| plan.to_string() == text);
-        let expected = "one of random, silent-store, restored-store";
+        let expected = "one of random, silent-store, restored-store, stopped-entries";
         found.ok_or_else(|| ParseError::new("fault plan", text, expected))
     }
 }
--- a/crates/gentian-soak/src/lib.rs
+++ b/crates/gentian-soak/src/lib.rs
@@ -14,6 +14,7 @@
 mod soak_fault;
 mod soak_run;
 mod soak_settings;
+mod stop_check;
 
 pub use fault_plan::FaultPlan;
 pub use soak_check::SoakReport;
--- a/crates/gentian-soak/src/main.rs
+++ b/crates/gentian-soak/src/main.rs
@@ -18,7 +18,7 @@
     /// seconds of faults in each run (default 12)
     #[argh(option, default = "12")]
     seconds: u64,
-    /// faults: random (default), silent-store or restored-store
+    /// faults: random (default), silent-store, restored-store or stopped-entries
     #[argh(option, default = "FaultPlan::default()")]
     plan: FaultPlan,
     /// entries (default 3)
@@ -27,6 +27,9 @@
     /// callers (default 8)
     #[argh(option, default = "8")]
     callers: usize,
+    /// further callers that are idle for seconds between two calls (default 2)
+    #[argh(option, default = "2")]
+    idle_callers: usize,
     /// percentage of streams with a part on which engines crash (default 2)
     #[argh(option, default = "2")]
     crash_percent: u32,
@@ -47,6 +50,7 @@
             .with_seconds(arguments.seconds)
             .with_fault_plan(arguments.plan)
             .with_size(arguments.entries, arguments.callers)
+            .with_idle_callers(arguments.idle_callers)
             .with_crash_percent(arguments.crash_percent);
         match run_soak(&settings) {
             Ok(report) => {
--- a/crates/gentian-soak/src/soak_caller.rs
+++ b/crates/gentian-soak/src/soak_caller.rs
@@ -30,6 +30,13 @@
 const SHARED_PARTS: [&str; 4] = ["a0", "b1", "b2", "b3"];
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
 
+/// A connection that stays open between two calls.
+struct KeptConnection {
+    entry: usize,
+    opened: Instant,
+    stream: BufferedStream,
+}
+
 /// A caller that makes one random call after the other.
 pub(crate) struct SoakCaller {
     layout: FleetLayout,
@@ -38,7 +45,10 @@
     number: u64,
     crash_percent: u32,
     clock: ProcessClock,
-    kept_connection: Option<(usize, BufferedStream)>,
+    max_pause: Duration,
+    kept_connection: Option<KeptConnection>,
+    /// When the connection of the last call was opened.
+    connected: Instant,
     /// Replica that the last response said is leaving.
     leaving_replica: Option<String>,
 }
@@ -54,7 +64,9 @@
             number,
             crash_percent: 0,
             clock: ProcessClock::new(),
+            max_pause: CALL_PAUSE,
             kept_connection: None,
+            connected: Instant::now(),
             leaving_replica: None,
         }
     }
@@ -64,17 +76,34 @@
         Self { crash_percent, ..self }
     }
 
+    /// Sets the longest pause between two calls, in which the connection stays open; the shortest is
+    /// half of it.
+    pub(crate) fn with_max_pause(self, max_pause: Duration) -> Self {
+        Self { max_pause, ..self }
+    }
+
     /// Makes calls until `stop` is set and returns their records.
     pub(crate) fn run(mut self, stop: &Arc<AtomicBool>) -> Vec<CallRecord> {
         let mut records = Vec::new();
         while !stop.load(Ordering::Acquire) {
             let count = records.len() as u64;
             records.push(self.make_call(count));
-            std::thread::sleep(CALL_PAUSE);
+            self.pause(stop);
         }
         records
     }
 
+    fn pause(&mut self, stop: &AtomicBool) {
+        let pause = match self.max_pause > CALL_PAUSE {
+            true => self.random.random_range(self.max_pause / 2..self.max_pause),
+            false => CALL_PAUSE,
+        };
+        let end = Instant::now() + pause;
+        while Instant::now() < end && !stop.load(Ordering::Acquire) {
+            std::thread::sleep(CALL_PAUSE);
+        }
+    }
+
     /// Requests the newest route that must be known from each entry in turn, until `stop` is set;
     /// returns the records.
     pub(crate) fn run_probes(mut self, log: &ConfigLog, stop: &AtomicBool) -> Vec<CallRecord> {
@@ -107,6 +136,7 @@
             target: recorded_target,
             body_bytes: 0,
             entry,
+            connected: self.connected,
             sent,
             has_crash_part: false,
             outcome,
@@ -143,7 +173,7 @@
         }
         let (method, recorded_target) = (method.to_owned(), target.clone());
         let head = RequestHead { method, target, is_http11: true, headers };
-        let entry = self.kept_connection.as_ref().map(|(entry, _)| *entry);
+        let entry = self.kept_connection.as_ref().map(|kept| kept.entry);
         let entry = entry.unwrap_or_else(|| self.random.random_range(0..self.entries));
         let sent = Instant::now();
         let outcome = self.send(entry, &head, body_bytes, kind, &id);
@@ -154,6 +184,7 @@
             target: recorded_target,
             body_bytes,
             entry,
+            connected: self.connected,
             sent,
             has_crash_part,
             outcome,
@@ -181,21 +212,18 @@
         id: &str,
     ) -> CallOutcome {
         self.leaving_replica = None;
-        let kept_connection = self.kept_connection.take().map(|(_, stream)| stream);
-        let stream = match kept_connection {
-            Some(stream) => stream,
+        let kept_connection = self.kept_connection.take();
+        self.connected = kept_connection.as_ref().map_or_else(Instant::now, |kept| kept.opened);
+        let mut stream = match kept_connection {
+            Some(kept) => kept.stream,
             None => {
-                match BufferedStream::connect(
-                    self.layout.caller_address(entry),
-                    CONNECT_TIMEOUT,
-                    self.clock,
-                ) {
+                let address = self.layout.caller_address(entry);
+                match BufferedStream::connect(address, CONNECT_TIMEOUT, self.clock) {
                     Ok(stream) => stream,
                     Err(_) => return CallOutcome::ConnectionLost,
                 }
             }
         };
-        let mut stream = stream;
         let leaves_early = self.random.random_range(0..100) < LEAVE_EARLY_PERCENT;
         let timeout = if leaves_early {
             TimeSpan::from_millis(60)
@@ -237,7 +265,7 @@
             return CallOutcome::ConnectionLost;
         };
         if response.keeps_connection() && self.random.random_range(0..10) > 0 {
-            self.kept_connection = Some((entry, stream));
+            self.kept_connection = Some(KeptConnection { entry, opened: self.connected, stream });
         }
         let header = |name| response.headers.text(name).map(ToOwned::to_owned);
         self.leaving_replica =
--- a/crates/gentian-soak/src/soak_fault.rs
+++ b/crates/gentian-soak/src/soak_fault.rs
@@ -85,6 +85,7 @@
         FaultPlan::Random => draw_random_faults(seed, span, entries, replicas),
         FaultPlan::SilentStore => draw_silences(seed, span),
         FaultPlan::RestoredStore => draw_restorations(seed, span, entries, replicas),
+        FaultPlan::StoppedEntries => draw_stops(seed, span, entries),
     }
 }
 
@@ -138,6 +139,19 @@
     faults
 }
 
+/// Generates stops of the entries, one after the other.
+fn draw_stops(seed: u64, span: Duration, entries: usize) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let (mut faults, mut at) = (Vec::new(), Duration::ZERO);
+    while at < span {
+        let pause = Duration::from_millis(random.random_range(3_000..4_500));
+        let fault = SoakFault::StopEntry(faults.len() % entries);
+        faults.push(PlannedFault { pause, fault });
+        at += pause;
+    }
+    faults
+}
+
 /// Generates random faults. Some follow each other closely, and they may overlap.
 fn draw_random_faults(
     seed: u64,
--- a/crates/gentian-soak/src/soak_run.rs
+++ b/crates/gentian-soak/src/soak_run.rs
@@ -23,6 +23,7 @@
 use crate::soak_caller::SoakCaller;
 use crate::soak_check::{ExpectedService, check_crashes, check_drains, check_limits, check_run};
 use crate::soak_fault::{PlannedFault, SoakFault, draw_faults};
+use crate::stop_check::StopLog;
 use crate::{SoakReport, SoakSettings};
 
 /// The first `ENGINES` replicas are model engines, the others plain services.
@@ -36,6 +37,8 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(10);
 /// Time after the recovery in which the percentage of served calls is checked.
 const FINAL_PHASE: Duration = Duration::from_secs(4);
+/// Longest pause of an idle caller between two calls.
+const MAX_IDLE_TIME: Duration = Duration::from_millis(3_500);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 struct SoakFleet {
@@ -51,6 +54,7 @@
     version: u64,
     config_log: Arc<ConfigLog>,
     contact_log: ContactLog,
+    stop_log: StopLog,
     evacuated: FastSet<&'static str>,
 }
 
@@ -76,16 +80,20 @@
     fleet.wait_ready()?;
     fleet.set_answer_fault();
     let stop = Arc::new(AtomicBool::new(false));
-    let callers: Vec<JoinHandle<Vec<CallRecord>>> = (0..settings.callers as u64)
-        .map(|number| {
-            let (layout, stop) = (fleet.layout, Arc::clone(&stop));
-            let caller = SoakCaller::new(layout, settings.entries, settings.seed, number)
-                .with_crash_percent(settings.crash_percent);
+    let new_caller = |number: usize| {
+        SoakCaller::new(fleet.layout, settings.entries, settings.seed, number as u64)
+    };
+    let prober = new_caller(settings.callers);
+    let busy = (0..settings.callers).map(new_caller);
+    let idle = (0..settings.idle_callers).map(|number| new_caller(settings.callers + 1 + number));
+    let all = busy.chain(idle.map(|caller| caller.with_max_pause(MAX_IDLE_TIME)));
+    let callers: Vec<JoinHandle<Vec<CallRecord>>> = all
+        .map(|caller| {
+            let caller = caller.with_crash_percent(settings.crash_percent);
+            let stop = Arc::clone(&stop);
             std::thread::spawn(move || caller.run(&stop))
         })
         .collect();
-    let prober =
-        SoakCaller::new(fleet.layout, settings.entries, settings.seed, settings.callers as u64);
     let (config_log, probe_stop) = (Arc::clone(&fleet.config_log), Arc::clone(&stop));
     let prober = std::thread::spawn(move || prober.run_probes(&config_log, &probe_stop));
     let span = Duration::from_secs(settings.seconds);
@@ -114,6 +122,7 @@
     let outdated = ConfigLog::check(&records, &fleet.contact_log);
     let drained = check_drains(&settings.folder, &fleet.contact_log)?;
     let departed = check_departures(&records, &settings.folder, &fleet.contact_log)?;
+    let late = fleet.stop_log.check(&records);
     let over_memory = fleet.check_memory();
     let registered = fleet.layout.count_entry_records()?;
     fleet.stop();
@@ -138,6 +147,7 @@
     }
     report.violations.extend(drained);
     report.violations.extend(departed);
+    report.violations.extend(late);
     report.violations.extend(over_memory);
     Ok(report)
 }
@@ -171,6 +181,7 @@
             version: FIRST_VERSION,
             config_log: Arc::default(),
             contact_log: ContactLog::default(),
+            stop_log: StopLog::default(),
             evacuated: FastSet::default(),
         };
         fleet.retry(|fleet| fleet.layout.publish(FIRST_VERSION))?;
@@ -212,6 +223,7 @@
         match planned.fault {
             SoakFault::StopEntry(entry) => {
                 self.disturb(entry, Duration::from_secs(9));
+                self.stop_log.record_stop(entry, now);
                 self.processes.signal(&entry_name(entry), Signal::TERM);
             }
             SoakFault::KillEntry(entry) => self.kill_entry(entry),
@@ -220,6 +232,7 @@
             }
             SoakFault::PauseEntry(entry, span) => {
                 self.disturb(entry, span);
+                self.stop_log.record_pause(entry, span, now);
                 self.pause(entry_name(entry), now + span);
             }
             SoakFault::ReloadEntry(entry) => {
--- a/crates/gentian-soak/src/soak_settings.rs
+++ b/crates/gentian-soak/src/soak_settings.rs
@@ -19,6 +19,8 @@
     pub entries: usize,
     /// Number of concurrent callers.
     pub callers: usize,
+    /// Number of further callers that leave their connection open for seconds between two calls.
+    pub idle_callers: usize,
     /// Percentage of streams whose prompt holds a part on which engines crash.
     pub crash_percent: u32,
     /// Fault that the first answers of these replicas have.
@@ -34,7 +36,8 @@
 }
 
 impl SoakSettings {
-    /// Creates the settings of a run without faults: three entries and six callers.
+    /// Creates the settings of a run without faults: three entries, six callers and two more that
+    /// are idle for seconds between two calls.
     pub fn new(seed: u64, programs: PathBuf, folder: PathBuf) -> Self {
         Self {
             seed,
@@ -42,6 +45,7 @@
             fault_plan: FaultPlan::default(),
             entries: 3,
             callers: 6,
+            idle_callers: 2,
             crash_percent: 0,
             answer_fault: None,
             faulty_replicas: None,
@@ -66,6 +70,11 @@
         Self { entries, callers, ..self }
     }
 
+    /// Sets the number of callers that are idle for seconds between two calls.
+    pub fn with_idle_callers(self, idle_callers: usize) -> Self {
+        Self { idle_callers, ..self }
+    }
+
     /// Sets the percentage of streams whose prompt holds a part on which engines crash.
     pub fn with_crash_percent(self, crash_percent: u32) -> Self {
         Self { crash_percent, ..self }
