--- a/crates/gentian-soak/src/loopback_proxy.rs
+++ b/crates/gentian-soak/src/loopback_proxy.rs
@@ -30,11 +30,20 @@
     Silent,
     /// Drops all bytes; a connection that has dropped some stays open and silent after the fault.
     Mute,
+    /// Drops all bytes of the connections that are open when the fault begins, for good; new ones
+    /// are forwarded.
+    Stale,
 }
 
 /// All modes that are faults.
-pub(crate) const FAULT_MODES: [LinkMode; 5] =
-    [LinkMode::Delay, LinkMode::Reset, LinkMode::OneWay, LinkMode::Silent, LinkMode::Mute];
+pub(crate) const FAULT_MODES: [LinkMode; 6] = [
+    LinkMode::Delay,
+    LinkMode::Reset,
+    LinkMode::OneWay,
+    LinkMode::Silent,
+    LinkMode::Mute,
+    LinkMode::Stale,
+];
 
 impl LinkMode {
     fn from_number(number: u8) -> Self {
@@ -141,9 +150,10 @@
         let is_dropped = match mode {
             LinkMode::Silent | LinkMode::Mute => true,
             LinkMode::OneWay => is_forward,
+            LinkMode::Stale => is_mute || has_new_fault,
             _ => is_mute,
         };
-        is_mute |= mode == LinkMode::Mute;
+        is_mute |= mode == LinkMode::Mute || (mode == LinkMode::Stale && has_new_fault);
         has_dropped |= is_dropped;
         if mode == LinkMode::Delay {
             std::thread::sleep(DELAY);
