--- a/crates/gentian-gateway/src/control/hub_controller.rs
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -1,7 +1,7 @@
 //! Controllers of the fleet's entries, of the exchange with the hub and of the hub's own work.
 
 use gentian_core::peer::{
-    EntryReport, FleetMessage, FleetSummary, HubAnnouncement, OperatorNotice,
+    EntryReport, FleetMessage, FleetSummary, HubAnnouncement, OperatorNotice, UpstreamListing,
 };
 use gentian_core::{EventCode, FenceNumber, MonoTime, TimeSpan, VmId};
 use gentian_decide::orders::EngineCall;
@@ -197,13 +197,17 @@
 
 /// Applies a summary, and logs the listings in it that are news to this entry.
 fn handle_summary(state: &mut ControlState, summary: FleetSummary, now: MonoTime) {
-    let listed = summary.listings.iter().cloned().map(UpstreamRegistration::from);
-    let news: Vec<_> = listed.filter(|it| state.table.is_news(it, now)).collect();
+    // A hub goes on listing upstreams that have left, also to entries that never knew them.
+    let is_relevant = |listing: &&UpstreamListing| {
+        listing.is_ready || state.table.incarnation(&listing.upstream).is_some()
+    };
+    let listed = summary.listings.iter().filter(is_relevant).cloned();
+    let registrations = listed.map(UpstreamRegistration::from);
+    let news: Vec<_> = registrations.filter(|it| state.table.is_news(it, now)).collect();
     let (fence, entry_count) = (summary.fence, state.fleet_size());
     let (scheduler, table) = (&mut state.scheduler, &mut state.table);
     if state.hub_client.handle_summary(summary, entry_count, scheduler, table, now) {
-        let source = format!("hub fence={fence}");
-        news.iter().for_each(|registration| log_registration(registration, &source));
+        news.iter().for_each(|registration| log_registration(registration, Some(fence)));
     } else if let Some((_, known)) = state.known_hub.as_ref().filter(|(_, known)| *known > fence) {
         log::info!("{} message=summary fence={fence} known={known}", EventCode::GRANT_VOID);
     }
--- a/crates/gentian-gateway/src/control/upstream_controller.rs
+++ b/crates/gentian-gateway/src/control/upstream_controller.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use gentian_core::peer::UpstreamListing;
-use gentian_core::{EventCode, FastSet, MonoTime, UpstreamId};
+use gentian_core::{EventCode, FastSet, FenceNumber, MonoTime, UpstreamId};
 use gentian_decide::serving::{UpstreamRegistration, UpstreamState};
 
 use super::{ControlEvent, ControlState, StoreRecords, TrafficView};
@@ -64,13 +64,14 @@
         }
     }
     for registration in registrations.iter().filter(|it| state.table.is_news(it, now)) {
-        log_registration(registration, "read");
+        log_registration(registration, None);
     }
 }
 
-/// Logs a registration that is news to this entry; `source` tells whether the entry read it or the
-/// hub listed it.
-pub(super) fn log_registration(registration: &UpstreamRegistration, source: &str) {
+/// Logs a registration that is news to this entry. The entry has read it, or the hub with this
+/// fencing number has listed it.
+pub(super) fn log_registration(registration: &UpstreamRegistration, hub: Option<FenceNumber>) {
+    let source = hub.map_or_else(|| "read".to_owned(), |fence| format!("hub fence={fence}"));
     log::info!(
         "{} upstream={} service={} address={} domain={} state={:?} born={} cold={} revision={} \
          source={source}",
