--- a/crates/gentian-decide/tests/hub_client.rs
+++ b/crates/gentian-decide/tests/hub_client.rs
@@ -105,7 +105,7 @@
     assert!(exchange(100, 1, NOW + TimeSpan::from_millis(400)));
 }
 
-/// A hub that was suspended, and has a successor, replies to the reports that had arrived before.
+/// A hub that was suspended and has a successor now replies to the reports that had arrived before.
 #[test]
 fn a_summary_of_a_former_hub_was_believed() {
     let bounds = engine_fleet::bounds();
--- a/crates/gentian-soak/src/soak_run.rs
+++ b/crates/gentian-soak/src/soak_run.rs
@@ -80,22 +80,7 @@
     fleet.wait_ready()?;
     fleet.set_answer_fault();
     let stop = Arc::new(AtomicBool::new(false));
-    let new_caller = |number: usize| {
-        SoakCaller::new(fleet.layout, settings.entries, settings.seed, number as u64)
-    };
-    let prober = new_caller(settings.callers);
-    let busy = (0..settings.callers).map(new_caller);
-    let idle = (0..settings.idle_callers).map(|number| new_caller(settings.callers + 1 + number));
-    let all = busy.chain(idle.map(|caller| caller.with_max_pause(MAX_IDLE_TIME)));
-    let callers: Vec<JoinHandle<Vec<CallRecord>>> = all
-        .map(|caller| {
-            let caller = caller.with_crash_percent(settings.crash_percent);
-            let stop = Arc::clone(&stop);
-            std::thread::spawn(move || caller.run(&stop))
-        })
-        .collect();
-    let (config_log, probe_stop) = (Arc::clone(&fleet.config_log), Arc::clone(&stop));
-    let prober = std::thread::spawn(move || prober.run_probes(&config_log, &probe_stop));
+    let callers = start_callers(&fleet, &stop);
     let span = Duration::from_secs(settings.seconds);
     let faults = draw_faults(settings.fault_plan, settings.seed, span, settings.entries, REPLICAS);
     for planned in &faults {
@@ -107,49 +92,58 @@
     fleet.run_for(FINAL_PHASE)?;
     stop.store(true, Ordering::Release);
     let mut records = Vec::new();
-    for caller in callers.into_iter().chain([prober]) {
+    for caller in callers {
         records.extend(caller.join().map_err(|_| eyre!("a caller thread panicked"))?);
     }
-    let is_overdue = |record: &&CallRecord| record.outcome == CallOutcome::Overdue;
-    let overdue: Vec<String> = records
-        .iter()
-        .filter(is_overdue)
-        .filter(|record| fleet.disturbed_until[record.entry] < record.sent)
-        .map(|record| format!("{:?} {} had no response in time", record.kind, record.id))
-        .collect();
+    let violations = fleet.check(&records)?;
+    fleet.stop();
     let final_records: Vec<CallRecord> =
         records.iter().filter(|record| record.sent >= recovered_at).cloned().collect();
-    let outdated = ConfigLog::check(&records, &fleet.contact_log);
-    let drained = check_drains(&settings.folder, &fleet.contact_log)?;
-    let departed = check_departures(&records, &settings.folder, &fleet.contact_log)?;
-    let late = fleet.stop_log.check(&records);
-    let over_memory = fleet.check_memory();
-    let registered = fleet.layout.count_entry_records()?;
-    fleet.stop();
     let expected_service = match settings.request_limit {
         Some(_) => ExpectedService::Limited,
         None => ExpectedService::Full,
     };
     let mut report =
         check_run(&records, &final_records, &settings.folder, faults.len(), expected_service)?;
+    report.violations.extend(violations);
+    report.violations.extend(check_journals(settings, faults_ended_at)?);
+    Ok(report)
+}
+
+/// Returns a description of each guarantee that was violated, as the journals of the replicas show
+/// once they have ended.
+fn check_journals(
+    settings: &SoakSettings,
+    faults_ended_at: SystemTime,
+) -> eyre::Result<Vec<String>> {
+    let mut violations = Vec::from_iter(check_crashes(&settings.folder, faults_ended_at)?);
     if let Some(limit) = settings.request_limit {
-        report.violations.extend(check_limits(&settings.folder, limit)?);
+        violations.extend(check_limits(&settings.folder, limit)?);
     }
     if settings.answer_fault.as_deref() == Some("turned-away") {
-        report.violations.extend(check_pauses(&settings.folder)?);
+        violations.extend(check_pauses(&settings.folder)?);
     }
-    report.violations.extend(check_crashes(&settings.folder, faults_ended_at)?);
-    report.violations.extend(overdue);
-    report.violations.extend(outdated);
-    if registered < settings.entries {
-        let missing = settings.entries - registered;
-        report.violations.push(format!("the store has no record of {missing} entries"));
-    }
-    report.violations.extend(drained);
-    report.violations.extend(departed);
-    report.violations.extend(late);
-    report.violations.extend(over_memory);
-    Ok(report)
+    Ok(violations)
+}
+
+/// Starts the callers, and the one that probes which configuration is in force.
+fn start_callers(fleet: &SoakFleet, stop: &Arc<AtomicBool>) -> Vec<JoinHandle<Vec<CallRecord>>> {
+    let (layout, settings) = (fleet.layout, &fleet.settings);
+    let new_caller = |number: usize| {
+        SoakCaller::new(layout, settings.entries, settings.seed, number as u64)
+            .with_crash_percent(settings.crash_percent)
+    };
+    let prober = new_caller(settings.callers);
+    let (config_log, probe_stop) = (Arc::clone(&fleet.config_log), Arc::clone(stop));
+    let prober = std::thread::spawn(move || prober.run_probes(&config_log, &probe_stop));
+    let busy = (0..settings.callers).map(new_caller);
+    let idle = (0..settings.idle_callers).map(|number| new_caller(settings.callers + 1 + number));
+    let callers = busy.chain(idle.map(|caller| caller.with_max_pause(MAX_IDLE_TIME)));
+    let spawn = |caller: SoakCaller| {
+        let stop = Arc::clone(stop);
+        std::thread::spawn(move || caller.run(&stop))
+    };
+    callers.map(spawn).chain([prober]).collect()
 }
 
 impl SoakFleet {
@@ -301,6 +295,36 @@
         }
     }
 
+    /// Returns a description of each guarantee that was violated, as far as it shows while the fleet
+    /// runs.
+    fn check(&self, records: &[CallRecord]) -> eyre::Result<Vec<String>> {
+        let folder = &self.settings.folder;
+        let mut violations = self.check_overdue(records);
+        violations.extend(ConfigLog::check(records, &self.contact_log));
+        violations.extend(check_drains(folder, &self.contact_log)?);
+        violations.extend(check_departures(records, folder, &self.contact_log)?);
+        violations.extend(self.stop_log.check(records));
+        violations.extend(self.check_memory());
+        violations.extend(self.check_entry_records()?);
+        Ok(violations)
+    }
+
+    /// Returns a description of each call that an undisturbed entry did not answer in time.
+    fn check_overdue(&self, records: &[CallRecord]) -> Vec<String> {
+        let overdue = records.iter().filter(|record| record.outcome == CallOutcome::Overdue);
+        overdue
+            .filter(|record| self.disturbed_until[record.entry] < record.sent)
+            .map(|record| format!("{:?} {} had no response in time", record.kind, record.id))
+            .collect()
+    }
+
+    /// Returns a description of the entries without a record in the store, if there are some.
+    fn check_entry_records(&self) -> eyre::Result<Option<String>> {
+        let registered = self.layout.count_entry_records()?;
+        let missing = self.settings.entries.saturating_sub(registered);
+        Ok((missing > 0).then(|| format!("the store has no record of {missing} entries")))
+    }
+
     /// Returns a description of each entry that has used more memory than its settings allow.
     fn check_memory(&self) -> Vec<String> {
         let entries = (0..self.settings.entries).map(entry_name);
