--- a/crates/gentian-gateway/src/front/caller_session.rs
+++ b/crates/gentian-gateway/src/front/caller_session.rs
@@ -1,7 +1,7 @@
 //! Serves the requests on one caller's connection.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 
 use gentian_config::serving::CallerLimits;
 use gentian_core::{EventCode, MonoTime, RequestId, TimeSpan};
@@ -15,9 +15,6 @@
 
 /// Interval between checks at an idle connection whether the process is stopping.
 const STOP_CHECK_INTERVAL: TimeSpan = TimeSpan::from_millis(1_000);
-/// Interval between checks, while the process is stopping, whether the connection must be closed. A
-/// request that arrives long after the stop signal may not end within the grace time.
-const CLOSE_CHECK_INTERVAL: TimeSpan = TimeSpan::from_millis(100);
 /// How long to read and discard bytes that still arrive after the write side was closed, so that
 /// the caller can read the response.
 const LINGER_TIME: TimeSpan = TimeSpan::from_millis(500);
@@ -35,8 +32,8 @@
     /// Set once the process has received a stop signal; connections then close after the next
     /// response.
     pub(crate) stopping: Arc<AtomicBool>,
-    /// Set once idle connections must be closed, when the load balancer sends no new ones.
-    pub(crate) closing: Arc<AtomicBool>,
+    /// When idle connections are closed, set once the process has received a stop signal.
+    pub(crate) idle_close_time: Arc<OnceLock<MonoTime>>,
 }
 
 /// Result of reading the next request.
@@ -133,14 +130,12 @@
     let idle_until = clock.now() + caller_limits(context).idle_timeout;
     while stream.buffered().is_empty() {
         let now = clock.now();
-        if now >= idle_until || context.closing.load(Ordering::Acquire) {
+        let close_time = context.idle_close_time.get().copied();
+        let end = close_time.map_or(idle_until, |close_time| close_time.min(idle_until));
+        if now >= end {
             return false;
         }
-        let interval = match context.stopping.load(Ordering::Acquire) {
-            true => CLOSE_CHECK_INTERVAL,
-            false => STOP_CHECK_INTERVAL,
-        };
-        match stream.fill(idle_until.min(now + interval)) {
+        match stream.fill(end.min(now + STOP_CHECK_INTERVAL)) {
             Ok(0) => return false,
             Ok(_) => {}
             Err(error) if error.kind() == std::io::ErrorKind::TimedOut => {}
--- a/crates/gentian-gateway/src/gateway_process.rs
+++ b/crates/gentian-gateway/src/gateway_process.rs
@@ -1,12 +1,12 @@
 //! Starts and stops the threads of a gateway.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use gentian_core::{EventCode, InstanceId, TimeSpan};
+use gentian_core::{EventCode, InstanceId, MonoTime, TimeSpan};
 use gentian_decide::orders::HolderRecord;
 use gentian_decide::serving::UpstreamTable;
 use gentian_http::forward::{BufferBudget, ConnectionPool, serve_connections};
@@ -26,6 +26,9 @@
 /// Time after a stop signal during which the load balancer may still open new connections here.
 /// It stops after two failed readiness checks, made once a second; the rest is a margin.
 const BALANCER_DETECTION_TIME: TimeSpan = TimeSpan::from_millis(2_300);
+/// Time after that during which callers may still use open connections. They may have no other entry
+/// in their failure domain, but a request that arrives later may not end within the grace time.
+const IDLE_CONNECTION_TIME: TimeSpan = TimeSpan::from_millis(450);
 /// Pause of the watch after a change, as a fraction of the time limit within which a configuration
 /// change must take effect. The rest is left for reading the next change and for slow processors.
 const WATCH_PAUSE_FRACTION: f64 = 0.4;
@@ -61,6 +64,7 @@
     let connections = ConnectionPool::new(clock);
     let (threads_must_end, closing) =
         (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+    let idle_close_time = Arc::new(OnceLock::new());
     let hub_updates = HubUpdates::default();
     let (control, events) = flume::unbounded();
     let (lease_tasks, tasks) = flume::unbounded();
@@ -161,7 +165,7 @@
         chain,
         next_id: AtomicU64::new(1),
         stopping: signal.flag(),
-        closing: Arc::clone(&closing),
+        idle_close_time: Arc::clone(&idle_close_time),
     };
     let front_thread = serve_connections(
         "front",
@@ -179,7 +183,8 @@
         settings.front,
         settings.peer
     );
-    wait_for_stop(&signal, &closing, &front_thread, settings.bounds.shutdown_grace, clock);
+    let grace = settings.bounds.shutdown_grace;
+    wait_for_stop(&signal, &closing, &idle_close_time, &front_thread, grace, clock);
     send_event(&control, ControlEvent::Stop);
     threads_must_end.store(true, Ordering::Release);
     signal.join();
@@ -250,12 +255,14 @@
 fn wait_for_stop(
     signal: &StopSignal,
     closing: &AtomicBool,
+    idle_close_time: &OnceLock<MonoTime>,
     front_thread: &JoinHandle<()>,
     grace: TimeSpan,
     clock: ProcessClock,
 ) {
     signal.wait();
     let stop_requested = clock.now();
+    idle_close_time.get_or_init(|| stop_requested + BALANCER_DETECTION_TIME + IDLE_CONNECTION_TIME);
     std::thread::sleep(Duration::from(BALANCER_DETECTION_TIME.min(grace)));
     closing.store(true, Ordering::Release);
     let deadline = stop_requested + grace.saturating_sub(SHUTDOWN_MARGIN);
--- a/crates/gentian-soak/src/stop_check.rs
+++ b/crates/gentian-soak/src/stop_check.rs
@@ -4,7 +4,7 @@
 
 use crate::call_record::{CallOutcome, CallRecord};
 
-/// Time after a stop signal until which an entry may accept calls on open connections. A longer one
+/// Time after a stop signal until which an entry may accept calls on open connections. A later call
 /// may not end within the grace time.
 const LAST_CALL_TIME: Duration = Duration::from_millis(3_000);
 /// Time after a stop signal by which the process has ended.
@@ -13,7 +13,9 @@
 /// Stop signals that entries received, except those close to a pause of the process.
 #[derive(Debug, Default)]
 pub(crate) struct StopLog {
+    /// Entries, and when each received a signal.
     stops: Vec<(usize, Instant)>,
+    /// Entries, and until when each is suspended.
     pauses: Vec<(usize, Instant)>,
 }
 
