Keep what was learned of an upstream while its registration is missing

Cause: registrations lapse while the key-value service is silent. An entry then dropped its row of the upstream, and with it the limit, the requests that count towards it, the cold limiter and the failures. When the registration came back, every entry sent what waited, until the limit was named anew: in the logs 8 entries sent 45 requests within 110 ms of the listing, and learned of the limit 20 ms later. Ruled out: two hubs that grant at once; the hub lost its lease for 5.5 s, but no permit was used in that moment. Class: an amount that is granted anew while what was used of it still counts.

--- a/crates/gentian-decide/src/serving/upstream_row.rs
+++ b/crates/gentian-decide/src/serving/upstream_row.rs
@@ -76,6 +76,15 @@
         self.registration = registration;
     }
 
+    /// Returns the row with a registration that had been missing. What the hub reported of it before
+    /// is no longer known.
+    pub fn with_registration(mut self, registration: UpstreamRegistration, now: MonoTime) -> Self {
+        self.resident_models = None;
+        self.remote_work = UpstreamWork::default();
+        self.update(registration, now);
+        self
+    }
+
     /// Returns whether the upstream is ready and no connection to it has failed recently.
     pub fn is_usable(&self, now: MonoTime) -> bool {
         self.registration.state == UpstreamState::Ready && self.skipped_until <= now
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -12,9 +12,9 @@
 
 use super::selection_cost::{hash_of, selection_cost};
 use super::{
-    AttemptOutcome, DepartureLog, LimitedCapacity, PickOutcome, PrefillTime, ServingBounds,
-    ServingCall, UpstreamNotice, UpstreamPauses, UpstreamPick, UpstreamRegistration, UpstreamRow,
-    UpstreamState,
+    AttemptOutcome, DepartureLog, LimitedCapacity, PastRows, PickOutcome, PrefillTime,
+    ServingBounds, ServingCall, UpstreamNotice, UpstreamPauses, UpstreamPick, UpstreamRegistration,
+    UpstreamRow, UpstreamState,
 };
 use crate::limits::{PermitClient, PermitState};
 
@@ -41,6 +41,7 @@
     bounds: ServingBounds,
     config: Arc<ServingConfig>,
     rows: FastMap<UpstreamId, UpstreamRow>,
+    past_rows: PastRows,
     prefill_times: FastMap<ServiceId, PrefillTime>,
     drained_domains: FastSet<DomainId>,
     departures: DepartureLog,
@@ -62,6 +63,7 @@
             bounds,
             config: Arc::default(),
             rows: FastMap::default(),
+            past_rows: PastRows::default(),
             prefill_times: FastMap::default(),
             drained_domains: FastSet::default(),
             departures: DepartureLog::new(bounds.registration_ttl),
@@ -109,7 +111,12 @@
         for registration in registrations {
             self.update_registration(registration, now);
         }
-        self.rows.retain(|_, row| row.is_registered || row.local_work.running > 0);
+        let is_gone = |_: &UpstreamId, row: &mut UpstreamRow| {
+            !row.is_registered && row.local_work.running == 0
+        };
+        for (_, row) in self.rows.extract_if(is_gone) {
+            self.past_rows.record(row, now);
+        }
         self.departures.prune(|id| self.rows.contains_key(id), now);
     }
 
@@ -156,7 +163,12 @@
             Some(row) if new.revision < row.registration.revision => {}
             Some(row) if row.registration.incarnation == new.incarnation => row.update(new, now),
             _ => {
-                self.rows.insert(new.id.clone(), UpstreamRow::new(new, now));
+                let past = self.past_rows.take(&new.id, new.incarnation);
+                let row = match past {
+                    Some(past) => past.with_registration(new, now),
+                    None => UpstreamRow::new(new, now),
+                };
+                self.rows.insert(row.registration.id.clone(), row);
             }
         }
     }
@@ -199,6 +211,11 @@
         self.rows.values()
     }
 
+    /// Returns the number of upstreams without a registration of which something is remembered.
+    pub fn remembered_count(&self) -> usize {
+        self.past_rows.len()
+    }
+
     /// Returns whether an upstream accepts new requests and its failure domain is not drained.
     pub fn is_available(&self, row: &UpstreamRow, now: MonoTime) -> bool {
         row.is_usable(now) && !self.drained_domains.contains(&row.registration.domain)
@@ -324,7 +341,8 @@
 
     /// Applies the limit that another entry was named; returns whether the limit changed.
     pub fn apply_limit(&mut self, notice: &LimitNotice, now: MonoTime) -> bool {
-        let row = self.rows.get_mut(&notice.upstream);
+        let known = self.rows.get_mut(&notice.upstream);
+        let row = known.or_else(|| self.past_rows.get_mut(&notice.upstream));
         row.filter(|row| row.registration.incarnation == notice.incarnation)
             .is_some_and(|row| row.apply_limit(notice.limit, now - notice.age))
     }
