--- a/crates/gentian-core/src/event_code.rs
+++ b/crates/gentian-core/src/event_code.rs
@@ -80,6 +80,7 @@
     1305 SEAT_FENCED "seat-fenced": "An engine has seen a higher fencing number, so this process stops sending orders."; "None if another process holds the hub's lease."
     1306 HUB_KNOWN "hub-known": "This entry learned of a new hub."; "None."
     1307 HUB_SILENT "hub-silent": "The hub does not reply; this entry uses only its equal share of each limit."; "Check the most recently named hub and the network between the VMs."
+    1308 USE_KNOWN "use-known": "A hub told this entry what all others used of the quotas lately; the line gives of how many entries it knows that."; "None."
     1401 LOAD_ORDERED "load-ordered": "Placement decided to load a model or adapter on an upstream."; "None."
     1402 LOAD_DONE "load-done": "An upstream confirmed a load or an unload."; "None."
     1403 LOAD_FAILED "load-failed": "An upstream refused a load or an unload, or the outcome is unknown."; "Check the upstream and the weight store."
--- a/crates/gentian-core/src/peer/fleet_message.rs
+++ b/crates/gentian-core/src/peer/fleet_message.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    CrashReport, LimitNotice, OperatorNotice, PermitReply, PermitRequest, QuarantineNotice,
-    ServedNotice, TargetId,
+    CrashReport, FleetUse, LimitNotice, OperatorNotice, PermitReply, PermitRequest,
+    QuarantineNotice, ServedNotice, TargetId, UseHistory, UseNotice, UseReport,
 };
 use crate::{
     DomainId, FenceNumber, InstanceId, ModelId, OrganisationId, SequenceNumber, ServiceId,
@@ -41,6 +41,14 @@
     PermitReply(PermitReply),
     /// The hub has read newer records of the operators, or an entry may have missed that.
     Operators(OperatorNotice),
+    /// What an entry used lately, for a new hub.
+    UseHistory(UseHistory),
+    /// What all other entries used lately.
+    FleetUse(FleetUse),
+    /// What an entry has spent, between two reports.
+    UseReport(UseReport),
+    /// What the other entries have spent, between two summaries.
+    UseNotice(UseNotice),
 }
 
 /// Announces that a process has become the hub.
--- a/crates/gentian-core/src/peer/mod.rs
+++ b/crates/gentian-core/src/peer/mod.rs
@@ -24,6 +24,7 @@
 mod share_request;
 mod target_id;
 mod upstream_view;
+mod use_message;
 
 pub use config_query::ConfigQuery;
 pub use config_reply::ConfigReply;
@@ -47,3 +48,4 @@
 pub use share_request::{ShareRequest, SlotRequest, TokenRequest};
 pub use target_id::TargetId;
 pub use upstream_view::{ObjectPhase, ObjectView, UpstreamView};
+pub use use_message::{FleetUse, OrganisationUse, UseHistory, UseNotice, UseReport, UseTrace};
--- a/crates/gentian-decide/src/serving/call_scheduler.rs
+++ b/crates/gentian-decide/src/serving/call_scheduler.rs
@@ -7,22 +7,18 @@
 
 use gentian_config::serving::ServingConfig;
 use gentian_core::peer::{ServingDemand, UpstreamWork};
-use gentian_core::{
-    FastMap, MonoTime, OrganisationId, RequestId, RequestRate, ServiceId, TimeSpan, UpstreamId,
-};
+use gentian_core::{FastMap, MonoTime, RequestId, RequestRate, ServiceId, TimeSpan, UpstreamId};
 
 use super::call_refusal::{refuse_limited, refuse_paused, refuse_queued, refuse_retry};
 use super::{
-    AttemptOutcome, DemandLog, FleetPartition, PickOutcome, QuotaLimit, QuotaLimiter, QuotaOutcome,
-    ServingBounds, ServingCall, SharedRetryBudget, UpstreamNotice, UpstreamPick, UpstreamTable,
+    AttemptOutcome, DemandLog, OrganisationQuotas, PickOutcome, ServingBounds, ServingCall,
+    SharedRetryBudget, UpstreamNotice, UpstreamPick, UpstreamTable,
 };
-use crate::request::{Refusal, RefusalCode};
+use crate::request::Refusal;
 
 /// Requests that no upstream can take are refused after this fraction of the time between their
 /// arrival and their deadline, so that callers have time to retry.
 const MAX_QUEUE_FRACTION: f64 = 0.5;
-/// Number of entries assumed before the members are known.
-const DEFAULT_FLEET_ENTRIES: u32 = 16;
 /// Interval at which requests that wait for capacity are rechecked: engines prefill pending prompts
 /// and thus gain capacity without an event at this entry.
 const FULL_RECHECK_INTERVAL: TimeSpan = TimeSpan::from_millis(40);
@@ -50,8 +46,8 @@
 #[derive(Debug)]
 pub struct CallScheduler {
     bounds: ServingBounds,
-    partition: FleetPartition,
-    limiters: FastMap<OrganisationId, QuotaLimiter>,
+    /// Quotas of the organisations.
+    pub quotas: OrganisationQuotas,
     retry_budgets: FastMap<ServiceId, SharedRetryBudget>,
     waiting: Vec<ServingCall>,
     /// Whether a request waits for capacity at upstreams that have its target loaded.
@@ -67,8 +63,7 @@
     pub fn new(bounds: ServingBounds) -> Self {
         Self {
             bounds,
-            partition: FleetPartition::isolated(DEFAULT_FLEET_ENTRIES),
-            limiters: FastMap::default(),
+            quotas: OrganisationQuotas::new(),
             retry_budgets: FastMap::default(),
             waiting: Vec::new(),
             waits_for_capacity: false,
@@ -78,43 +73,20 @@
         }
     }
 
-    /// Replaces the configuration.
-    pub fn update(&mut self, config: &Arc<ServingConfig>, now: MonoTime) {
-        for (id, organisation) in &config.organisations {
-            let partition = self.partition;
-            let limiter = self
-                .limiters
-                .entry(id.clone())
-                .or_insert_with(|| QuotaLimiter::new(partition, now));
-            limiter.update(QuotaLimit::new(organisation, &self.bounds), now);
-        }
+    /// Returns the scheduler of a process of a system that starts for the first time, so that no
+    /// organisation has used anything.
+    pub fn with_first_start(self) -> Self {
+        Self { quotas: self.quotas.with_first_start(), ..self }
     }
 
-    /// Sets which entries share their counts of use with this one.
-    pub fn update_partition(&mut self, partition: FleetPartition, now: MonoTime) {
-        self.partition = partition;
-        self.limiters.values_mut().for_each(|limiter| limiter.update_partition(partition, now));
+    /// Returns the scheduler with a number that differs from entry to entry.
+    pub fn with_seed(self, seed: u64) -> Self {
+        Self { quotas: self.quotas.with_seed(seed), ..self }
     }
 
-    /// Records what other entries spent.
-    pub fn record_remote_use(&mut self, organisation: &OrganisationId, tokens: u64, now: MonoTime) {
-        if let Some(limiter) = self.limiters.get_mut(organisation) {
-            limiter.record_remote_use(tokens, now);
-        }
-    }
-
-    /// Assumes that other entries used their fraction of the rate since their use was last
-    /// reported.
-    pub fn assume_remote_use(&mut self, organisation: &OrganisationId, now: MonoTime) {
-        if let Some(limiter) = self.limiters.get_mut(organisation) {
-            limiter.assume_remote_use(now);
-        }
-    }
-
-    /// Returns the tokens spent at this entry, per organisation.
-    pub fn spent(&self) -> Vec<(OrganisationId, u64)> {
-        let spent = self.limiters.iter().map(|(id, limiter)| (id.clone(), limiter.spent()));
-        spent.filter(|(_, tokens)| *tokens > 0).collect()
+    /// Replaces the configuration.
+    pub fn update(&mut self, config: &Arc<ServingConfig>, now: MonoTime) {
+        self.quotas.update(config, &self.bounds, now);
     }
 
     /// Queues a request. Charges a request that has not been charged yet, and takes a retry from
@@ -124,7 +96,7 @@
         if call.tried.is_empty() {
             retry_budget.record_first_attempt(now);
             self.demands.record_arrival(&call, now);
-        } else if !retry_budget.acquire_retry(&self.bounds, self.partition.total, now) {
+        } else if !retry_budget.acquire_retry(&self.bounds, self.quotas.partition().total, now) {
             return Err(refuse_retry(&call));
         }
         self.charge(&mut call, now)?;
@@ -317,13 +289,13 @@
 
     /// Returns whether an organisation near its limit has unreported use.
     pub fn has_urgent_use(&self) -> bool {
-        self.limiters.values().any(QuotaLimiter::has_urgent_use)
+        self.quotas.has_urgent_use()
     }
 
     /// Returns the demand for the targets that requests use, wait for or have requested since the
     /// last report, and marks it and all use as reported.
     pub fn report_demands(&mut self, now: MonoTime) -> Vec<ServingDemand> {
-        self.limiters.values_mut().for_each(QuotaLimiter::mark_reported);
+        self.quotas.mark_reported();
         let running: Vec<(&ServingCall, &UpstreamId)> =
             self.running.values().map(|running| (&running.call, &running.upstream)).collect();
         self.demands.report(&self.waiting, &running, now)
@@ -333,20 +305,9 @@
         let Some(organisation) = call.organisation.as_ref().filter(|_| !call.is_charged) else {
             return Ok(());
         };
-        let id = organisation.spec.id.clone();
-        let partition = self.partition;
-        let limiter = self.limiters.entry(id).or_insert_with(|| QuotaLimiter::new(partition, now));
-        match limiter.charge(call.cost, now) {
-            QuotaOutcome::Charged => {
-                call.is_charged = true;
-                Ok(())
-            }
-            QuotaOutcome::Exceeded(wait) => {
-                let message =
-                    format!("the organisation's tokens are used up: {}", limiter.describe(now));
-                Err(Refusal::new(RefusalCode::RateLimited, message).with_retry_after(wait))
-            }
-        }
+        self.quotas.charge(&organisation.spec.id, call.cost, now)?;
+        call.is_charged = true;
+        Ok(())
     }
 
     /// Refunds a request that no upstream can have executed, before it is refused.
@@ -358,10 +319,8 @@
 
     fn refund(&mut self, call: &ServingCall, now: MonoTime) {
         let organisation = call.organisation.as_ref().filter(|_| call.is_charged);
-        if let Some(limiter) =
-            organisation.and_then(|organisation| self.limiters.get_mut(&organisation.spec.id))
-        {
-            limiter.refund(call.cost, now);
+        if let Some(organisation) = organisation {
+            self.quotas.refund(&organisation.spec.id, call.cost, now);
         }
     }
 
--- a/crates/gentian-decide/src/serving/fleet_hub.rs
+++ b/crates/gentian-decide/src/serving/fleet_hub.rs
@@ -1,16 +1,16 @@
 //! The hub: aggregates use and demand over all entries.
 
 use gentian_core::peer::{
-    EntryReport, FleetSummary, ResidentModels, ServingDemand, TargetId, UpstreamListing,
-    UpstreamWork,
+    EntryReport, FleetSummary, FleetUse, ResidentModels, ServingDemand, TargetId, UpstreamListing,
+    UpstreamWork, UseHistory, UseNotice, UseReport, UseTrace,
 };
 use gentian_core::{
     FastMap, FastSet, FenceNumber, InstanceId, MonoTime, OrganisationId, SequenceNumber, ServiceId,
     StoreRevision, TimeSpan, UpstreamId, VmId,
 };
 
-use super::RevisedMap;
-use super::report_interval::{entry_timeout, work_interval};
+use super::report_interval::{entry_timeout, report_interval, work_interval};
+use super::{QuotaLimit, RevisedMap, UseLedger, UsePush, UseTracer};
 
 /// Time constant of the arrival rates.
 const ARRIVAL_TIME_CONSTANT: TimeSpan = TimeSpan::from_secs(5);
@@ -46,7 +46,10 @@
     work: Vec<(UpstreamId, UpstreamWork)>,
     remote_work_sent: MonoTime,
     last_report: MonoTime,
+    /// Spent on this VM since the hub began to count.
     spent: FastMap<OrganisationId, u64>,
+    /// Highest totals that this process has reported.
+    reported: FastMap<OrganisationId, u64>,
 }
 
 #[derive(Debug, Default)]
@@ -63,6 +66,9 @@
     id: InstanceId,
     entries: FastMap<VmId, EntryState>,
     spent: FastMap<OrganisationId, u64>,
+    use_ledger: UseLedger,
+    use_tracer: UseTracer,
+    use_push: UsePush,
     rates: FastMap<(ServiceId, TargetId), ArrivalRate>,
     listings: RevisedMap<UpstreamId, UpstreamListing>,
     listings_time: Option<MonoTime>,
@@ -77,6 +83,9 @@
             id: instance,
             entries: FastMap::default(),
             spent: FastMap::default(),
+            use_ledger: UseLedger::new(TimeSpan::ZERO),
+            use_tracer: UseTracer::new(),
+            use_push: UsePush::new(),
             rates: FastMap::default(),
             listings: RevisedMap::new(),
             listings_time: None,
@@ -92,6 +101,38 @@
         Self { id: InstanceId::new(id), ..self }
     }
 
+    /// Returns the hub with an account of the use within `window`, in which quotas are counted.
+    pub fn with_quota_window(self, window: TimeSpan) -> Self {
+        Self { use_ledger: UseLedger::new(window), ..self }
+    }
+
+    /// Applies what an entry says that it used before it knew this hub, and returns what all others
+    /// used.
+    pub fn handle_history(
+        &mut self,
+        history: &UseHistory,
+        fence: FenceNumber,
+        now: MonoTime,
+    ) -> FleetUse {
+        self.use_ledger.record_history(history, now);
+        self.use_ledger.fleet_use((&history.vm, history.instance), self.id, fence, now)
+    }
+
+    /// Returns the trace of the use that is due to be stored. `limit` returns the limit of an
+    /// organisation that has one. While the use of some of the entries is unknown, the stored trace of
+    /// the former hub says more.
+    pub fn next_trace(
+        &mut self,
+        limit: impl Fn(&OrganisationId) -> Option<QuotaLimit>,
+        entry_count: u32,
+        now: MonoTime,
+    ) -> Option<UseTrace> {
+        if self.use_ledger.known_entries() < entry_count as usize {
+            return None;
+        }
+        self.use_tracer.is_due(limit, now).then(|| self.use_ledger.trace(now))
+    }
+
     /// Applies a report; `false` if it is not newer than the last one of its process.
     pub fn handle_report(&mut self, report: EntryReport, now: MonoTime) -> bool {
         let known = self.entries.get(&report.vm);
@@ -103,13 +144,11 @@
         // entry limits itself to its fraction of the rate, which covers what it spent meanwhile.
         let limit = entry_timeout(self.entries.len());
         let previous = same_process.filter(|entry| now.since(entry.last_report) < limit);
-        let mut entry_spent = known.map(|entry| entry.spent.clone()).unwrap_or_default();
-        for (organisation, total) in &report.spent {
-            let before = previous.map(|entry| find_spent(&entry.report, organisation));
-            let added = total.saturating_sub(before.unwrap_or(*total));
-            *entry_spent.entry(organisation.clone()).or_default() += added;
-            *self.spent.entry(organisation.clone()).or_default() += added;
-        }
+        let entry_spent = known.map(|entry| entry.spent.clone()).unwrap_or_default();
+        let reported = match previous {
+            Some(entry) => entry.reported.clone(),
+            None => report.spent.iter().cloned().collect(),
+        };
         let count_new = |demand: &ServingDemand| {
             let before = previous.map(|entry| find_arrived(&entry.report, demand));
             let key = (demand.service.clone(), demand.target.clone());
@@ -122,12 +161,76 @@
         let remote_work_sent = known.map_or(MonoTime::ORIGIN, |entry| entry.remote_work_sent);
         let previous_work = same_process.map(|entry| entry.work.clone()).unwrap_or_default();
         let work = report.work.clone().unwrap_or(previous_work);
-        let entry =
-            EntryState { report, work, remote_work_sent, last_report: now, spent: entry_spent };
-        self.entries.insert(entry.report.vm.clone(), entry);
+        let use_report = UseReport {
+            vm: report.vm.clone(),
+            instance: report.instance,
+            spent: report.spent.clone(),
+            wants_notice: false,
+        };
+        let entry = EntryState {
+            report,
+            work,
+            remote_work_sent,
+            last_report: now,
+            spent: entry_spent,
+            reported,
+        };
+        self.entries.insert(use_report.vm.clone(), entry);
+        self.handle_use_report(&use_report, now);
         true
     }
 
+    /// Applies what an entry has spent. It is ignored if the process has not sent a full report
+    /// recently, which gives the baseline.
+    pub fn handle_use_report(&mut self, report: &UseReport, now: MonoTime) {
+        let timeout = entry_timeout(self.entries.len());
+        let Some(entry) = self.entries.get_mut(&report.vm) else { return };
+        if entry.report.instance != report.instance || now.since(entry.last_report) >= timeout {
+            return;
+        }
+        for (organisation, total) in &report.spent {
+            let before = entry.reported.entry(organisation.clone()).or_default();
+            let added = total.saturating_sub(*before);
+            *before = (*before).max(*total);
+            *entry.spent.entry(organisation.clone()).or_default() += added;
+            *self.spent.entry(organisation.clone()).or_default() += added;
+            self.use_ledger.record_use((&report.vm, report.instance), organisation, added, now);
+            self.use_tracer.record_use(organisation, added);
+            self.use_push.record_use(organisation, added, now);
+        }
+    }
+
+    /// Returns which organisations of a report all entries are to be told about at once.
+    pub fn urgent_organisations<'a>(
+        &mut self,
+        organisations: impl Iterator<Item = &'a OrganisationId>,
+        limit: impl Fn(&OrganisationId) -> Option<QuotaLimit>,
+        now: MonoTime,
+    ) -> Vec<OrganisationId> {
+        let entries = self.entries.len();
+        let horizon = report_interval(entries, false);
+        let (ledger, push) = (&self.use_ledger, &mut self.use_push);
+        let is_urgent = |organisation: &&OrganisationId| {
+            let window_use = || ledger.window_use(organisation, now);
+            limit(organisation).is_some_and(|limit| {
+                push.is_due(organisation, &limit, window_use, (entries, horizon), now)
+            })
+        };
+        organisations.filter(is_urgent).cloned().collect()
+    }
+
+    /// Returns what the others than the entry on `vm` spent of these organisations' quotas.
+    pub fn make_notice(&self, vm: &VmId, organisations: &[OrganisationId]) -> Option<UseNotice> {
+        let entry = self.entries.get(vm)?;
+        let remote_spent = |organisation: &OrganisationId| {
+            let total = self.spent.get(organisation).copied().unwrap_or(0);
+            let own = entry.spent.get(organisation).copied().unwrap_or(0);
+            (organisation.clone(), total.saturating_sub(own))
+        };
+        let spent = organisations.iter().map(remote_spent).collect();
+        Some(UseNotice { hub: self.id, spent })
+    }
+
     /// Returns whether `report` is the first one of its process, or the first after a time in which
     /// the entry may have missed messages.
     pub fn is_returning(&self, report: &EntryReport, now: MonoTime) -> bool {
@@ -314,11 +417,6 @@
     if is_same { known.clone() } else { listing }
 }
 
-fn find_spent(report: &EntryReport, organisation: &OrganisationId) -> u64 {
-    let mut spent = report.spent.iter();
-    spent.find(|(id, _)| id == organisation).map_or(0, |(_, total)| *total)
-}
-
 fn find_arrived(report: &EntryReport, demand: &ServingDemand) -> u64 {
     let mut demands = report.demands.iter();
     let is_same =
--- a/crates/gentian-decide/src/serving/hub_client.rs
+++ b/crates/gentian-decide/src/serving/hub_client.rs
@@ -1,19 +1,34 @@
 //! An entry's side of the exchange with the hub.
 
-use gentian_core::peer::{EntryReport, FleetSummary};
+use gentian_core::peer::{EntryReport, FleetSummary, FleetUse, UseHistory, UseNotice, UseReport};
 use gentian_core::{
     FastMap, FenceNumber, InstanceId, MonoTime, OrganisationId, SequenceNumber, TimeSpan, VmId,
 };
 
 use super::report_interval::{
-    UNREPORTED_WAIT_INTERVAL, hub_timeout, near_limit_interval, report_interval, work_interval,
+    UNREPORTED_WAIT_INTERVAL, entry_timeout, hub_timeout, near_limit_interval, report_interval,
+    scale_interval, work_interval,
 };
+use super::selection_cost::hash_of;
 use super::{CallScheduler, FleetPartition, UpstreamTable};
 
 /// Fraction of the drain time for which an entry relies on the listings from the hub. The rest is
 /// left for the entry to read the registrations itself and to connect to an upstream.
 const LISTING_FRACTION: f64 = 0.6;
 
+/// Interval at which an entry asks a new hub for the use of the others until the hub knows it, for up
+/// to 25 entries.
+const HISTORY_INTERVAL: TimeSpan = TimeSpan::from_millis(150);
+
+/// Time after which a report without a reply is sent again: a lost datagram must not make the entry and
+/// the hub take each other for lost.
+const REPEAT_INTERVAL: TimeSpan = TimeSpan::from_millis(200);
+/// Reports without a reply in a row after which the next ones are not sent sooner.
+const MAX_REPEATS: u32 = 3;
+/// Time per entry over which the first reports to a new hub are spread, so that none is lost in the
+/// queue of its socket.
+const FIRST_REPORT_SPREAD: TimeSpan = TimeSpan::from_micros(500);
+
 /// State of the exchange with the hub.
 #[derive(Debug)]
 pub struct HubClient {
@@ -22,6 +37,10 @@
     entry_count: usize,
     sequence: SequenceNumber,
     last_report: MonoTime,
+    /// When the first report to a new hub is due.
+    first_report_due: Option<MonoTime>,
+    /// Reports since the last reply.
+    unanswered: u32,
     work_sent: MonoTime,
     last_summary: Option<MonoTime>,
     /// When the hub read the listings that it last reported.
@@ -36,6 +55,12 @@
     last_summary_sequence: SequenceNumber,
     revision: SequenceNumber,
     remote_spent: FastMap<OrganisationId, u64>,
+    /// When the first summary of this hub arrived, as long as the hub doesn't know the use of all
+    /// entries.
+    use_unknown_since: Option<MonoTime>,
+    /// When the first summary of this hub arrived.
+    hub_since: MonoTime,
+    history_sent: MonoTime,
 }
 
 impl HubClient {
@@ -47,6 +72,8 @@
             entry_count: 1,
             sequence: SequenceNumber::default(),
             last_report: MonoTime::ORIGIN,
+            first_report_due: None,
+            unanswered: 0,
             work_sent: MonoTime::ORIGIN,
             last_summary: None,
             listings_time: MonoTime::ORIGIN,
@@ -57,6 +84,9 @@
             last_summary_sequence: SequenceNumber::default(),
             revision: SequenceNumber::default(),
             remote_spent: FastMap::default(),
+            use_unknown_since: None,
+            hub_since: MonoTime::ORIGIN,
+            history_sent: MonoTime::ORIGIN,
         }
     }
 
@@ -74,7 +104,10 @@
         } else {
             report_interval(self.entry_count, scheduler.running_count() > 0)
         };
-        self.last_report + interval
+        let is_repeat = (1..=MAX_REPEATS).contains(&self.unanswered);
+        let interval = if is_repeat { interval.min(REPEAT_INTERVAL) } else { interval };
+        let due = self.last_report + interval;
+        self.first_report_due.map_or(due, |first| first.min(due))
     }
 
     /// Builds a report if one is due.
@@ -87,6 +120,8 @@
             return None;
         }
         self.last_report = now;
+        self.first_report_due = None;
+        self.unanswered += 1;
         self.sequence = self.sequence.next();
         let is_work_due = now.since(self.work_sent) >= work_interval(self.entry_count);
         if is_work_due {
@@ -97,15 +132,22 @@
             instance: self.instance,
             sequence: self.sequence,
             known_revision: (self.hub, self.revision),
-            spent: scheduler.spent(),
+            spent: scheduler.quotas.spent(),
             work: is_work_due.then(|| scheduler.work()),
             demands: scheduler.report_demands(now),
         })
     }
 
-    /// Records the fencing number of a hub; summaries of earlier hubs are out of date from then on.
-    pub fn record_hub(&mut self, fence: FenceNumber) {
-        self.fence = self.fence.max(fence);
+    /// Records the fencing number of a hub; summaries of earlier hubs are out of date from then on. A
+    /// new hub knows nothing until it has a report of each entry, so this one reports soon.
+    pub fn record_hub(&mut self, fence: FenceNumber, now: MonoTime) {
+        if fence <= self.fence {
+            return;
+        }
+        self.fence = fence;
+        let spread = FIRST_REPORT_SPREAD * self.entry_count as u64;
+        let delay = hash_of(&self.vm) % spread.as_micros().max(1);
+        self.first_report_due = Some(now + TimeSpan::from_micros(delay));
     }
 
     /// Applies a summary; `false` if it is out of date.
@@ -132,36 +174,132 @@
             self.remote_spent.clear();
             self.first_listings = None;
             self.has_own_list = false;
+            self.use_unknown_since = Some(now);
+            self.hub_since = now;
+            scheduler.quotas.record_new_hub();
+            self.history_sent = MonoTime::ORIGIN;
         }
         self.last_summary_sequence = summary.sequence;
         self.last_summary = Some(now);
+        self.unanswered = 0;
         self.listings_time = now - summary.listing_age;
         if self.listings_time > MonoTime::ORIGIN {
             self.first_listings.get_or_insert(now);
         }
-        for (id, total) in &summary.spent {
+        self.record_spent(&summary.spent, is_same_hub, scheduler, now);
+        let reachable = self.reachable_entries(summary.reachable_entries, scheduler, now);
+        let partition = FleetPartition { reachable, total: fleet_size.max(reachable) };
+        scheduler.quotas.update_partition(partition, now);
+        if let Some(work) = &summary.work {
+            table.update_remote_work(work, now);
+        }
+        table.update_listings(summary.listings, now);
+        table.update_resident_models(summary.hub, summary.resident_models);
+        self.revision = summary.revision;
+        true
+    }
+
+    /// Returns how many entries reach the hub. One that is new has not heard of all of them yet; until
+    /// it had the time for it, as many are assumed as reached its predecessor.
+    fn reachable_entries(&self, reported: u32, scheduler: &CallScheduler, now: MonoTime) -> u32 {
+        match now.since(self.hub_since) < entry_timeout(self.entry_count) {
+            true => reported.max(scheduler.quotas.partition().reachable),
+            false => reported,
+        }
+    }
+
+    /// Records what the other entries have spent since a hub began to count.
+    fn record_spent(
+        &mut self,
+        spent: &[(OrganisationId, u64)],
+        is_same_hub: bool,
+        scheduler: &mut CallScheduler,
+        now: MonoTime,
+    ) {
+        for (id, total) in spent {
             // The first total of a new hub is only a baseline. An organisation that this hub did
             // not list before had a total of zero.
             let known = self.remote_spent.get(id).copied().or(is_same_hub.then_some(0));
             self.remote_spent.insert(id.clone(), known.unwrap_or(0).max(*total));
+            let quotas = &mut scheduler.quotas;
             match known {
-                Some(known) => scheduler.record_remote_use(id, total.saturating_sub(known), now),
-                None => scheduler.assume_remote_use(id, now),
+                Some(known) => quotas.record_remote_use(id, total.saturating_sub(known), now),
+                None => quotas.assume_remote_use(id, now),
             }
         }
-        scheduler.update_partition(
-            FleetPartition {
-                reachable: summary.reachable_entries,
-                total: fleet_size.max(summary.reachable_entries),
-            },
-            now,
-        );
-        if let Some(work) = &summary.work {
-            table.update_remote_work(work, now);
+    }
+
+    /// Builds the message that tells the hub between two reports what this entry has spent, if that
+    /// is much.
+    pub fn next_use_report(
+        &self,
+        scheduler: &mut CallScheduler,
+        now: MonoTime,
+    ) -> Option<UseReport> {
+        if !self.is_connected() {
+            return None;
+        }
+        let (spent, wants_notice) = scheduler.quotas.drain_unreported(now);
+        let (vm, instance) = (self.vm.clone(), self.instance);
+        (!spent.is_empty()).then_some(UseReport { vm, instance, spent, wants_notice })
+    }
+
+    /// Applies a notice of what the others have spent; `false` if it is of another hub.
+    pub fn handle_use_notice(
+        &mut self,
+        notice: &UseNotice,
+        scheduler: &mut CallScheduler,
+        now: MonoTime,
+    ) -> bool {
+        let is_same_hub = notice.hub == self.hub && self.is_connected();
+        if is_same_hub {
+            self.record_spent(&notice.spent, true, scheduler, now);
+        }
+        is_same_hub
+    }
+
+    /// Builds the message that tells a new hub what this entry used, if it is due. The hub replies
+    /// with the use of the others; this entry asks again until the hub knows that of every entry, for
+    /// at most the window in which quotas are counted.
+    pub fn next_history(
+        &mut self,
+        scheduler: &mut CallScheduler,
+        now: MonoTime,
+    ) -> Option<UseHistory> {
+        let since = self.use_unknown_since?;
+        if now.since(since) > scheduler.quotas.window() {
+            self.use_unknown_since = None;
+            return None;
+        }
+        let interval = scale_interval(HISTORY_INTERVAL, self.entry_count);
+        if now.since(self.history_sent) < interval {
+            return None;
+        }
+        self.history_sent = now;
+        let (uses, earlier_uses) = scheduler.quotas.history(now);
+        Some(UseHistory { vm: self.vm.clone(), instance: self.instance, uses, earlier_uses })
+    }
+
+    /// Applies the use of all other entries; `false` if it is of another hub.
+    pub fn handle_fleet_use(
+        &mut self,
+        fleet_use: &FleetUse,
+        fleet_size: u32,
+        scheduler: &mut CallScheduler,
+        now: MonoTime,
+    ) -> bool {
+        if fleet_use.hub != self.hub || fleet_use.fence < self.fence {
+            return false;
+        }
+        if self.use_unknown_since.is_none() {
+            return true;
+        }
+        let missing = fleet_size.saturating_sub(fleet_use.known_entries);
+        let unknown_fraction = f64::from(missing) / f64::from(fleet_size.max(1));
+        scheduler.quotas.apply_fleet_use(fleet_use, unknown_fraction, now);
+        if missing == 0 {
+            self.use_unknown_since = None;
         }
-        table.update_listings(summary.listings, now);
-        table.update_resident_models(summary.hub, summary.resident_models);
-        self.revision = summary.revision;
         true
     }
 
@@ -181,7 +319,8 @@
             self.hub = InstanceId::default();
             self.revision = SequenceNumber::default();
             self.remote_spent.clear();
-            scheduler.update_partition(FleetPartition::isolated(fleet_size), now);
+            self.use_unknown_since = None;
+            scheduler.quotas.update_partition(FleetPartition::isolated(fleet_size), now);
             table.update_remote_work(&[], now);
             table.clear_resident_models();
         }
--- a/crates/gentian-decide/src/serving/quota_limiter.rs
+++ b/crates/gentian-decide/src/serving/quota_limiter.rs
@@ -1,56 +1,23 @@
 //! Limiter of the use of an organisation, counted over all entries.
 
-use std::collections::VecDeque;
-
 use gentian_core::{MonoTime, TimeSpan, TokenCount};
 
-use super::QuotaLimit;
-use super::report_interval::near_limit_interval;
+use super::partition_bucket::{INITIAL_BURST_FRACTION, PartitionBucket};
+use super::remote_spending::RemoteSpending;
+use super::use_window::UseWindow;
+use super::{FleetPartition, QuotaLimit};
 
 /// Bounds of the retry delay in a refusal.
 const MIN_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(100);
 const MAX_RETRY_AFTER: TimeSpan = TimeSpan::from_secs(5);
-/// Time constant of the slow average of the rate at which other entries spend.
-const SLOW_TIME_CONSTANT: TimeSpan = TimeSpan::from_secs(1);
-/// Longest time over which other entries are assumed to continue spending without a report: an
-/// unreachable hub is detected within it.
-const MAX_UNREPORTED_TIME: TimeSpan = TimeSpan::from_secs(2);
-/// Time constant of the fast average, which follows a sudden flood of requests; a few near-limit
-/// report intervals of about 90 entries.
-const FAST_TIME_CONSTANT: TimeSpan = TimeSpan::from_millis(300);
-/// Number of equal time slices in which assumed use is recorded, so that it leaves the window
-/// gradually.
-const ASSUMED_SLICES: u64 = 8;
 /// Fraction of the limit from which entries report their use at the shorter interval.
 const NEAR_LIMIT_FRACTION: f64 = 0.6;
-/// Fraction of its burst with which the bucket of a partition starts; other entries are assumed to
-/// have used the same fraction.
-const INITIAL_BURST_FRACTION: f64 = 0.25;
-
-/// The part of the fleet that shares its counts of use with this entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct FleetPartition {
-    /// Entries whose use is known to this entry, itself included.
-    pub reachable: u32,
-    /// All entries.
-    pub total: u32,
-}
-
-impl FleetPartition {
-    /// Creates the partition of an entry that reaches no other.
-    pub fn isolated(total: u32) -> Self {
-        Self { reachable: 1, total: total.max(1) }
-    }
-
-    /// Returns whether the use of every entry is known.
-    pub fn is_complete(self) -> bool {
-        self.reachable >= self.total
-    }
-
-    fn fraction(self) -> f64 {
-        f64::from(self.reachable.min(self.total)) / f64::from(self.total.max(1))
-    }
-}
+/// Fraction of the limit that all entries together may use before they report it at once.
+const UNREPORTED_FRACTION: f64 = 0.06;
+/// Fraction of the limit that may be used before the stored trace of the use is renewed.
+pub(super) const UNTRACED_FRACTION: f64 = 0.25;
+/// Smallest time for which the use of unreachable entries is recorded at once.
+const PRESUMED_STEP: TimeSpan = TimeSpan::from_millis(50);
 
 /// Outcome of charging a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,28 +28,48 @@
     Exceeded(TimeSpan),
 }
 
+/// What is known of the use before a limiter was created.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PastUse {
+    /// It stayed within the rate.
+    WithinRate,
+    /// Everything may have been used.
+    Unknown,
+}
+
 /// Counts the use of one organisation within a sliding window, at this entry and at those whose use
 /// it knows.
 ///
-/// While the use of some entries is unknown, a partition is also limited by a token bucket with its
-/// fraction of the rate, so that the partitions of a divided fleet together stay within the limit.
+/// An amount that may have been used without this entry knowing counts as used until the hub says
+/// what was used: all of it after a start, and what others may have spent since the hub became
+/// silent. While the use of some entries is unknown, a partition is also limited by a token bucket
+/// with its fraction of the rate, so that the partitions of a divided fleet together stay within the
+/// limit.
 #[derive(Clone, Debug)]
 pub struct QuotaLimiter {
     limit: Option<QuotaLimit>,
-    /// Use within the window, and its sum.
-    uses: VecDeque<(MonoTime, f64)>,
-    window_use: f64,
+    past: PastUse,
+    /// Use within the window of this entry and, as reported, of the others.
+    known: UseWindow,
+    /// Use of this entry alone.
+    own: UseWindow,
+    /// What may have been used before this process started, by all entries.
+    unknown_past: UseWindow,
+    /// What earlier processes on this VM used, once a hub has told it.
+    earlier: Option<UseWindow>,
+    /// Whether the stored trace was applied to `unknown_past`.
+    is_traced: bool,
+    /// What others may have used without a report since they became unreachable.
+    presumed: UseWindow,
+    /// Until when the use of unreachable entries is presumed.
+    presumed_until: MonoTime,
+    /// Fraction of all entries whose use the present hub doesn't know.
+    unknown_fraction: f64,
     partition: FleetPartition,
-    /// Tokens in the bucket of this partition, used while it is not the whole fleet.
-    bucket_level: f64,
-    updated: MonoTime,
-    /// Tokens per second that other entries spend, as a slow and a fast moving average.
-    slow_rate: f64,
-    fast_rate: f64,
-    /// When their use was last reported or assumed, and the estimated age of the last report on its
-    /// arrival.
-    remote_updated: MonoTime,
-    remote_lag: TimeSpan,
+    /// Tokens of this partition, used while it is not the whole fleet.
+    bucket: PartitionBucket,
+    /// What the others spend between reports.
+    remote: RemoteSpending,
     /// Total charged at this entry; refunds do not lower it.
     spent: u64,
     /// Value of `spent` in the last report to the hub.
@@ -90,90 +77,150 @@
 }
 
 impl QuotaLimiter {
-    /// Creates the limiter of an entry in `partition`.
+    /// Creates the limiter of an entry in `partition`. What was used before is unknown.
     pub fn new(partition: FleetPartition, now: MonoTime) -> Self {
         Self {
             limit: None,
-            uses: VecDeque::new(),
-            window_use: 0.0,
+            past: PastUse::Unknown,
+            known: UseWindow::new(),
+            own: UseWindow::new(),
+            unknown_past: UseWindow::new(),
+            earlier: None,
+            is_traced: false,
+            presumed: UseWindow::new(),
+            presumed_until: now,
+            unknown_fraction: 1.0,
             partition,
-            bucket_level: 0.0,
-            updated: now,
-            slow_rate: 0.0,
-            fast_rate: 0.0,
-            remote_updated: now,
-            remote_lag: TimeSpan::ZERO,
+            bucket: PartitionBucket::new(now),
+            remote: RemoteSpending::new(now),
             spent: 0,
             reported_spent: 0,
         }
     }
 
-    /// Replaces the limit. The first limit starts with a window of assumed use at the full rate,
-    /// since earlier use is unknown.
+    /// Returns the limiter of an organisation that can't have used more than its rate so far, since
+    /// the whole system starts, or since it is new.
+    pub fn with_past_within_rate(self) -> Self {
+        Self { past: PastUse::WithinRate, ..self }
+    }
+
+    /// Returns the limiter with a number that differs from entry to entry.
+    pub fn with_seed(self, seed: u64) -> Self {
+        Self { bucket: self.bucket.with_seed(seed), ..self }
+    }
+
+    /// Replaces the limit. The first limit starts with a window of assumed use.
     pub fn update(&mut self, limit: QuotaLimit, now: MonoTime) {
         self.advance(now);
         let is_first = self.limit.replace(limit).is_none();
-        if is_first {
-            self.bucket_level = limit.burst * self.partition.fraction() * INITIAL_BURST_FRACTION;
-            self.assume_use(limit.rate, limit.window, now);
+        if !is_first || !limit.is_limited() {
+            return;
+        }
+        self.bucket.start(&limit, self.partition);
+        match self.past {
+            PastUse::WithinRate => self.known.add_rate(limit.rate, limit.window, now),
+            PastUse::Unknown => self.unknown_past.add(limit.max_use(self.partition), now),
         }
     }
 
-    /// Assumes that other entries used their fraction of the rate since their use was last
-    /// reported, because what they spent meanwhile is unknown.
-    pub fn assume_remote_use(&mut self, now: MonoTime) {
-        let Some(limit) = self.limit else { return };
-        let remote_fraction = 1.0 - FleetPartition::isolated(self.partition.total).fraction();
-        self.assume_use(
-            limit.rate * remote_fraction,
-            now.since(self.remote_updated).min(limit.window),
-            now,
-        );
-        // Each of them also had a fraction of the burst available at once.
-        self.add_use(limit.burst * remote_fraction * INITIAL_BURST_FRACTION, now);
-        self.remote_updated = now;
+    /// Replaces what is presumed of the use before the start by the stored trace of it, whose slices
+    /// are of the whole fleet. What may have been used since is added. Later traces have no effect.
+    pub fn apply_trace(&mut self, slices: &[u64], now: MonoTime) {
+        let Some(limit) = self.limit() else { return };
+        self.advance(now);
+        if self.unknown_past.is_empty() || std::mem::replace(&mut self.is_traced, true) {
+            return;
+        }
+        let max_use = limit.max_use(self.partition);
+        let mut traced = UseWindow::from_slices(slices, limit.window, now);
+        traced.add(max_use * UNTRACED_FRACTION, now);
+        if traced.sum() < self.unknown_past.sum() {
+            self.unknown_past = traced;
+        }
+    }
+
+    /// Returns the use of this entry by slice of the window, and that of earlier processes on its VM:
+    /// an equal part of what all entries may have used, unless a hub has told it.
+    pub fn history(&mut self, now: MonoTime) -> Option<(Vec<u64>, Vec<u64>)> {
+        let window = self.limit()?.window;
+        self.advance(now);
+        let mut unknown = self.unknown_past.clone();
+        unknown.scale(self.partition.entry_fraction());
+        let earlier = self.earlier.as_ref().unwrap_or(&unknown);
+        Some((self.own.slices(window, now), earlier.slices(window, now)))
     }
 
-    /// Records use at `rate` during `span`, which ends now.
-    fn assume_use(&mut self, rate: f64, span: TimeSpan, now: MonoTime) {
-        let slice = TimeSpan::from_micros(span.as_micros() / ASSUMED_SLICES);
-        for number in (0..ASSUMED_SLICES).rev() {
-            self.add_use(rate * slice.as_secs_f64(), now - slice * number);
+    /// Records that there is a new hub, which doesn't know the use of any entry yet.
+    pub fn record_new_hub(&mut self) {
+        self.unknown_fraction = 1.0;
+    }
+
+    /// Applies what the hub knows of the use of all others, by slice of the window, and of its part of
+    /// earlier processes on this VM. It replaces what is presumed, but for the fraction of the entries
+    /// whose use the hub doesn't know.
+    pub fn apply_fleet_use(
+        &mut self,
+        slices: &[u64],
+        earlier_slices: &[u64],
+        unknown_fraction: f64,
+        now: MonoTime,
+    ) {
+        let Some(limit) = self.limit() else { return };
+        self.advance(now);
+        self.earlier = Some(UseWindow::from_slices(earlier_slices, limit.window, now));
+        let factor = match self.unknown_fraction > 0.0 {
+            true => (unknown_fraction / self.unknown_fraction).min(1.0),
+            false => 0.0,
+        };
+        self.unknown_fraction = self.unknown_fraction.min(unknown_fraction);
+        self.presumed.scale(factor);
+        self.unknown_past.scale(factor);
+        let mut known = UseWindow::from_slices(slices, limit.window, now);
+        known.merge(&self.own);
+        // The use of an entry that ended with the former hub may be known here only.
+        if known.sum() > self.known.sum() || unknown_fraction <= 0.0 {
+            self.known = known;
         }
     }
 
+    /// Assumes that other entries went on spending since their use was last reported, because what
+    /// they spent meanwhile is unknown.
+    pub fn assume_remote_use(&mut self, now: MonoTime) {
+        self.presume_unreported(1.0 - self.partition.entry_fraction(), now);
+    }
+
+    /// Presumes what `fraction` of all entries may have spent since the last report.
+    fn presume_unreported(&mut self, fraction: f64, now: MonoTime) {
+        let Some(limit) = self.limit() else { return };
+        self.advance(now);
+        let since = self.remote.updated().max(self.presumed_until);
+        let age = now.since(since).min(limit.window);
+        let rate = self.remote.drain_rate(&limit, now) * fraction;
+        self.presumed.add(rate * age.as_secs_f64(), now);
+        // Each of them also had a fraction of the burst available at once.
+        self.presumed.add(limit.burst * fraction * INITIAL_BURST_FRACTION, now);
+        self.presumed_until = now;
+    }
+
     /// Sets which entries are reachable.
     pub fn update_partition(&mut self, partition: FleetPartition, now: MonoTime) {
         if partition == self.partition {
             return;
         }
         self.advance(now);
-        if self.partition.is_complete() {
-            let burst = self.limit.map_or(0.0, |limit| limit.burst);
-            self.bucket_level = burst * partition.fraction() * INITIAL_BURST_FRACTION;
+        let burst = self.limit.map_or(0.0, |limit| limit.burst);
+        self.bucket.divide(burst, self.partition, partition);
+        if partition.is_isolated() && !self.partition.is_isolated() {
+            self.presume_unreported(1.0 - partition.fraction(), now);
         }
+        self.presumed_until = now;
         self.partition = partition;
     }
 
     /// Records the `tokens` that other entries spent since their use was last reported; zero lowers
     /// their estimated rate.
     pub fn record_remote_use(&mut self, tokens: u64, now: MonoTime) {
-        let gap = now.since(self.remote_updated);
-        if gap > TimeSpan::ZERO {
-            let newest = tokens as f64 / gap.as_secs_f64();
-            // The larger average counts: it rises quickly in a flood, and falls slowly after it.
-            self.slow_rate = smooth(self.slow_rate, newest, gap, SLOW_TIME_CONSTANT);
-            self.fast_rate = smooth(self.fast_rate, newest, gap, FAST_TIME_CONSTANT);
-            // Near the limit, entries report use at the shorter interval; otherwise about as often
-            // as this one.
-            let entries = usize::try_from(self.partition.total).unwrap_or(usize::MAX);
-            self.remote_lag = if self.is_near_limit() {
-                near_limit_interval(entries)
-            } else {
-                gap.min(MAX_UNREPORTED_TIME)
-            };
-            self.remote_updated = now;
-        }
+        self.remote.record_report(tokens, self.is_near_limit(), self.partition, now);
         if tokens > 0 {
             self.record_use(tokens as f64, now);
         }
@@ -182,7 +229,7 @@
     /// Charges a request.
     pub fn charge(&mut self, cost: TokenCount, now: MonoTime) -> QuotaOutcome {
         let tokens = cost.get() as f64;
-        let Some(limit) = self.limit.filter(QuotaLimit::is_limited) else {
+        let Some(limit) = self.limit() else {
             self.spent += cost.get();
             return QuotaOutcome::Charged;
         };
@@ -191,6 +238,8 @@
             return QuotaOutcome::Exceeded(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER));
         }
         self.record_use(tokens, now);
+        self.own.add(tokens, now);
+        self.remote.record_own(tokens);
         self.spent += cost.get();
         QuotaOutcome::Charged
     }
@@ -198,7 +247,11 @@
     /// Adds the cost of a request that did not run back to the bucket of this entry, and a negative
     /// use to its window. The total that is reported to the hub keeps the charge.
     pub fn refund(&mut self, cost: TokenCount, now: MonoTime) {
-        self.record_use(-(cost.get() as f64), now);
+        let tokens = -(cost.get() as f64);
+        self.record_use(tokens, now);
+        if self.limit().is_some() {
+            self.own.add(tokens, now);
+        }
     }
 
     /// Describes the use that led to a refusal, for logs and responses.
@@ -206,10 +259,11 @@
         let max_use = self.limit.map_or(0.0, |limit| limit.max_use(self.partition));
         let window = self.limit.map_or(TimeSpan::ZERO, |limit| limit.window);
         let (reachable, total) = (self.partition.reachable, self.partition.total);
-        let (used, unreported) = (self.window_use, self.estimate_unreported(now));
+        let unreported = self.estimate_unreported(now) + self.unknown_use();
         format!(
-            "{used:.0} and about {unreported:.0} more of {max_use:.0} tokens were used within \
-             {window}, by {reachable} of {total} entries"
+            "{:.0} and about {unreported:.0} more of {max_use:.0} tokens were used within {window}, \
+             by {reachable} of {total} entries",
+            self.known.sum()
         )
     }
 
@@ -219,14 +273,29 @@
         self.spent
     }
 
+    /// Returns the limit, if the organisation has one.
+    pub fn limit(&self) -> Option<QuotaLimit> {
+        self.limit.filter(QuotaLimit::is_limited)
+    }
+
     /// Returns whether use is near the limit and use at this entry is not yet reported to the hub.
     pub fn has_urgent_use(&self) -> bool {
         self.is_near_limit() && self.spent != self.reported_spent
     }
 
+    /// Returns whether the use at this entry that is not reported to the hub is more than its part of
+    /// what all entries may leave unreported.
+    pub fn has_much_unreported(&self) -> bool {
+        let unreported = (self.spent - self.reported_spent) as f64;
+        let max_unreported = |limit: QuotaLimit| {
+            limit.nominal * UNREPORTED_FRACTION * self.partition.entry_fraction()
+        };
+        unreported > 0.0 && self.limit().is_some_and(|limit| unreported > max_unreported(limit))
+    }
+
     fn is_near_limit(&self) -> bool {
         self.limit.is_some_and(|limit| {
-            self.window_use > limit.max_use(self.partition) * NEAR_LIMIT_FRACTION
+            self.known.sum() > limit.max_use(self.partition) * NEAR_LIMIT_FRACTION
         })
     }
 
@@ -235,66 +304,76 @@
         self.reported_spent = self.spent;
     }
 
+    /// Marks it as reported at once; returns whether a reply is expected, since use is near the limit.
+    pub fn mark_reported_at_once(&mut self, now: MonoTime) -> bool {
+        self.mark_reported();
+        let is_near_limit = self.is_near_limit();
+        if is_near_limit {
+            self.remote.record_wanted_reply(now);
+        }
+        is_near_limit
+    }
+
     /// Returns how long a request must wait; `None` if it is within the limit now.
-    fn find_wait(&self, limit: &QuotaLimit, tokens: f64, now: MonoTime) -> Option<TimeSpan> {
+    fn find_wait(&mut self, limit: &QuotaLimit, tokens: f64, now: MonoTime) -> Option<TimeSpan> {
         let max_use = limit.max_use(self.partition);
-        let mut excess =
-            self.window_use + self.estimate_unreported(now) + tokens.min(max_use) - max_use;
+        let used = self.known.sum() + self.unknown_use() + self.estimate_unreported(now);
+        let excess = used + tokens.min(max_use) - max_use;
         if excess > 0.0 {
-            for (time, used) in &self.uses {
-                excess -= used;
-                if excess <= 0.0 {
-                    return Some((*time + limit.window).since(now));
-                }
-            }
-            return Some(limit.window);
+            return Some(self.find_room(limit, excess, now));
         }
-        let missing = tokens.min(limit.burst * self.partition.fraction()) - self.bucket_level;
-        if self.partition.is_complete() || missing <= 0.0 {
+        if self.partition.is_complete() {
             return None;
         }
-        let rate = (limit.rate * self.partition.fraction()).max(1.0);
-        Some(TimeSpan::from_micros((missing / rate * 1e6) as u64))
+        self.bucket.find_wait(limit, self.partition, tokens, now)
+    }
+
+    /// Returns the time until `excess` tokens have left the window.
+    fn find_room(&self, limit: &QuotaLimit, mut excess: f64, now: MonoTime) -> TimeSpan {
+        let windows = [&self.known, &self.unknown_past, &self.presumed];
+        let mut uses: Vec<_> = windows.into_iter().flat_map(UseWindow::iter).collect();
+        uses.sort_by_key(|(time, _)| *time);
+        for (time, tokens) in uses {
+            excess -= tokens;
+            if excess <= 0.0 {
+                return (time + limit.window).since(now);
+            }
+        }
+        limit.window
+    }
+
+    /// Returns the tokens that may have been used although no report shows it.
+    fn unknown_use(&self) -> f64 {
+        self.unknown_past.sum() + self.presumed.sum()
     }
 
-    /// Estimates the tokens that other entries have spent without this entry knowing: since their
-    /// use was last reported, and during the time by which that report already lagged behind.
     fn estimate_unreported(&self, now: MonoTime) -> f64 {
-        let age = now.since(self.remote_updated).min(MAX_UNREPORTED_TIME) + self.remote_lag;
-        self.slow_rate.max(self.fast_rate) * age.as_secs_f64()
+        let (limit, known_use) = (self.limit.as_ref(), self.known.sum());
+        self.remote.estimate_unreported(limit, self.partition, known_use, now)
     }
 
     fn record_use(&mut self, tokens: f64, now: MonoTime) {
         self.advance(now);
-        self.bucket_level -= tokens;
-        self.add_use(tokens, now);
-    }
-
-    fn add_use(&mut self, tokens: f64, time: MonoTime) {
-        if self.limit.is_some_and(|limit| limit.is_limited()) {
-            self.uses.push_back((time, tokens));
-            self.window_use += tokens;
+        self.bucket.take(tokens);
+        if self.limit().is_some() {
+            self.known.add(tokens, now);
         }
     }
 
-    /// Refills the bucket up to `now`, and removes the uses that have left the window.
+    /// Refills the bucket up to `now`, presumes what unreachable entries have used up to then, and
+    /// removes the uses that have left the window.
     fn advance(&mut self, now: MonoTime) {
-        let seconds = now.since(self.updated).as_secs_f64();
-        self.updated = self.updated.max(now);
-        let Some(limit) = self.limit else { return };
-        let fraction = self.partition.fraction();
-        self.bucket_level =
-            (self.bucket_level + limit.rate * fraction * seconds).min(limit.burst * fraction);
-        while self.uses.front().is_some_and(|(time, _)| now.since(*time) >= limit.window) {
-            if let Some((_, tokens)) = self.uses.pop_front() {
-                self.window_use -= tokens;
-            }
+        let Some(limit) = self.limit() else { return };
+        self.bucket.advance(&limit, self.partition, now);
+        let unpresumed = now.since(self.presumed_until);
+        if !self.partition.is_complete() && unpresumed >= PRESUMED_STEP {
+            let rate = limit.rate * (1.0 - self.partition.fraction());
+            self.presumed.add(rate * unpresumed.min(limit.window).as_secs_f64(), now);
+            self.presumed_until = now;
+        }
+        let windows = [&mut self.known, &mut self.own, &mut self.unknown_past, &mut self.presumed];
+        for uses in windows.into_iter().chain(self.earlier.as_mut()) {
+            uses.prune(limit.window, now);
         }
     }
 }
-
-/// Returns the exponential moving average of `previous` and `newest` after `gap`.
-fn smooth(previous: f64, newest: f64, gap: TimeSpan, time_constant: TimeSpan) -> f64 {
-    let weight = 1.0 - (-gap.as_secs_f64() / time_constant.as_secs_f64()).exp();
-    previous + (newest - previous) * weight
-}
--- a/crates/gentian-decide/src/serving/report_interval.rs
+++ b/crates/gentian-decide/src/serving/report_interval.rs
@@ -19,7 +19,8 @@
 /// Time beyond the idle interval after which the hub counts an entry as unreachable.
 const TIMEOUT_MARGIN: TimeSpan = TimeSpan::from_millis(450);
 
-fn scale_interval(interval: TimeSpan, entries: usize) -> TimeSpan {
+/// Returns an interval for this number of entries, given that for a small fleet.
+pub(super) fn scale_interval(interval: TimeSpan, entries: usize) -> TimeSpan {
     let entries = entries as u64;
     let scaled = TimeSpan::from_micros(interval.as_micros() * entries / SHORT_INTERVAL_ENTRIES);
     scaled.max(interval).min(MAX_INTERVAL)
--- a/crates/gentian-gateway/src/control/control_state.rs
+++ b/crates/gentian-gateway/src/control/control_state.rs
@@ -21,7 +21,7 @@
 use super::CallAssignment;
 use crate::PlatformCodec;
 use crate::gateway_metrics::GatewayMetrics;
-use crate::io::{EngineCalls, EntryRecord, HubUpdates, QuarantineWrite};
+use crate::io::{EngineCalls, EntryRecord, HubUpdates, RecordWrite};
 
 /// What the control thread publishes for traffic threads.
 #[derive(Clone, Debug, Default)]
@@ -60,7 +60,7 @@
     pub(crate) view: Arc<ArcSwap<TrafficView>>,
     pub(crate) socket: PeerSocket,
     pub(crate) lease_tasks: Sender<LeaseTask>,
-    pub(crate) quarantine_writes: Sender<QuarantineWrite>,
+    pub(crate) record_writes: Sender<RecordWrite>,
     pub(crate) engine_calls: EngineCalls,
     pub(crate) hub_updates: HubUpdates,
     pub(crate) metrics: GatewayMetrics,
@@ -116,8 +116,8 @@
     pub(crate) quarantine_era: StoreEra,
     /// Parts of which the key-value service has a record, as far as this process knows.
     pub(crate) stored_parts: FastSet<PartId>,
-    /// Queue of the thread that writes these records.
-    pub(crate) quarantine_writes: Sender<QuarantineWrite>,
+    /// Queue of the thread that writes the hub's records.
+    pub(crate) record_writes: Sender<RecordWrite>,
     /// Messages that are sent again in case a datagram is lost.
     pub(crate) message_repeats: MessageRepeats,
     /// View that traffic threads read.
@@ -132,11 +132,19 @@
     pub(crate) metrics: GatewayMetrics,
 }
 
+fn new_scheduler(parts: &ControlParts) -> CallScheduler {
+    let scheduler = CallScheduler::new(parts.bounds).with_seed(parts.instance.get());
+    match parts.has_predecessor {
+        true => scheduler,
+        false => scheduler.with_first_start(),
+    }
+}
+
 impl ControlState {
     /// Creates the state at the start of a process, before any record is read.
     pub(crate) fn new(parts: ControlParts) -> Self {
         Self {
-            scheduler: CallScheduler::new(parts.bounds),
+            scheduler: new_scheduler(&parts),
             hub_client: HubClient::new(parts.vm.clone(), parts.instance),
             quarantine: PartQuarantine::new(parts.vm.clone()),
             lease: HolderLease::new(parts.bounds.takeover_delay)
@@ -160,7 +168,7 @@
             drained: FastSet::default(),
             quarantine_era: StoreEra::default(),
             stored_parts: FastSet::default(),
-            quarantine_writes: parts.quarantine_writes,
+            record_writes: parts.record_writes,
             message_repeats: MessageRepeats::new(),
             assignment_senders: FastMap::default(),
             view: parts.view,
--- a/crates/gentian-gateway/src/control/lease_controller.rs
+++ b/crates/gentian-gateway/src/control/lease_controller.rs
@@ -122,14 +122,16 @@
     };
     let mut planner = FleetPlanner::new(config, state.bounds.load_window).with_cooldowns(cooldowns);
     planner.update_engines(&state.table, now);
-    let fleet_hub = FleetHub::new(state.instance).with_fence(fence);
+    let fleet_hub = FleetHub::new(state.instance)
+        .with_fence(fence)
+        .with_quota_window(state.bounds.quota_window);
     // No round has been planned yet.
     let planned_at = MonoTime::ORIGIN;
     let permits = PermitLedger::new(now);
     state.hub =
         Some(HubState { fleet_hub, planner, permits, fence, planned_at, deferred_plan_at: None });
     state.known_hub = Some((state.vm.clone(), fence));
-    state.hub_client.record_hub(fence);
+    state.hub_client.record_hub(fence, now);
     let announcement = FleetMessage::Announcement(HubAnnouncement { vm: state.vm.clone(), fence });
     let notice = FleetMessage::Operators(OperatorNotice { revision: state.operator_revision });
     broadcast(state, announcement, now);
--- a/crates/gentian-gateway/src/control/quarantine_controller.rs
+++ b/crates/gentian-gateway/src/control/quarantine_controller.rs
@@ -9,7 +9,7 @@
 use super::call_controller::send_assignment;
 use super::fleet_broadcast::{broadcast, send_to_vm};
 use super::{CallAssignment, ControlEvent, ControlState, StoreRecords};
-use crate::io::{FleetRecord, QuarantineWrite, decode_fleet_record};
+use crate::io::{FleetRecord, RecordWrite, decode_fleet_record};
 
 /// Handles messages of other entries and stored records, and decides on crashes.
 pub(super) fn handle_quarantine(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
@@ -175,10 +175,10 @@
     if state.hub.is_none() || parts == state.stored_parts {
         return;
     }
-    let added = parts.difference(&state.stored_parts).map(|part| QuarantineWrite::Put(*part));
-    let removed = state.stored_parts.difference(&parts).map(|part| QuarantineWrite::Delete(*part));
+    let added = parts.difference(&state.stored_parts).map(|part| RecordWrite::PutPart(*part));
+    let removed = state.stored_parts.difference(&parts).map(|part| RecordWrite::DeletePart(*part));
     for write in added.chain(removed) {
-        if state.quarantine_writes.send(write).is_err() {
+        if state.record_writes.send(write).is_err() {
             log::error!(
                 "the thread that writes quarantine records ended before the control thread"
             );
--- a/crates/gentian-gateway/src/gateway_process.rs
+++ b/crates/gentian-gateway/src/gateway_process.rs
@@ -19,7 +19,7 @@
 use crate::gateway_metrics::GatewayMetrics;
 use crate::io::{
     EngineCalls, EntryRecord, HubUpdates, LeaseWorker, RecordReader, start_fleet_reader,
-    start_lease_worker, start_operator_watch, start_quarantine_writer, start_upstream_reader,
+    start_lease_worker, start_operator_watch, start_record_writer, start_upstream_reader,
 };
 use crate::{GatewaySettings, PlatformCodec};
 
@@ -68,7 +68,7 @@
     let hub_updates = HubUpdates::default();
     let (control, events) = flume::unbounded();
     let (lease_tasks, tasks) = flume::unbounded();
-    let (quarantine_writes, writes) = flume::unbounded();
+    let (record_writes, writes) = flume::unbounded();
     let socket = PeerSocket::new(settings.peer, settings.cluster_key.clone())?;
     let stop_events = control.clone();
     let on_stop = move || {
@@ -96,7 +96,7 @@
         view: Arc::clone(&view),
         socket: socket.clone(),
         lease_tasks,
-        quarantine_writes,
+        record_writes,
         engine_calls,
         hub_updates: hub_updates.clone(),
         metrics: metrics.clone(),
@@ -117,12 +117,7 @@
     };
     threads.push(start_lease_worker(worker, tasks, control.clone(), clock)?);
     let fleet_prefix = codec.record_layout.fleet_prefix.clone();
-    threads.push(start_quarantine_writer(
-        Arc::clone(&service),
-        fleet_prefix,
-        writes,
-        metrics.clone(),
-    )?);
+    threads.push(start_record_writer(Arc::clone(&service), fleet_prefix, writes, metrics.clone())?);
     let reader = RecordReader {
         service,
         events: control.clone(),
--- a/crates/gentian-gateway/src/io/fleet_records.rs
+++ b/crates/gentian-gateway/src/io/fleet_records.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use gentian_core::peer::UseTrace;
 use gentian_core::{FenceNumber, LeaseId, PartId, StoreRevision, TimeSpan, VmId};
 use gentian_decide::orders::HolderRecord;
 use gentian_process::{KeyValueError, KeyValueService, StoredValue, ValueChange, WriteCondition};
@@ -15,6 +16,7 @@
 const ENTRY_TTL: TimeSpan = TimeSpan::from_secs(600);
 const QUARANTINE_PREFIX: &str = "quarantine/";
 const PAST_HOLDER_KEY: &str = "past-holder";
+const USE_TRACE_KEY: &str = "use-trace";
 
 /// Record in which an entry makes itself known to the others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -39,6 +41,8 @@
     PastHolder,
     /// A part of prompts with which requests are refused.
     QuarantinedPart(PartId),
+    /// What organisations used of their quotas, as the hub last stored it.
+    UseTrace(UseTrace),
 }
 
 /// Decodes a record under `prefix`; returns `None` if it is malformed or of an unknown kind.
@@ -48,6 +52,7 @@
     match name {
         HOLDER_KEY => decode_record(bytes).ok().map(FleetRecord::Holder),
         PAST_HOLDER_KEY => Some(FleetRecord::PastHolder),
+        USE_TRACE_KEY => decode_record(bytes).ok().map(FleetRecord::UseTrace),
         _ if name.starts_with(ENTRY_PREFIX) => decode_record(bytes).ok().map(FleetRecord::Entry),
         _ => {
             let part = name.strip_prefix(QUARANTINE_PREFIX)?.parse();
@@ -86,6 +91,21 @@
     Ok(())
 }
 
+/// Writes the trace of the use.
+///
+/// # Errors
+///
+/// Returns an error if the call to the service fails.
+pub(super) fn write_use_trace(
+    service: &KeyValueService,
+    prefix: &str,
+    trace: &UseTrace,
+) -> Result<(), KeyValueError> {
+    let key = format!("{prefix}{USE_TRACE_KEY}");
+    service.write(&[], &[ValueChange::put(key, encode(trace)?)])?;
+    Ok(())
+}
+
 /// Writes the record of an entry and returns its revision.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/gentian-gateway/src/io/record_writer.rs
@@ -0,0 +1,59 @@
+//! The thread that writes records of the hub.
+
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use flume::Receiver;
+use gentian_core::PartId;
+use gentian_core::peer::UseTrace;
+use gentian_process::KeyValueService;
+
+use super::fleet_records::{delete_quarantined_part, write_quarantined_part, write_use_trace};
+use crate::gateway_metrics::GatewayMetrics;
+
+/// A change of a stored record.
+#[derive(Clone, Debug)]
+pub(crate) enum RecordWrite {
+    /// Adds a quarantined part.
+    PutPart(PartId),
+    /// Removes a part that is no longer quarantined.
+    DeletePart(PartId),
+    /// Replaces the trace of the use.
+    PutTrace(UseTrace),
+}
+
+/// Starts a thread that makes the writes of `writes` one after the other until the channel is
+/// closed. A failed one is not repeated: the hub compares the records of the quarantine with its
+/// state at each read, and a later trace replaces an earlier one.
+///
+/// # Errors
+///
+/// Returns an error if the thread cannot be started.
+pub(crate) fn start_record_writer(
+    service: Arc<KeyValueService>,
+    prefix: String,
+    writes: Receiver<RecordWrite>,
+    metrics: GatewayMetrics,
+) -> eyre::Result<JoinHandle<()>> {
+    let work = move || {
+        while let Ok(write) = writes.recv() {
+            let (call, result) = match &write {
+                RecordWrite::PutPart(part) => {
+                    ("quarantine", write_quarantined_part(&service, &prefix, *part))
+                }
+                RecordWrite::DeletePart(part) => {
+                    ("quarantine", delete_quarantined_part(&service, &prefix, *part))
+                }
+                RecordWrite::PutTrace(trace) => {
+                    ("use-trace", write_use_trace(&service, &prefix, trace))
+                }
+            };
+            let label = if result.is_ok() { "answered" } else { "failed" };
+            metrics.store_calls.with_label_values(&[call, label]).inc();
+            if let Err(error) = result {
+                log::warn!("{call} record not written: {error}");
+            }
+        }
+    };
+    Ok(std::thread::Builder::new().name("records".into()).spawn(work)?)
+}
