Let an odd record cost that record alone

Counts that come from outside are added with saturation. - An odd registration was logged at debug level only.

--- a/crates/gentian-core/src/event_code.rs
+++ b/crates/gentian-core/src/event_code.rs
@@ -99,4 +99,5 @@
     1603 VM_LIST_LOST "vm-list-lost": "The list of VMs could not be read from its service."; "Check the VM list service."
     1604 STORE_RESTORED "store-restored": "The key-value service names another era: it was restored from a copy and may have lost records. The line gives both eras."; "None; operators' records that were lost must be written again."
     1605 READ_IGNORED "read-ignored": "A read of the key-value service was ignored, since it is older than an earlier one."; "None unless it lasts; then check the key-value service."
+    1606 RECORD_IGNORED "record-ignored": "A record in the key-value service can't be read and is ignored, as if it weren't there; the line is written once for each change of the record, or for each read if the service itself sent what can't be read."; "Find out who wrote the record; remove or correct it."
 }
--- a/crates/gentian-decide/src/orders/fleet_planner.rs
+++ b/crates/gentian-decide/src/orders/fleet_planner.rs
@@ -240,11 +240,12 @@
         let mut models = ModelUses::default();
         for ((_, target), usage) in uses.iter().filter(|((id, _), _)| id == service) {
             let sum = models.entry(target.model.clone()).or_default();
-            sum.waiting += usage.waiting;
+            sum.waiting = sum.waiting.saturating_add(usage.waiting);
             sum.rate += usage.rate;
             sum.last_arrival = sum.last_arrival.max(usage.last_arrival);
             for (upstream, count) in &usage.running {
-                *sum.running.entry(upstream.clone()).or_default() += count;
+                let running = sum.running.entry(upstream.clone()).or_default();
+                *running = running.saturating_add(*count);
             }
         }
         for (id, tracker) in &self.trackers {
--- a/crates/gentian-decide/src/serving/call_scheduler.rs
+++ b/crates/gentian-decide/src/serving/call_scheduler.rs
@@ -275,7 +275,8 @@
             let sum = work.entry(running.upstream.clone()).or_default();
             sum.running += 1;
             if !running.is_prefilled {
-                sum.pending_prefill_tokens += running.call.prompt_tokens;
+                let pending = &mut sum.pending_prefill_tokens;
+                *pending = pending.saturating_add(running.call.prompt_tokens);
             }
         }
         work.into_iter().collect()
--- a/crates/gentian-decide/src/serving/fleet_hub.rs
+++ b/crates/gentian-decide/src/serving/fleet_hub.rs
@@ -192,8 +192,10 @@
             let before = entry.reported.entry(organisation.clone()).or_default();
             let added = total.saturating_sub(*before);
             *before = (*before).max(*total);
-            *entry.spent.entry(organisation.clone()).or_default() += added;
-            *self.spent.entry(organisation.clone()).or_default() += added;
+            for spent in [&mut entry.spent, &mut self.spent] {
+                let total = spent.entry(organisation.clone()).or_default();
+                *total = total.saturating_add(added);
+            }
             self.use_ledger.record_use((&report.vm, report.instance), organisation, added, now);
             self.use_tracer.record_use(organisation, added);
             self.use_push.record_use(organisation, added, now);
@@ -358,9 +360,10 @@
                 sum.time_left =
                     if sum.waiting == 0 { demand.slack } else { sum.time_left.min(demand.slack) };
             }
-            sum.waiting += demand.waiting;
+            sum.waiting = sum.waiting.saturating_add(demand.waiting);
             for (upstream, count) in &demand.running {
-                *sum.running.entry(upstream.clone()).or_default() += count;
+                let running = sum.running.entry(upstream.clone()).or_default();
+                *running = running.saturating_add(*count);
             }
         }
         uses
@@ -375,7 +378,7 @@
         let mut work: FastMap<&UpstreamId, UpstreamWork> = FastMap::default();
         for (upstream, entry_work) in others.flat_map(|other| &other.work) {
             let sum = work.entry(upstream).or_default();
-            sum.running += entry_work.running;
+            sum.running = sum.running.saturating_add(entry_work.running);
             sum.pending_prefill_tokens =
                 sum.pending_prefill_tokens.saturating_add(entry_work.pending_prefill_tokens);
         }
--- a/crates/gentian-decide/src/serving/upstream_row.rs
+++ b/crates/gentian-decide/src/serving/upstream_row.rs
@@ -137,7 +137,7 @@
     /// Returns the work of all entries at this upstream.
     pub fn work(&self) -> UpstreamWork {
         UpstreamWork {
-            running: self.local_work.running + self.remote_work.running,
+            running: self.local_work.running.saturating_add(self.remote_work.running),
             pending_prefill_tokens: self
                 .local_work
                 .pending_prefill_tokens
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -356,7 +356,8 @@
     pub fn record_start(&mut self, id: &UpstreamId, tokens: u32, now: MonoTime) {
         if let Some(row) = self.rows.get_mut(id) {
             row.local_work.running += 1;
-            row.local_work.pending_prefill_tokens += tokens;
+            let pending = &mut row.local_work.pending_prefill_tokens;
+            *pending = pending.saturating_add(tokens);
             if row.is_cold(now) {
                 row.cold_limiter.record_sent(now);
             }
--- a/crates/gentian-decide/src/serving/use_window.rs
+++ b/crates/gentian-decide/src/serving/use_window.rs
@@ -127,7 +127,7 @@
         }
         slices.resize(own.len(), 0);
         for (slice, tokens) in slices.iter_mut().zip(own) {
-            *slice += f64::max(tokens, 0.0).ceil() as u64;
+            *slice = slice.saturating_add(f64::max(tokens, 0.0).ceil() as u64);
         }
     }
 }
--- a/crates/gentian-gateway/src/control/control_state.rs
+++ b/crates/gentian-gateway/src/control/control_state.rs
@@ -7,16 +7,17 @@
 use gentian_config::serving::ServingConfig;
 use gentian_core::peer::HubHandover;
 use gentian_core::{
-    FastMap, FastSet, FenceNumber, InstanceId, MonoTime, PartId, RequestId, StoreEra,
+    EventCode, FastMap, FastSet, FenceNumber, InstanceId, MonoTime, PartId, RequestId, StoreEra,
     StoreRevision, VmId,
 };
 use gentian_decide::limits::PermitLedger;
 use gentian_decide::orders::{FleetPlanner, HolderLease, LeaseTask};
 use gentian_decide::quarantine::{MessageRepeats, PartQuarantine};
 use gentian_decide::serving::{
-    CallScheduler, DrainedDomains, EraTracker, FleetHub, HubClient, ServingBounds, UpstreamTable,
+    CallScheduler, DrainedDomains, EraTracker, FleetHub, HubClient, OddRecords, ServingBounds,
+    UpstreamTable,
 };
-use gentian_process::PeerSocket;
+use gentian_process::{PeerSocket, StoredValue};
 
 use super::CallAssignment;
 use crate::PlatformCodec;
@@ -74,6 +75,8 @@
     pub(crate) vm: VmId,
     /// Identifies this run of the process.
     pub(crate) instance: InstanceId,
+    /// Registrations and fleet records that can't be read.
+    pub(crate) odd_records: OddRecords,
     /// Bounds that the gateway must keep.
     pub(crate) bounds: ServingBounds,
     /// Configuration in force.
@@ -141,6 +144,14 @@
 }
 
 impl ControlState {
+    /// Logs that a record can't be read, once for each of its changes.
+    pub(crate) fn log_odd_record(&mut self, value: &StoredValue, cause: &str) {
+        if self.odd_records.record(&value.key, value.revision) {
+            let (code, revision) = (EventCode::RECORD_IGNORED, value.revision);
+            log::warn!("{code} key={} revision={revision} cause={cause}", value.key);
+        }
+    }
+
     /// Creates the state at the start of a process, before any record is read.
     pub(crate) fn new(parts: ControlParts) -> Self {
         Self {
@@ -155,6 +166,7 @@
             bounds: parts.bounds,
             config: Arc::default(),
             table: parts.table,
+            odd_records: OddRecords::new(),
             hub: None,
             vacant_since: None,
             hub_updates: parts.hub_updates,
--- a/crates/gentian-gateway/src/control/hub_controller.rs
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -39,7 +39,7 @@
             }
             Some(FleetRecord::UseTrace(stored)) => trace = Some(stored),
             Some(FleetRecord::PastHolder | FleetRecord::QuarantinedPart(_)) => {}
-            None => log::warn!("ignored malformed record {}", value.key),
+            None => state.log_odd_record(value, "malformed"),
         }
     }
     if state.eras.is_settling(now) {
--- a/crates/gentian-gateway/src/control/upstream_controller.rs
+++ b/crates/gentian-gateway/src/control/upstream_controller.rs
@@ -8,6 +8,9 @@
 
 use super::{ControlEvent, ControlState, StoreRecords, TrafficView};
 
+/// Longest cause in the log line of a record that can't be read.
+const MAX_CAUSE_CHARS: usize = 160;
+
 /// Applies the current list of upstream registrations.
 pub(super) fn handle_registrations(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
     let ControlEvent::Store(StoreRecords::Upstreams { values, revision, fresh_since }) = event
@@ -23,9 +26,7 @@
         let Some(bytes) = &value.value else { continue };
         match (state.codec.decode_registration)(&value.key, bytes) {
             Ok(registration) => registrations.push(registration.with_revision(value.revision)),
-            Err(error) => {
-                log::debug!("ignored malformed registration {}: {error:#}", value.key);
-            }
+            Err(error) => state.log_odd_record(value, &short_cause(&error)),
         }
     }
     log_changes(state, &registrations, now);
@@ -51,6 +52,11 @@
     }
 }
 
+/// Returns the cause for a log line; a parser may quote much of an odd record.
+fn short_cause(error: &eyre::Report) -> String {
+    format!("{error:#}").chars().take(MAX_CAUSE_CHARS).collect()
+}
+
 fn log_changes(state: &ControlState, registrations: &[UpstreamRegistration], now: MonoTime) {
     let listed: FastSet<&UpstreamId> =
         registrations.iter().map(|registration| &registration.id).collect();
