--- a/crates/gentian-controller/src/main.rs
+++ b/crates/gentian-controller/src/main.rs
@@ -21,5 +21,7 @@
 fn main() -> eyre::Result<()> {
     gentian_process::start_logging("gentian-controller");
     let arguments: Arguments = argh::from_env();
-    controller_process::run_controller(&arguments.settings)
+    let result = controller_process::run_controller(&arguments.settings);
+    gentian_process::finish_logging();
+    result
 }
--- a/crates/gentian-core/src/peer/fleet_message.rs
+++ b/crates/gentian-core/src/peer/fleet_message.rs
@@ -6,7 +6,7 @@
 
 use super::{
     CrashReport, FleetUse, LimitNotice, OperatorNotice, PermitReply, PermitRequest,
-    QuarantineNotice, ServedNotice, TargetId, UseHistory, UseNotice, UseReport,
+    QuarantineNotice, RankedPermits, ServedNotice, TargetId, UseHistory, UseNotice, UseReport,
 };
 use crate::{
     DomainId, FenceNumber, InstanceId, ModelId, OrganisationId, SequenceNumber, ServiceId,
@@ -49,6 +49,8 @@
     UseReport(UseReport),
     /// What the other entries have spent, between two summaries.
     UseNotice(UseNotice),
+    /// An entry needs permits for requests of some priorities.
+    RankedPermits(RankedPermits),
 }
 
 /// Announces that a process has become the hub.
--- a/crates/gentian-core/src/peer/mod.rs
+++ b/crates/gentian-core/src/peer/mod.rs
@@ -37,7 +37,9 @@
 pub use operator_notice::OperatorNotice;
 pub use part_notice::{QuarantineNotice, ServedNotice};
 pub use peer_message::PeerMessage;
-pub use permit_message::{LimitNotice, PermitGrant, PermitReply, PermitRequest, WantedPermits};
+pub use permit_message::{
+    LimitNotice, PermitGrant, PermitReply, PermitRequest, RankedPermits, WantedPermits,
+};
 pub use placement_reply::PlacementReply;
 pub use placement_request::{PlacementRequest, TargetDemand};
 pub use seat_id::{SeatId, SeatRole};
--- a/crates/gentian-core/src/peer/permit_message.rs
+++ b/crates/gentian-core/src/peer/permit_message.rs
@@ -43,12 +43,21 @@
     pub count: u32,
 }
 
+/// A [`PermitRequest`] that says how urgent its requests are.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RankedPermits {
+    /// What the entry needs; several rows may be for one upstream.
+    pub request: PermitRequest,
+    /// Priority of each row, 0 is the highest.
+    pub priorities: Vec<u8>,
+}
+
 /// Reply of the hub to a [`PermitRequest`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PermitReply {
     /// Sequence number of the request.
     pub sequence: SequenceNumber,
-    /// What is granted, by upstream.
+    /// What is granted, for each row of the request.
     pub grants: Vec<PermitGrant>,
 }
 
@@ -61,6 +70,6 @@
     pub count: u32,
     /// Time until there is another permit.
     pub wait: TimeSpan,
-    /// Requests of all entries that still wait for a permit.
+    /// Requests of all entries that still wait for a permit, and are as urgent at least.
     pub backlog: u32,
 }
--- a/crates/gentian-decide/src/limits/permit_client.rs
+++ b/crates/gentian-decide/src/limits/permit_client.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use gentian_core::peer::{PermitReply, PermitRequest, WantedPermits};
+use gentian_core::peer::{PermitReply, PermitRequest, RankedPermits, WantedPermits};
 use gentian_core::{
     FastMap, InstanceId, MonoTime, RequestRate, SequenceNumber, TimeSpan, UpstreamId, VmId,
 };
@@ -35,7 +35,8 @@
 struct OpenRequest {
     sequence: SequenceNumber,
     sent: MonoTime,
-    wanted: Vec<(UpstreamId, u32)>,
+    /// Upstream, priority and number of each row.
+    wanted: Vec<(UpstreamId, u8, u32)>,
 }
 
 /// Permits of this entry, and the requests for them.
@@ -43,11 +44,13 @@
 pub struct PermitClient {
     /// Expiry of each permit.
     permits: FastMap<UpstreamId, VecDeque<MonoTime>>,
-    wanted: FastMap<UpstreamId, WantedPermits>,
+    /// By upstream and priority.
+    wanted: FastMap<(UpstreamId, u8), WantedPermits>,
     open: Vec<OpenRequest>,
-    paused_until: FastMap<UpstreamId, MonoTime>,
-    /// Requests of all entries that waited for permits when the hub last replied.
-    backlogs: FastMap<UpstreamId, u32>,
+    paused_until: FastMap<(UpstreamId, u8), MonoTime>,
+    /// Requests of all entries, as urgent at least, that waited for permits when the hub last
+    /// replied.
+    backlogs: FastMap<(UpstreamId, u8), u32>,
     sequence: SequenceNumber,
     /// Whether there is a hub.
     has_hub: bool,
@@ -70,8 +73,8 @@
         let is_missing = |open: &mut OpenRequest| now.since(open.sent) >= REPLY_TIMEOUT;
         for open in self.open.extract_if(.., is_missing) {
             self.missing_replies += 1;
-            for (upstream, _) in open.wanted {
-                self.paused_until.insert(upstream, now + MISSING_REPLY_PAUSE);
+            for (upstream, priority, _) in open.wanted {
+                self.paused_until.insert((upstream, priority), now + MISSING_REPLY_PAUSE);
             }
         }
         if self.missing_replies >= MAX_MISSING_REPLIES {
@@ -93,23 +96,31 @@
         self.has_hub && now >= self.shares_until
     }
 
-    /// Returns whether the hub lets a request be sent to an upstream now.
-    pub fn state(&mut self, upstream: &UpstreamId, now: MonoTime) -> PermitState {
+    /// Returns whether the hub lets a request of this priority be sent to an upstream now.
+    pub fn state(&mut self, upstream: &UpstreamId, priority: u8, now: MonoTime) -> PermitState {
         if let Some(permits) = self.permits.get_mut(upstream) {
             permits.retain(|expiry| *expiry > now);
             if !permits.is_empty() {
                 return PermitState::Granted;
             }
         }
-        match self.paused_until.get(upstream).is_some_and(|until| *until > now) {
+        let pause_end = self.paused_until.get(&(upstream.clone(), priority));
+        match pause_end.is_some_and(|until| *until > now) {
             true => PermitState::Denied,
             false => PermitState::Unknown,
         }
     }
 
-    /// Notes that a request waits for a permit.
-    pub fn want(&mut self, upstream: &UpstreamId, incarnation: u64, limit: RequestRate) {
-        let wanted = self.wanted.entry(upstream.clone()).or_insert_with(|| WantedPermits {
+    /// Notes that a request of this priority waits for a permit.
+    pub fn want(
+        &mut self,
+        upstream: &UpstreamId,
+        priority: u8,
+        incarnation: u64,
+        limit: RequestRate,
+    ) {
+        let key = (upstream.clone(), priority);
+        let wanted = self.wanted.entry(key).or_insert_with(|| WantedPermits {
             upstream: upstream.clone(),
             incarnation,
             limit,
@@ -118,9 +129,10 @@
         wanted.count += 1;
     }
 
-    /// Returns the requests of all entries that waited for permits when the hub last replied.
-    pub fn backlog(&self, upstream: &UpstreamId) -> u32 {
-        self.backlogs.get(upstream).copied().unwrap_or(0)
+    /// Returns the requests of all entries, of this priority or more urgent, that waited for permits
+    /// when the hub last replied.
+    pub fn backlog(&self, upstream: &UpstreamId, priority: u8) -> u32 {
+        self.backlogs.get(&(upstream.clone(), priority)).copied().unwrap_or(0)
     }
 
     /// Uses a permit.
@@ -136,30 +148,35 @@
         vm: &VmId,
         instance: InstanceId,
         now: MonoTime,
-    ) -> Option<PermitRequest> {
-        let mut wanted = Vec::new();
-        for permits in self.wanted.values() {
+    ) -> Option<RankedPermits> {
+        let mut rows = Vec::new();
+        for ((_, priority), permits) in &self.wanted {
             let asked = self.open.iter().flat_map(|open| &open.wanted);
             let asked: u32 = asked
-                .filter(|(upstream, _)| *upstream == permits.upstream)
-                .map(|(_, count)| count)
+                .filter(|(upstream, other, _)| *upstream == permits.upstream && other == priority)
+                .map(|(_, _, count)| count)
                 .sum();
             let count = permits.count.saturating_sub(asked);
             if count > 0 {
-                wanted.push(WantedPermits { count, ..permits.clone() });
+                rows.push((*priority, WantedPermits { count, ..permits.clone() }));
             }
         }
-        if wanted.is_empty() {
+        if rows.is_empty() {
             return None;
         }
         self.sequence = self.sequence.next();
         self.open.push(OpenRequest {
             sequence: self.sequence,
             sent: now,
-            wanted: wanted.iter().map(|it| (it.upstream.clone(), it.count)).collect(),
+            wanted: rows
+                .iter()
+                .map(|(priority, it)| (it.upstream.clone(), *priority, it.count))
+                .collect(),
         });
         let sequence = self.sequence;
-        Some(PermitRequest { vm: vm.clone(), instance, sequence, wanted })
+        let (priorities, wanted) = rows.into_iter().unzip();
+        let request = PermitRequest { vm: vm.clone(), instance, sequence, wanted };
+        Some(RankedPermits { request, priorities })
     }
 
     /// Applies a reply of the hub. A reply that comes twice, or after [`REPLY_TIMEOUT`], is ignored:
@@ -171,17 +188,16 @@
         };
         let open = self.open.remove(position);
         self.missing_replies = 0;
-        for grant in &reply.grants {
+        for (grant, (_, priority, asked)) in reply.grants.iter().zip(&open.wanted) {
+            let key = (grant.upstream.clone(), *priority);
             match grant.backlog {
-                0 => self.backlogs.remove(&grant.upstream),
-                backlog => self.backlogs.insert(grant.upstream.clone(), backlog),
+                0 => self.backlogs.remove(&key),
+                backlog => self.backlogs.insert(key.clone(), backlog),
             };
             let permits = self.permits.entry(grant.upstream.clone()).or_default();
             permits.extend((0..grant.count).map(|_| open.sent + PERMIT_TTL));
-            let asked = open.wanted.iter().find(|(upstream, _)| *upstream == grant.upstream);
-            if asked.is_some_and(|(_, count)| *count > grant.count) {
-                let pause = grant.wait.max(MIN_PAUSE);
-                self.paused_until.insert(grant.upstream.clone(), now + pause);
+            if *asked > grant.count {
+                self.paused_until.insert(key, now + grant.wait.max(MIN_PAUSE));
             }
         }
     }
--- a/crates/gentian-decide/src/serving/call_scheduler.rs
+++ b/crates/gentian-decide/src/serving/call_scheduler.rs
@@ -102,8 +102,7 @@
         self.charge(&mut call, now)?;
         // Requests are ordered by priority, the smallest number first, and within a priority the
         // newest first: under overload, those that have waited long are late anyway.
-        let position =
-            self.waiting.partition_point(|other| priority_of(other) < priority_of(&call));
+        let position = self.waiting.partition_point(|other| other.priority() < call.priority());
         self.waiting.insert(position, call);
         Ok(())
     }
@@ -332,13 +331,6 @@
     }
 }
 
-fn priority_of(call: &ServingCall) -> u8 {
-    call.organisation
-        .as_ref()
-        .and_then(|organisation| organisation.priority)
-        .unwrap_or(call.route.priority)
-}
-
 /// Returns when a queued request is refused at the latest.
 pub(super) fn queue_deadline(call: &ServingCall) -> MonoTime {
     call.received + call.deadline.since(call.received) * MAX_QUEUE_FRACTION
--- a/crates/gentian-decide/src/serving/serving_call.rs
+++ b/crates/gentian-decide/src/serving/serving_call.rs
@@ -39,6 +39,14 @@
     pub is_charged: bool,
 }
 
+impl ServingCall {
+    /// Returns the priority, 0 is the highest: that of the organisation, or else of the route.
+    pub fn priority(&self) -> u8 {
+        let organisation = self.organisation.as_ref();
+        organisation.and_then(|organisation| organisation.priority).unwrap_or(self.route.priority)
+    }
+}
+
 /// Outcome of an attempt to forward a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptOutcome {
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -245,8 +245,10 @@
             return PickOutcome::Paused(end);
         }
         let accepted_rate = self.accepted_rate(&ranked, now);
-        let backlog = ranked.iter().map(|(_, id)| self.permits.backlog(id)).sum();
-        ranked.retain(|(_, id)| !self.is_denied(id, now));
+        let priority = call.priority();
+        let backlogs = ranked.iter().map(|(_, id)| self.permits.backlog(id, priority));
+        let backlog = backlogs.fold(0, u32::saturating_add);
+        ranked.retain(|(_, id)| !self.is_denied(id, priority, now));
         if let (true, Some(rate)) = (ranked.is_empty(), accepted_rate) {
             return PickOutcome::Limited(LimitedCapacity { rate, backlog });
         }
@@ -422,27 +424,28 @@
         let Some(row) = self.rows.get(id) else { return UpstreamCapacity::None };
         let Some(limit) = row.limit else { return UpstreamCapacity::Free(address) };
         if !self.permits.needs_permits(now) {
-            return match self.is_denied(id, now) {
+            return match self.is_denied(id, call.priority(), now) {
                 true => UpstreamCapacity::None,
                 false => UpstreamCapacity::Free(address),
             };
         }
-        match self.permits.state(id, now) {
+        match self.permits.state(id, call.priority(), now) {
             PermitState::Granted => UpstreamCapacity::Free(address),
             PermitState::Denied => UpstreamCapacity::None,
             PermitState::Unknown => {
-                self.permits.want(id, row.registration.incarnation, limit);
+                self.permits.want(id, call.priority(), row.registration.incarnation, limit);
                 UpstreamCapacity::AwaitsPermit
             }
         }
     }
 
-    /// Returns whether an upstream names a limit that leaves nothing to this entry at present.
-    fn is_denied(&mut self, id: &UpstreamId, now: MonoTime) -> bool {
+    /// Returns whether an upstream names a limit that leaves nothing to a request of this priority at
+    /// this entry at present.
+    fn is_denied(&mut self, id: &UpstreamId, priority: u8, now: MonoTime) -> bool {
         let Some(row) = self.rows.get_mut(id) else { return false };
         let Some(limit) = row.limit else { return false };
         if self.permits.needs_permits(now) {
-            return self.permits.state(id, now) == PermitState::Denied;
+            return self.permits.state(id, priority, now) == PermitState::Denied;
         }
         let seed = hash_of(&row.registration.id) as u32;
         !row.limit_share.has_capacity_for(limit, self.index_and_count, seed, now)
--- a/crates/gentian-decide/tests/engine_fleet/mod.rs
+++ b/crates/gentian-decide/tests/engine_fleet/mod.rs
@@ -420,7 +420,7 @@
         }
         let vm = "vm-1".parse().unwrap();
         if let Some(request) = self.table.permits.next_request(&vm, HUB, self.now) {
-            let reply = self.ledger.handle_request(&request, |_| None, self.now).unwrap();
+            let reply = self.ledger.handle_ranked(&request, |_| None, self.now).unwrap();
             self.table.permits.handle_reply(&reply, self.now);
         }
     }
--- a/crates/gentian-decide/tests/request_limits.rs
+++ b/crates/gentian-decide/tests/request_limits.rs
@@ -3,7 +3,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use gentian_core::peer::{PermitReply, PermitRequest};
+use gentian_core::peer::{PermitReply, RankedPermits};
 use gentian_core::{InstanceId, MonoTime, RequestRate, TimeSpan, UpstreamId, VmId};
 use gentian_decide::limits::{PermitClient, PermitLedger, PermitState, RequestShare};
 use rand::rngs::StdRng;
@@ -19,9 +19,10 @@
 /// Times after which entries notice that the hub is silent.
 const SILENCE_MILLIS: std::ops::Range<u64> = 700..1_450;
 const LOST_PERCENT: u32 = 3;
+const PRIORITY: u8 = 1;
 
 enum Message {
-    Request(PermitRequest),
+    Request(RankedPermits),
     Reply(usize, PermitReply),
 }
 
@@ -117,7 +118,7 @@
         let mut sent = 0;
         for _ in 0..entry.demand {
             let is_free = match entry.client.needs_permits(now) {
-                true => entry.client.state(&self.upstream, now) == PermitState::Granted,
+                true => entry.client.state(&self.upstream, PRIORITY, now) == PermitState::Granted,
                 false => entry.share.has_capacity_for(limit, (index as u32, count), 7, now),
             };
             if is_free {
@@ -126,9 +127,9 @@
                 self.sent.push(now);
                 sent += 1;
             } else if entry.client.needs_permits(now)
-                && entry.client.state(&self.upstream, now) == PermitState::Unknown
+                && entry.client.state(&self.upstream, PRIORITY, now) == PermitState::Unknown
             {
-                entry.client.want(&self.upstream, 1, limit);
+                entry.client.want(&self.upstream, PRIORITY, 1, limit);
             }
         }
         entry.demand -= sent;
@@ -151,9 +152,12 @@
             match message {
                 Message::Request(request) => {
                     let ledger = self.ledger.as_mut();
-                    let reply = ledger.and_then(|it| it.handle_request(&request, |_| None, now));
-                    let index =
-                        self.entries.iter().position(|entry| entry.vm == request.vm).unwrap();
+                    let reply = ledger.and_then(|it| it.handle_ranked(&request, |_| None, now));
+                    let index = self
+                        .entries
+                        .iter()
+                        .position(|entry| entry.vm == request.request.vm)
+                        .unwrap();
                     reply.into_iter().for_each(|it| self.post(Message::Reply(index, it)));
                 }
                 Message::Reply(index, reply) => {
@@ -233,16 +237,16 @@
     client.update_hub(true);
     client.begin_round(START);
     let upstream: UpstreamId = "i-1".parse().unwrap();
-    client.want(&upstream, 1, RequestRate::from_millis(1_000));
+    client.want(&upstream, PRIORITY, 1, RequestRate::from_millis(1_000));
     let vm: VmId = "vm-1".parse().unwrap();
     let request = client.next_request(&vm, InstanceId::new(1), START).unwrap();
     let mut ledger = PermitLedger::new(MonoTime::ORIGIN);
-    let reply = ledger.handle_request(&request, |_| None, START).unwrap();
-    assert_eq!(ledger.handle_request(&request, |_| None, START), None);
+    let reply = ledger.handle_ranked(&request, |_| None, START).unwrap();
+    assert_eq!(ledger.handle_ranked(&request, |_| None, START), None);
     client.handle_reply(&reply, START);
     client.consume(&upstream);
     client.handle_reply(&reply, START);
-    assert_ne!(client.state(&upstream, START), PermitState::Granted);
+    assert_ne!(client.state(&upstream, PRIORITY, START), PermitState::Granted);
 }
 
 /// A hub of an earlier version reports, but does not reply to requests for permits.
--- a/crates/gentian-entry/src/main.rs
+++ b/crates/gentian-entry/src/main.rs
@@ -23,5 +23,7 @@
 fn main() -> eyre::Result<()> {
     gentian_process::start_logging("gentian-entry");
     let arguments: Arguments = argh::from_env();
-    entry_process::run_entry(&arguments.settings)
+    let result = entry_process::run_entry(&arguments.settings);
+    gentian_process::finish_logging();
+    result
 }
--- a/crates/gentian-process/src/lib.rs
+++ b/crates/gentian-process/src/lib.rs
@@ -28,6 +28,7 @@
 };
 pub use log_limiter::{LogDecision, LogLimiter};
 pub use log_setup::start_logging;
+pub use log_writer::finish_logging;
 pub use member_writer::start_member_writer;
 pub use peer_socket::{PeerSocket, PeerTraffic};
 pub use process_settings::{ProcessSettings, read_settings};
