--- a/crates/gentian-gateway/src/gateway_process.rs
+++ b/crates/gentian-gateway/src/gateway_process.rs
@@ -37,7 +37,7 @@
 /// Interval between checks whether threads have finished during shutdown.
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// How long to wait for threads to finish by themselves; part of the shutdown margin.
-const JOIN_TIMEOUT: TimeSpan = TimeSpan::from_millis(300);
+const JOIN_TIMEOUT: TimeSpan = TimeSpan::from_millis(100);
 /// Memory for the bodies of all responses that are not streamed.
 const MAX_BUFFERED_BYTES: usize = 32 << 20;
 /// Maximum number of open connections for readiness checks.
