Grant permits by urgency

Load pattern: upstreams name limits, and a burst of requests of different urgency at many entries asks for more. The hub granted in the order of arrival, so patient requests took what urgent ones at other entries waited for, and the backlog that refuses a request which would come too late counted requests behind it.

Change: entries say how urgent their requests are (RankedPermits); the hub keeps permits for more urgent requests that got none in the last second, and tells each urgency the backlog before it.

--- a/crates/gentian-gateway/src/control/permit_controller.rs
+++ b/crates/gentian-gateway/src/control/permit_controller.rs
@@ -1,6 +1,6 @@
 //! Controllers of the limits of requests that upstreams name.
 
-use gentian_core::peer::{FleetMessage, LimitNotice, PermitRequest};
+use gentian_core::peer::{FleetMessage, LimitNotice, PermitReply, PermitRequest, RankedPermits};
 use gentian_core::{EventCode, MonoTime, RequestRate, UpstreamId};
 
 use super::call_controller::start_calls;
@@ -13,7 +13,10 @@
     match event {
         ControlEvent::Peer(FleetMessage::Limit(notice)) => apply_notice(state, notice, now),
         ControlEvent::Peer(FleetMessage::PermitRequest(request)) => {
-            grant_permits(state, request, now);
+            grant_unranked(state, request, now);
+        }
+        ControlEvent::Peer(FleetMessage::RankedPermits(ranked)) => {
+            grant_permits(state, ranked, now);
         }
         ControlEvent::Peer(FleetMessage::PermitReply(reply)) => {
             state.table.permits.handle_reply(reply, now);
@@ -25,13 +28,13 @@
 /// Asks the hub for the permits that requests wait for.
 pub(super) fn request_permits(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
     let Some((hub, _)) = state.known_hub.clone() else { return };
-    let request = state.table.permits.next_request(&state.vm, state.instance, now);
-    let Some(request) = request else { return };
+    let ranked = state.table.permits.next_request(&state.vm, state.instance, now);
+    let Some(ranked) = ranked else { return };
     if hub == state.vm {
-        grant_permits(state, &request, now);
+        grant_permits(state, &ranked, now);
         start_calls(state, event, now);
     } else {
-        send_to_vm(state, &FleetMessage::PermitRequest(request), &hub);
+        send_to_vm(state, &FleetMessage::RankedPermits(ranked), &hub);
     }
 }
 
@@ -54,10 +57,27 @@
     state.metrics.limited_upstreams.set(limited);
 }
 
-fn grant_permits(state: &mut ControlState, request: &PermitRequest, now: MonoTime) {
+/// Grants permits to an entry of an earlier version.
+fn grant_unranked(state: &mut ControlState, request: &PermitRequest, now: MonoTime) {
     let Some(hub) = &mut state.hub else { return };
     let table = &state.table;
     let reply = hub.permits.handle_request(request, |upstream| table.limit(upstream), now);
+    send_reply(state, reply, request, now);
+}
+
+fn grant_permits(state: &mut ControlState, ranked: &RankedPermits, now: MonoTime) {
+    let Some(hub) = &mut state.hub else { return };
+    let table = &state.table;
+    let reply = hub.permits.handle_ranked(ranked, |upstream| table.limit(upstream), now);
+    send_reply(state, reply, &ranked.request, now);
+}
+
+fn send_reply(
+    state: &mut ControlState,
+    reply: Option<PermitReply>,
+    request: &PermitRequest,
+    now: MonoTime,
+) {
     let Some(reply) = reply else { return };
     if request.vm == state.vm {
         state.table.permits.handle_reply(&reply, now);
