Don't cut off callers that read a large answer slowly

Report of other operators: slow but sound streams were cut, and stalled ones that took a byte now and then never ended. From upstreams neither can happen here: what is read from them ends at the deadline of the request, however it trickles. Towards callers the first could: each write had five seconds in all, so a caller whose link needs longer for an answer was cut off in the middle. Now a caller may take as long as it takes some bytes at least every five seconds, until five seconds after its deadline.

--- a/crates/gentian-gateway/src/chain/relay.rs
+++ b/crates/gentian-gateway/src/chain/relay.rs
@@ -5,7 +5,8 @@
 
 use super::{CallContext, CallHandles};
 
-/// How long a write may block on a caller that does not read its response.
+/// How long a caller may take no byte of its response, and how long after its deadline the response
+/// may still be sent to a slow one.
 const WRITE_TIMEOUT: TimeSpan = TimeSpan::from_secs(5);
 
 /// Sends the complete response of an upstream.
@@ -71,10 +72,8 @@
     let rest = event_splitter.finish();
     let mut bytes = if rest.is_empty() { Vec::new() } else { encode_chunk(&rest) };
     bytes.extend_from_slice(b"0\r\n\r\n");
-    // This timeout counts from the deadline of the request; that of the other writes counts from
-    // their start.
-    let deadline = call.deadline + WRITE_TIMEOUT;
-    if let Err(error) = call.caller_stream.write_all(&bytes, deadline) {
+    let end = call.deadline + WRITE_TIMEOUT;
+    if let Err(error) = call.caller_stream.write_steadily(&bytes, WRITE_TIMEOUT, end) {
         log::debug!("cannot send the end of a response: {error}");
         call.is_connection_broken = true;
     }
@@ -103,8 +102,8 @@
 }
 
 fn write_to_caller(handles: &CallHandles, call: &mut CallContext, bytes: &[u8]) -> bool {
-    let deadline = handles.clock.now() + WRITE_TIMEOUT;
-    let result = call.caller_stream.write_all(bytes, deadline);
+    let end = call.deadline.max(handles.clock.now()) + WRITE_TIMEOUT;
+    let result = call.caller_stream.write_steadily(bytes, WRITE_TIMEOUT, end);
     if let Err(error) = &result {
         log::debug!("cannot send the response to request {}: {error}", call.metadata.request_id);
         call.is_connection_broken = true;
--- a/crates/gentian-http/src/forward/buffered_stream.rs
+++ b/crates/gentian-http/src/forward/buffered_stream.rs
@@ -185,6 +185,30 @@
         Ok(())
     }
 
+    /// Writes all bytes while the peer takes some of them at least every `max_pause`, until `end` at
+    /// most. A slow peer is not cut off, and one that takes a byte now and then doesn't go on for ever.
+    ///
+    /// # Errors
+    ///
+    /// Returns `TimedOut` after such a pause or at the end, or the I/O error of the connection.
+    pub fn write_steadily(
+        &mut self,
+        bytes: &[u8],
+        max_pause: TimeSpan,
+        end: MonoTime,
+    ) -> io::Result<()> {
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            let written = self.write_some(rest)?;
+            rest = &rest[written..];
+            let pause_end = end.min(self.clock.now() + max_pause);
+            if self.is_past(end) || (written == 0 && !self.wait(PollFlags::OUT, pause_end)?) {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+        }
+        Ok(())
+    }
+
     /// Writes a request before `deadline` and stops if the peer responds early; returns whether all
     /// bytes were written.
     ///
