Don't send a request on a selection from before a pause

Report of other operators: a process that had been paused acted on a permission that had run out meanwhile. A selection is now used for one second at most; the request is scheduled again after that.

--- a/crates/gentian-decide/src/serving/upstream_pick.rs
+++ b/crates/gentian-decide/src/serving/upstream_pick.rs
@@ -3,7 +3,11 @@
 use std::net::SocketAddr;
 
 use gentian_core::peer::UpstreamWork;
-use gentian_core::{RequestRate, UpstreamId};
+use gentian_core::{MonoTime, RequestRate, TimeSpan, UpstreamId};
+
+/// Age up to which a selection is used. What allows it (a permit, a place at a cold upstream, that the
+/// upstream isn't leaving) may have ended if the process was suspended since.
+const MAX_AGE: TimeSpan = TimeSpan::from_secs(1);
 
 /// The selected upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,4 +22,13 @@
     pub candidates: usize,
     /// Limit that the upstream names.
     pub limit: Option<RequestRate>,
+    /// When it was selected.
+    pub selected: MonoTime,
+}
+
+impl UpstreamPick {
+    /// Returns whether a request may still be sent as selected.
+    pub fn is_current(&self, now: MonoTime) -> bool {
+        now.since(self.selected) <= MAX_AGE
+    }
 }
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -260,7 +260,9 @@
                     let row = self.rows.get(&id);
                     let work = row.map(UpstreamRow::work).unwrap_or_default();
                     let limit = row.and_then(|row| row.limit);
-                    let pick = UpstreamPick { upstream: id, address, work, candidates, limit };
+                    let selected = now;
+                    let pick =
+                        UpstreamPick { upstream: id, address, work, candidates, limit, selected };
                     return PickOutcome::Send(pick);
                 }
                 UpstreamCapacity::AwaitsPermit => return PickOutcome::AwaitsPermit,
--- a/crates/gentian-decide/tests/upstream_notices.rs
+++ b/crates/gentian-decide/tests/upstream_notices.rs
@@ -197,3 +197,15 @@
     let decisions = entry.scheduler.decide(&mut entry.table, NOW + SECOND);
     assert!(matches!(decisions.as_slice(), [ScheduleDecision::Send(..)]), "{decisions:?}");
 }
+
+/// The process was suspended between the selection and the sending: the upstream may be leaving by
+/// then, or its permit may have gone to another entry.
+#[test]
+fn a_selection_is_not_used_after_a_pause() {
+    let mut entry = Entry::new(&["a"]);
+    let Some(ScheduleDecision::Send(_, pick)) = entry.admit(NOW).pop() else {
+        panic!("nothing was sent")
+    };
+    assert!(pick.is_current(NOW + TimeSpan::from_millis(300)));
+    assert!(!pick.is_current(NOW + TimeSpan::from_secs(2)));
+}
--- a/crates/gentian-decide/tests/urgent_permits.rs
+++ b/crates/gentian-decide/tests/urgent_permits.rs
@@ -84,9 +84,9 @@
     let (mut sent, mut asked) = ([0_u32; 2], [0_u32; 2]);
     for step in 0..4_000 {
         let now = START + TimeSpan::from_millis(10) * step;
-        for kind in 0..2 {
+        for (kind, asked) in asked.iter_mut().enumerate() {
             if random.random_bool(0.04) {
-                asked[kind] += 1;
+                *asked += 1;
                 fleet[random.random_range(0..entries)].2[kind] += 1;
             }
         }
--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -28,6 +28,8 @@
     CallerGone,
     /// The deadline passed.
     TimedOut,
+    /// The selection of the upstream was too old to be used; nothing was sent.
+    OutOfDate,
     /// The upstream did not execute the request.
     NotExecuted(AttemptOutcome, String),
     /// The upstream may have executed the request but gave no response that could be relayed.
@@ -41,7 +43,7 @@
             Self::Responded(outcome) | Self::NotExecuted(outcome, _) | Self::Failed(outcome, _) => {
                 *outcome
             }
-            Self::CallerGone | Self::TimedOut => AttemptOutcome::Abandoned,
+            Self::CallerGone | Self::TimedOut | Self::OutOfDate => AttemptOutcome::Abandoned,
         }
     }
 }
@@ -77,6 +79,9 @@
     if call.caller_stream.is_peer_closed() {
         return AttemptResult::CallerGone;
     }
+    if !pick.is_current(handles.clock.now()) {
+        return AttemptResult::OutOfDate;
+    }
     let bytes = encode_request(handles, call, pick);
     call.progress = AttemptProgress::Sent;
     let is_request_complete = match stream.write_request(&bytes, call.deadline) {
--- a/crates/gentian-gateway/src/chain/forward_call.rs
+++ b/crates/gentian-gateway/src/chain/forward_call.rs
@@ -53,6 +53,7 @@
                 let refusal = Refusal::new(RefusalCode::DeadlineExceeded, message);
                 return finish_unserved(handles, call, refusal.with_unknown_run());
             }
+            AttemptResult::OutOfDate => log_retry(call, &pick, "the selection is out of date"),
             AttemptResult::NotExecuted(_, cause) => {
                 call.tried.push(pick.upstream.clone());
                 if !may_retry(call, handles.clock.now()) {
