Take no more permits from a reply than were asked for

A reply of a faulty or newer hub that grants 4 billion permits would have filled the memory of the entry.

--- a/crates/gentian-decide/src/limits/permit_client.rs
+++ b/crates/gentian-decide/src/limits/permit_client.rs
@@ -195,7 +195,7 @@
                 backlog => self.backlogs.insert(key.clone(), backlog),
             };
             let permits = self.permits.entry(grant.upstream.clone()).or_default();
-            permits.extend((0..grant.count).map(|_| open.sent + PERMIT_TTL));
+            permits.extend((0..grant.count.min(*asked)).map(|_| open.sent + PERMIT_TTL));
             if *asked > grant.count {
                 self.paused_until.insert(key, now + grant.wait.max(MIN_PAUSE));
             }
--- a/crates/gentian-wire/tests/datagrams.rs
+++ b/crates/gentian-wire/tests/datagrams.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use gentian_core::peer::{PeerMessage, SeatId, SeatQuery, SeatRole};
+use gentian_core::peer::{FleetMessage, PeerMessage, SeatId, SeatQuery, SeatRole};
 use gentian_core::{InstanceId, SequenceNumber, ShardNumber};
 use gentian_wire::{ClusterKey, DatagramError, decode_datagram, encode_datagram};
 use proptest::prelude::*;
@@ -43,4 +43,18 @@
     fn arbitrary_bytes_are_rejected(bytes: Vec<u8>) {
         prop_assert!(decode_datagram::<PeerMessage>(&bytes, &key("a shared secret 1")).is_err());
     }
+
+    /// Another version may write what this one can't read, under the same key.
+    #[test]
+    fn arbitrary_messages_of_the_same_key_end_no_process(bytes: [u8; 32], variant in 0_u8..20) {
+        let key = key("a shared secret 1");
+        // An array is encoded without its length, so these bytes are the message.
+        let mut message = bytes;
+        message[0] = variant;
+        let datagram = encode_datagram(&message, &key).unwrap();
+        let decoded = decode_datagram::<FleetMessage>(&datagram, &key);
+        prop_assert!(decoded.is_ok() || decoded.is_err());
+        let decoded = decode_datagram::<PeerMessage>(&datagram, &key);
+        prop_assert!(decoded.is_ok() || decoded.is_err());
+    }
 }
