Give uses of quotas a controller and an account of their own

Moved, not changed: use_controller has the messages on uses, which had doubled hub_controller, and FleetUses the account, the trace and the notices of the hub. One change: a stored trace that can't be read says nothing of what was used; before, it was taken for one without any use.

--- a/crates/gentian-decide/src/serving/fleet_hub.rs
+++ b/crates/gentian-decide/src/serving/fleet_hub.rs
@@ -10,7 +10,7 @@
 };
 
 use super::report_interval::{entry_timeout, report_interval, work_interval};
-use super::{QuotaLimit, RevisedMap, UseLedger, UsePush, UseTracer};
+use super::{FleetUses, QuotaLimit, RevisedMap};
 
 /// Time constant of the arrival rates.
 const ARRIVAL_TIME_CONSTANT: TimeSpan = TimeSpan::from_secs(5);
@@ -66,9 +66,7 @@
     id: InstanceId,
     entries: FastMap<VmId, EntryState>,
     spent: FastMap<OrganisationId, u64>,
-    use_ledger: UseLedger,
-    use_tracer: UseTracer,
-    use_push: UsePush,
+    uses: FleetUses,
     rates: FastMap<(ServiceId, TargetId), ArrivalRate>,
     listings: RevisedMap<UpstreamId, UpstreamListing>,
     listings_time: Option<MonoTime>,
@@ -83,9 +81,7 @@
             id: instance,
             entries: FastMap::default(),
             spent: FastMap::default(),
-            use_ledger: UseLedger::new(TimeSpan::ZERO),
-            use_tracer: UseTracer::new(),
-            use_push: UsePush::new(),
+            uses: FleetUses::new(TimeSpan::ZERO),
             rates: FastMap::default(),
             listings: RevisedMap::new(),
             listings_time: None,
@@ -103,7 +99,7 @@
 
     /// Returns the hub with an account of the use within `window`, in which quotas are counted.
     pub fn with_quota_window(self, window: TimeSpan) -> Self {
-        Self { use_ledger: UseLedger::new(window), ..self }
+        Self { uses: FleetUses::new(window), ..self }
     }
 
     /// Applies what an entry says that it used before it knew this hub, and returns what all others
@@ -114,8 +110,7 @@
         fence: FenceNumber,
         now: MonoTime,
     ) -> FleetUse {
-        self.use_ledger.record_history(history, now);
-        self.use_ledger.fleet_use((&history.vm, history.instance), self.id, fence, now)
+        self.uses.handle_history(history, self.id, fence, now)
     }
 
     /// Returns the trace of the use that is due to be stored. `limit` returns the limit of an
@@ -127,10 +122,7 @@
         entry_count: u32,
         now: MonoTime,
     ) -> Option<UseTrace> {
-        if self.use_ledger.known_entries() < entry_count as usize {
-            return None;
-        }
-        self.use_tracer.is_due(limit, now).then(|| self.use_ledger.trace(now))
+        self.uses.next_trace(limit, entry_count, now)
     }
 
     /// Applies a report; `false` if it is not newer than the last one of its process.
@@ -196,9 +188,7 @@
                 let total = spent.entry(organisation.clone()).or_default();
                 *total = total.saturating_add(added);
             }
-            self.use_ledger.record_use((&report.vm, report.instance), organisation, added, now);
-            self.use_tracer.record_use(organisation, added);
-            self.use_push.record_use(organisation, added, now);
+            self.uses.record_use((&report.vm, report.instance), organisation, added, now);
         }
     }
 
@@ -211,14 +201,7 @@
     ) -> Vec<OrganisationId> {
         let entries = self.entries.len();
         let horizon = report_interval(entries, false);
-        let (ledger, push) = (&self.use_ledger, &mut self.use_push);
-        let is_urgent = |organisation: &&OrganisationId| {
-            let window_use = || ledger.window_use(organisation, now);
-            limit(organisation).is_some_and(|limit| {
-                push.is_due(organisation, &limit, window_use, (entries, horizon), now)
-            })
-        };
-        organisations.filter(is_urgent).cloned().collect()
+        self.uses.urgent_organisations(organisations, limit, (entries, horizon), now)
     }
 
     /// Returns what the others than the entry on `vm` spent of these organisations' quotas.
--- a/crates/gentian-decide/tests/odd_messages.rs
+++ b/crates/gentian-decide/tests/odd_messages.rs
@@ -82,7 +82,7 @@
         address: "10.0.0.1:80".parse().unwrap(),
         domain: "north".parse().unwrap(),
         slots: SlotCount::new(numbers[2]),
-        is_ready: numbers[3] % 2 == 0,
+        is_ready: numbers[3].is_multiple_of(2),
         has_engine: true,
         cold_remaining: TimeSpan::from_micros(numbers[4]),
     }
--- a/crates/gentian-gateway/src/control/gateway_controllers.rs
+++ b/crates/gentian-gateway/src/control/gateway_controllers.rs
@@ -10,6 +10,7 @@
 use super::permit_controller::{handle_permits, request_permits};
 use super::quarantine_controller::handle_quarantine;
 use super::upstream_controller::handle_registrations;
+use super::use_controller::{handle_uses, report_uses};
 use super::{ControlEvent, ControlState};
 
 /// Returns the controllers in the order in which they handle each event.
@@ -20,6 +21,7 @@
         .with_controller(StateController::new("members", handle_fleet_records))
         .with_controller(StateController::new("lease", maintain_lease))
         .with_controller(StateController::new("messages", handle_messages))
+        .with_controller(StateController::new("uses", handle_uses))
         .with_controller(StateController::new("quarantine", handle_quarantine))
         .with_controller(StateController::new("permits", handle_permits))
         .with_controller(StateController::new("calls", handle_calls))
@@ -27,5 +29,6 @@
         .with_controller(StateController::new("permit-requests", request_permits))
         .with_controller(StateController::new("repeats", repeat_messages))
         .with_controller(StateController::new("hub", run_hub))
+        .with_controller(StateController::new("use-reports", report_uses))
         .with_controller(StateController::new("asks", report_to_hub))
 }
--- a/crates/gentian-gateway/src/control/hub_controller.rs
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -1,10 +1,10 @@
 //! Controllers of the fleet's entries, of the exchange with the hub and of the hub's own work.
 
 use gentian_core::peer::{
-    EntryReport, FleetMessage, FleetSummary, FleetUse, HubAnnouncement, OperatorNotice,
-    UpstreamListing, UseHistory, UseReport,
+    EntryReport, FleetMessage, FleetSummary, HubAnnouncement, OperatorNotice, UpstreamListing,
+    UseTrace,
 };
-use gentian_core::{EventCode, FenceNumber, MonoTime, OrganisationId, TimeSpan, VmId};
+use gentian_core::{EventCode, FenceNumber, MonoTime, TimeSpan, VmId};
 use gentian_decide::orders::EngineCall;
 use gentian_decide::serving::UpstreamRegistration;
 
@@ -12,8 +12,9 @@
 use super::lease_controller::receive_handover;
 use super::quarantine_controller::send_quarantine;
 use super::upstream_controller::log_registration;
+use super::use_controller::{push_use, store_trace};
 use super::{ControlEvent, ControlState, StoreRecords};
-use crate::io::{FleetRecord, RecordWrite, decode_fleet_record};
+use crate::io::{FleetRecord, decode_fleet_record};
 
 /// Minimum interval between planning rounds of a fleet without engines, so that the hub also has
 /// time to reply to entries.
@@ -27,7 +28,7 @@
     let ControlEvent::Store(StoreRecords::Fleet(values, revision)) = event else { return };
     state.eras.record(revision.era(), now);
     let prefix = state.codec.record_layout.fleet_prefix.clone();
-    let (mut holder, mut trace) = (None, None);
+    let (mut holder, mut trace) = (None, Some(UseTrace::default()));
     let mut entries = gentian_core::FastMap::default();
     for value in values {
         match decode_fleet_record(&prefix, value) {
@@ -37,7 +38,12 @@
             Some(FleetRecord::Holder(record)) => {
                 holder = Some((record.vm, value.revision.fence()));
             }
-            Some(FleetRecord::UseTrace(stored)) => trace = Some(stored),
+            Some(FleetRecord::UseTrace(stored)) => {
+                if stored.is_none() {
+                    state.log_odd_record(value, "malformed");
+                }
+                trace = stored;
+            }
             Some(FleetRecord::PastHolder | FleetRecord::QuarantinedPart(_)) => {}
             None => state.log_odd_record(value, "malformed"),
         }
@@ -56,7 +62,10 @@
         log::info!("{} entries={} rank={entry_index}", EventCode::MEMBERS_CHANGED, vms.len());
         state.table.update_entry_index(entry_index, u32::try_from(vms.len()).unwrap_or(u32::MAX));
     }
-    state.scheduler.quotas.apply_trace(trace.unwrap_or_default(), now);
+    // One that can't be read says nothing of what was used.
+    if let Some(trace) = trace {
+        state.scheduler.quotas.apply_trace(trace, now);
+    }
     state.entries = entries;
     state.hub_client.update_entry_count(state.entries.len());
     state.vacant_since = match holder {
@@ -85,13 +94,7 @@
         }
         FleetMessage::Report(report) => handle_report(state, report.clone(), now),
         FleetMessage::Summary(summary) => handle_summary(state, summary.clone(), now),
-        FleetMessage::UseHistory(history) => handle_history(state, history, now),
-        FleetMessage::FleetUse(fleet_use) => handle_fleet_use(state, fleet_use, now),
-        FleetMessage::UseReport(report) => handle_use_report(state, report, now),
-        FleetMessage::UseNotice(notice) => {
-            state.hub_client.handle_use_notice(notice, &mut state.scheduler, now);
-        }
-        // The controllers of the quarantine and of permits handle the others.
+        // The controllers of uses, of the quarantine and of permits handle the others.
         _ => {}
     }
 }
@@ -113,20 +116,6 @@
         None => state.hub_client.listings_fresh_until(state.bounds.drain_time),
     });
     let Some((vm, _)) = state.known_hub.clone() else { return };
-    if let Some(history) = state.hub_client.next_history(&mut state.scheduler, now) {
-        if vm == state.vm {
-            handle_history(state, &history, now);
-        } else {
-            send_to_vm(state, &FleetMessage::UseHistory(history), &vm);
-        }
-    }
-    if let Some(report) = state.hub_client.next_use_report(&mut state.scheduler, now) {
-        if vm == state.vm {
-            handle_use_report(state, &report, now);
-        } else {
-            send_to_vm(state, &FleetMessage::UseReport(report), &vm);
-        }
-    }
     let Some(report) = state.hub_client.next_report(&mut state.scheduler, now) else { return };
     if vm == state.vm {
         handle_report(state, report, now);
@@ -211,83 +200,6 @@
     }
 }
 
-fn handle_use_report(state: &mut ControlState, report: &UseReport, now: MonoTime) {
-    let Some(hub) = &mut state.hub else { return };
-    hub.fleet_hub.handle_use_report(report, now);
-    let organisations: Vec<_> = report.spent.iter().map(|(id, _)| id.clone()).collect();
-    push_use(state, &organisations, now);
-    if report.wants_notice {
-        send_notice(state, &report.vm, &organisations, now);
-    }
-    store_trace(state, now);
-}
-
-/// Tells all entries at once about those of the organisations that may soon reach their limits.
-fn push_use(state: &mut ControlState, organisations: &[OrganisationId], now: MonoTime) {
-    let Some(hub) = &mut state.hub else { return };
-    let quotas = &state.scheduler.quotas;
-    let limit = |organisation: &OrganisationId| quotas.limit(organisation);
-    let urgent = hub.fleet_hub.urgent_organisations(organisations.iter(), limit, now);
-    if urgent.is_empty() {
-        return;
-    }
-    let vms: Vec<VmId> = hub.fleet_hub.reachable_vms(now).cloned().collect();
-    for vm in vms {
-        send_notice(state, &vm, &urgent, now);
-    }
-}
-
-/// Tells an entry what the others spent of these organisations' quotas.
-fn send_notice(
-    state: &mut ControlState,
-    vm: &VmId,
-    organisations: &[OrganisationId],
-    now: MonoTime,
-) {
-    let Some(hub) = &state.hub else { return };
-    let Some(notice) = hub.fleet_hub.make_notice(vm, organisations) else { return };
-    if *vm == state.vm {
-        state.hub_client.handle_use_notice(&notice, &mut state.scheduler, now);
-    } else {
-        send_to_vm(state, &FleetMessage::UseNotice(notice), vm);
-    }
-}
-
-/// Stores the trace of the use if one is due.
-fn store_trace(state: &mut ControlState, now: MonoTime) {
-    let entry_count = state.fleet_size();
-    let Some(hub) = &mut state.hub else { return };
-    let quotas = &state.scheduler.quotas;
-    let limit = |organisation: &OrganisationId| quotas.limit(organisation);
-    let trace = hub.fleet_hub.next_trace(limit, entry_count, now);
-    let Some(trace) = trace else { return };
-    if state.record_writes.send(RecordWrite::PutTrace(trace)).is_err() {
-        log::error!("the thread that writes records ended before the control thread");
-    }
-}
-
-/// Tells an entry what the others used, in reply to what it used itself.
-fn handle_history(state: &mut ControlState, history: &UseHistory, now: MonoTime) {
-    let Some(hub) = &mut state.hub else { return };
-    let fleet_use = hub.fleet_hub.handle_history(history, hub.fence, now);
-    if history.vm == state.vm {
-        handle_fleet_use(state, &fleet_use, now);
-    } else {
-        send_to_vm(state, &FleetMessage::FleetUse(fleet_use), &history.vm);
-    }
-}
-
-fn handle_fleet_use(state: &mut ControlState, fleet_use: &FleetUse, now: MonoTime) {
-    let entry_count = state.fleet_size();
-    let scheduler = &mut state.scheduler;
-    let (known, fence) = (fleet_use.known_entries, fleet_use.fence);
-    let code = match state.hub_client.handle_fleet_use(fleet_use, entry_count, scheduler, now) {
-        true => EventCode::USE_KNOWN,
-        false => EventCode::GRANT_VOID,
-    };
-    log::info!("{code} message=fleet-use fence={fence} known={known} entries={entry_count}");
-}
-
 fn send_summary(state: &mut ControlState, vm: &VmId, now: MonoTime) {
     let Some(hub) = &mut state.hub else { return };
     let Some(summary) = hub.fleet_hub.make_summary(vm, hub.fence, now) else { return };
--- a/crates/gentian-gateway/src/control/mod.rs
+++ b/crates/gentian-gateway/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod permit_controller;
 mod quarantine_controller;
 mod upstream_controller;
+mod use_controller;
 
 pub(crate) use control_event::{CallAssignment, ControlEvent, StoreRecords};
 pub(crate) use control_state::{ControlParts, ControlState, TrafficView};
--- a/crates/gentian-gateway/src/io/fleet_records.rs
+++ b/crates/gentian-gateway/src/io/fleet_records.rs
@@ -41,8 +41,8 @@
     PastHolder,
     /// A part of prompts with which requests are refused.
     QuarantinedPart(PartId),
-    /// What organisations used of their quotas, as the hub last stored it.
-    UseTrace(UseTrace),
+    /// What organisations used of their quotas, as the hub last stored it; `None` if it can't be read.
+    UseTrace(Option<UseTrace>),
 }
 
 /// Decodes a record under `prefix`; returns `None` if it is malformed or of an unknown kind.
@@ -52,7 +52,7 @@
     match name {
         HOLDER_KEY => decode_record(bytes).ok().map(FleetRecord::Holder),
         PAST_HOLDER_KEY => Some(FleetRecord::PastHolder),
-        USE_TRACE_KEY => decode_record(bytes).ok().map(FleetRecord::UseTrace),
+        USE_TRACE_KEY => Some(FleetRecord::UseTrace(decode_record(bytes).ok())),
         _ if name.starts_with(ENTRY_PREFIX) => decode_record(bytes).ok().map(FleetRecord::Entry),
         _ => {
             let part = name.strip_prefix(QUARANTINE_PREFIX)?.parse();
