--- a/crates/gentian-decide/src/serving/partition_bucket.rs
+++ b/crates/gentian-decide/src/serving/partition_bucket.rs
@@ -43,7 +43,7 @@
     }
 
     /// Takes tokens out that the partition used; a negative number puts some back.
-    pub(super) fn take(&mut self, tokens: f64) {
+    pub(super) fn withdraw(&mut self, tokens: f64) {
         self.level -= tokens;
     }
 
--- a/crates/gentian-decide/src/serving/past_rows.rs
+++ b/crates/gentian-decide/src/serving/past_rows.rs
@@ -40,7 +40,7 @@
 
     /// Removes the row of an upstream that is registered again; returns it if it is of this
     /// incarnation.
-    pub(super) fn take(&mut self, id: &UpstreamId, incarnation: u64) -> Option<UpstreamRow> {
+    pub(super) fn remove(&mut self, id: &UpstreamId, incarnation: u64) -> Option<UpstreamRow> {
         let row = self.rows.remove(id)?.row;
         (row.registration.incarnation == incarnation).then_some(row)
     }
--- a/crates/gentian-decide/src/serving/quota_limiter.rs
+++ b/crates/gentian-decide/src/serving/quota_limiter.rs
@@ -354,7 +354,7 @@
 
     fn record_use(&mut self, tokens: f64, now: MonoTime) {
         self.advance(now);
-        self.bucket.take(tokens);
+        self.bucket.withdraw(tokens);
         if self.limit().is_some() {
             self.known.add(tokens, now);
         }
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -163,7 +163,7 @@
             Some(row) if new.revision < row.registration.revision => {}
             Some(row) if row.registration.incarnation == new.incarnation => row.update(new, now),
             _ => {
-                let past = self.past_rows.take(&new.id, new.incarnation);
+                let past = self.past_rows.remove(&new.id, new.incarnation);
                 let row = match past {
                     Some(past) => past.with_registration(new, now),
                     None => UpstreamRow::new(new, now),
