--- a/crates/gentian-core/src/ids.rs
+++ b/crates/gentian-core/src/ids.rs
@@ -104,9 +104,10 @@
     "publication id"
 );
 hex_newtype!(
-    /// Identifies a part of a prompt, which many requests may share.
-    PartId,
-    "part id"
+    /// Identifies work of requests: a part of a prompt, which many requests may share, or all that an
+    /// upstream is asked by one request, repeats included.
+    WorkId,
+    "work id"
 );
 hex_newtype!(
     /// Identifies one request of a caller.
--- a/crates/gentian-core/src/lib.rs
+++ b/crates/gentian-core/src/lib.rs
@@ -20,8 +20,8 @@
 pub use fast_map::{FastMap, FastSet};
 pub use ids::{
     AdapterId, BootId, ConfigVersion, DomainId, FenceNumber, InstanceId, KeyDigest, KeyId, ModelId,
-    OrderId, OrganisationId, PartId, PublicationId, RequestId, RouteId, SequenceNumber, ServiceId,
-    ShardNumber, StoreEra, UpstreamId, VmId,
+    OrderId, OrganisationId, PublicationId, RequestId, RouteId, SequenceNumber, ServiceId,
+    ShardNumber, StoreEra, UpstreamId, VmId, WorkId,
 };
 pub use lease_id::LeaseId;
 pub use mono_time::MonoTime;
--- a/crates/gentian-core/src/peer/crash_report.rs
+++ b/crates/gentian-core/src/peer/crash_report.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{PartId, TimeSpan, UpstreamId, VmId};
+use crate::{TimeSpan, UpstreamId, VmId, WorkId};
 
 /// How likely a request is the cause of the end of its upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -25,5 +25,5 @@
     /// How likely the request is the cause.
     pub grade: SuspicionGrade,
     /// Parts of the request's prompt that other requests may share, in their order.
-    pub parts: Vec<PartId>,
+    pub parts: Vec<WorkId>,
 }
--- a/crates/gentian-core/src/peer/mod.rs
+++ b/crates/gentian-core/src/peer/mod.rs
@@ -11,7 +11,6 @@
 mod fleet_message;
 mod member_record;
 mod operator_notice;
-mod part_notice;
 mod peer_message;
 mod permit_message;
 mod placement_reply;
@@ -25,6 +24,7 @@
 mod target_id;
 mod upstream_view;
 mod use_message;
+mod work_notice;
 
 pub use config_query::ConfigQuery;
 pub use config_reply::ConfigReply;
@@ -35,7 +35,6 @@
 };
 pub use member_record::{MemberRecord, MemberRole};
 pub use operator_notice::OperatorNotice;
-pub use part_notice::{QuarantineNotice, ServedNotice};
 pub use peer_message::PeerMessage;
 pub use permit_message::{
     LimitNotice, PermitGrant, PermitReply, PermitRequest, RankedPermits, WantedPermits,
@@ -51,3 +50,4 @@
 pub use target_id::TargetId;
 pub use upstream_view::{ObjectPhase, ObjectView, UpstreamView};
 pub use use_message::{FleetUse, OrganisationUse, UseHistory, UseNotice, UseReport, UseTrace};
+pub use work_notice::{QuarantineNotice, ServedNotice};
--- a/crates/gentian-decide/src/quarantine/crash_log.rs
+++ b/crates/gentian-decide/src/quarantine/crash_log.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use gentian_core::peer::{CrashReport, SuspicionGrade};
-use gentian_core::{MonoTime, PartId, TimeSpan, UpstreamId};
+use gentian_core::{MonoTime, TimeSpan, UpstreamId, WorkId};
 
 /// Largest number of crashes that are kept.
 const MAX_CRASHES: usize = 256;
@@ -19,8 +19,8 @@
 struct CrashRecord {
     upstream: UpstreamId,
     time: MonoTime,
-    strong: Vec<PartId>,
-    weak: Vec<PartId>,
+    strong: Vec<WorkId>,
+    weak: Vec<WorkId>,
 }
 
 /// Crashes for which a part is a possible cause.
@@ -66,7 +66,7 @@
 
     /// Returns the possible causes of the crash of `upstream` at `time`, in the order of the
     /// prompts.
-    pub(super) fn suspects(&self, upstream: &UpstreamId, time: MonoTime) -> &[PartId] {
+    pub(super) fn suspects(&self, upstream: &UpstreamId, time: MonoTime) -> &[WorkId] {
         self.find(upstream, time).map_or(&[], CrashRecord::suspects)
     }
 
@@ -86,9 +86,9 @@
     /// `is_quarantined` returns `true`. Only those after `since` count.
     pub(super) fn count(
         &self,
-        part: PartId,
+        part: WorkId,
         since: Option<MonoTime>,
-        is_quarantined: impl Fn(PartId) -> bool,
+        is_quarantined: impl Fn(WorkId) -> bool,
     ) -> CrashCount {
         let counted = self.crashes.iter().filter(|crash| {
             since.is_none_or(|since| crash.time > since)
@@ -107,7 +107,7 @@
     }
 
     /// Returns whether `part` is a possible cause of a crash after `since`.
-    pub(super) fn is_suspect(&self, part: PartId, since: Option<MonoTime>) -> bool {
+    pub(super) fn is_suspect(&self, part: WorkId, since: Option<MonoTime>) -> bool {
         self.count(part, since, |_| false).total > 0
     }
 }
@@ -132,7 +132,7 @@
 
     /// Returns the possible causes: an upstream that ends as it begins an answer rarely begins
     /// another one in the same moment, so the other requests are not suspects then.
-    fn suspects(&self) -> &[PartId] {
+    fn suspects(&self) -> &[WorkId] {
         if self.strong.is_empty() { &self.weak } else { &self.strong }
     }
 }
--- a/crates/gentian-decide/src/quarantine/mod.rs
+++ b/crates/gentian-decide/src/quarantine/mod.rs
@@ -3,12 +3,12 @@
 
 mod crash_log;
 mod message_repeats;
-mod part_quarantine;
-mod quarantined_part;
-mod served_parts;
+mod quarantined_work;
+mod served_work;
+mod work_quarantine;
 
 use crash_log::CrashLog;
 pub use message_repeats::MessageRepeats;
-pub use part_quarantine::PartQuarantine;
-use quarantined_part::QuarantinedPart;
-use served_parts::ServedParts;
+use quarantined_work::QuarantinedWork;
+use served_work::ServedWork;
+pub use work_quarantine::WorkQuarantine;
--- a/crates/gentian-decide/src/quarantine/quarantined_part.rs
+++ b/crates/gentian-decide/src/quarantine/quarantined_work.rs
@@ -11,7 +11,7 @@
 
 /// When requests with a quarantined part were refused, and when one may be tried again.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct QuarantinedPart {
+pub(super) struct QuarantinedWork {
     /// When a request with the part was last refused.
     pub(super) last_refused: MonoTime,
     /// Whether the part was among the stored records.
@@ -20,7 +20,7 @@
     trial_delay: TimeSpan,
 }
 
-impl QuarantinedPart {
+impl QuarantinedWork {
     /// Creates the state of a part that is quarantined now.
     pub(super) fn new(now: MonoTime) -> Self {
         Self {
--- a/crates/gentian-decide/src/quarantine/part_quarantine.rs
+++ b/crates/gentian-decide/src/quarantine/work_quarantine.rs
@@ -1,9 +1,9 @@
 //! Finds parts of prompts that make upstreams end, and refuses requests with them.
 
 use gentian_core::peer::{CrashReport, QuarantineNotice, ServedNotice, SuspicionGrade};
-use gentian_core::{FastMap, FastSet, MonoTime, PartId, TimeSpan, UpstreamId, VmId};
+use gentian_core::{FastMap, FastSet, MonoTime, TimeSpan, UpstreamId, VmId, WorkId};
 
-use super::{CrashLog, QuarantinedPart, ServedParts};
+use super::{CrashLog, QuarantinedWork, ServedWork};
 
 /// Crashes in the moment of a part's answer after which the part is taken to be the cause, if no
 /// answer to it is known to have ended well.
@@ -28,7 +28,7 @@
     time: MonoTime,
     grade: SuspicionGrade,
     /// Parts that were reported; the other entries state which of them they have served.
-    parts: Vec<PartId>,
+    parts: Vec<WorkId>,
 }
 
 /// Parts of prompts that are suspected of making upstreams end, and those found to do so.
@@ -36,22 +36,22 @@
 /// Each entry reports crashes under its own requests to all others. The entry that reported a crash
 /// decides on it, once the others had time to state which of the parts they have served.
 #[derive(Debug)]
-pub struct PartQuarantine {
+pub struct WorkQuarantine {
     vm: VmId,
     crashes: CrashLog,
-    served: ServedParts,
+    served: ServedWork,
     open_crashes: Vec<OpenCrash>,
-    quarantined: FastMap<PartId, QuarantinedPart>,
-    released: FastMap<PartId, MonoTime>,
+    quarantined: FastMap<WorkId, QuarantinedWork>,
+    released: FastMap<WorkId, MonoTime>,
 }
 
-impl PartQuarantine {
+impl WorkQuarantine {
     /// Creates the quarantine of the entry on `vm`, without any parts.
     pub fn new(vm: VmId) -> Self {
         Self {
             vm,
             crashes: CrashLog::new(),
-            served: ServedParts::new(),
+            served: ServedWork::new(),
             open_crashes: Vec::new(),
             quarantined: FastMap::default(),
             released: FastMap::default(),
@@ -64,7 +64,7 @@
         &mut self,
         upstream: UpstreamId,
         grade: SuspicionGrade,
-        parts: &[PartId],
+        parts: &[WorkId],
         now: MonoTime,
     ) -> CrashReport {
         let vm = self.vm.clone();
@@ -84,15 +84,15 @@
     /// this one has served.
     pub fn handle_crash(&mut self, report: &CrashReport, now: MonoTime) -> Option<ServedNotice> {
         self.crashes.record(report, now);
-        let age = |part: &PartId| Some((*part, now.since(self.served.last_served(*part)?)));
+        let age = |part: &WorkId| Some((*part, now.since(self.served.last_served(*part)?)));
         let parts: Vec<_> = report.parts.iter().filter_map(age).collect();
         (!parts.is_empty()).then_some(ServedNotice { parts })
     }
 
     /// Records that an answer to a prompt with `parts` ended well. Returns the notice for the
     /// other entries, of the suspected ones among the parts.
-    pub fn record_served(&mut self, parts: &[PartId], now: MonoTime) -> Option<ServedNotice> {
-        let is_suspected = |part: &&PartId| {
+    pub fn record_served(&mut self, parts: &[WorkId], now: MonoTime) -> Option<ServedNotice> {
+        let is_suspected = |part: &&WorkId| {
             self.is_quarantined(**part)
                 || self.crashes.is_suspect(**part, self.served.last_served(**part))
         };
@@ -113,7 +113,7 @@
 
     /// Decides on the crashes that this entry reported, and returns the parts that are quarantined
     /// by that.
-    pub fn decide(&mut self, now: MonoTime) -> Vec<PartId> {
+    pub fn decide(&mut self, now: MonoTime) -> Vec<WorkId> {
         let (due, open): (Vec<_>, Vec<_>) = std::mem::take(&mut self.open_crashes)
             .into_iter()
             .partition(|crash| now.since(crash.time) >= SETTLE_TIME);
@@ -143,12 +143,12 @@
 
     /// Drops the parts whose record was deleted, as the hub or an operator does to release them;
     /// `parts` are those that the stored records name. Returns the dropped parts.
-    pub fn drop_deleted(&mut self, parts: &FastSet<PartId>) -> Vec<PartId> {
+    pub fn drop_deleted(&mut self, parts: &FastSet<WorkId>) -> Vec<WorkId> {
         for (part, state) in &mut self.quarantined {
             state.is_stored |= parts.contains(part);
         }
         let is_deleted =
-            |part: &PartId, state: &mut QuarantinedPart| state.is_stored && !parts.contains(part);
+            |part: &WorkId, state: &mut QuarantinedWork| state.is_stored && !parts.contains(part);
         self.quarantined.extract_if(is_deleted).map(|(part, _)| part).collect()
     }
 
@@ -161,41 +161,41 @@
     /// Applies the parts that the stored records name; returns those that are new.
     pub fn restore(
         &mut self,
-        parts: impl IntoIterator<Item = PartId>,
+        parts: impl IntoIterator<Item = WorkId>,
         now: MonoTime,
-    ) -> Vec<PartId> {
+    ) -> Vec<WorkId> {
         self.released.retain(|_, time| now.since(*time) < RELEASE_MEMORY);
-        let parts: Vec<PartId> =
+        let parts: Vec<WorkId> =
             parts.into_iter().filter(|part| !self.released.contains_key(part)).collect();
         parts.into_iter().filter(|part| self.quarantine(*part, now)).collect()
     }
 
     /// Releases a part; returns whether it was quarantined.
-    pub fn release(&mut self, part: PartId, now: MonoTime) -> bool {
+    pub fn release(&mut self, part: WorkId, now: MonoTime) -> bool {
         self.released.insert(part, now);
         self.quarantined.remove(&part).is_some()
     }
 
     /// Returns whether requests with `part` are refused.
-    pub fn is_quarantined(&self, part: PartId) -> bool {
+    pub fn is_quarantined(&self, part: WorkId) -> bool {
         self.quarantined.contains_key(&part)
     }
 
     /// Returns the quarantined parts.
-    pub fn parts(&self) -> impl Iterator<Item = PartId> {
+    pub fn parts(&self) -> impl Iterator<Item = WorkId> {
         self.quarantined.keys().copied()
     }
 
     /// Returns the part because of which a queued request with `parts` is refused.
-    pub fn find_quarantined(&self, parts: &[PartId]) -> Option<PartId> {
+    pub fn find_quarantined(&self, parts: &[WorkId]) -> Option<WorkId> {
         parts.iter().find(|part| self.is_quarantined(**part)).copied()
     }
 
     /// Returns the part because of which a new request with `parts` is refused. With `may_try`, a
     /// request with only one such part is let through from time to time, to find out whether the
     /// part still does harm; only one entry of the fleet may do so.
-    pub fn check(&mut self, parts: &[PartId], may_try: bool, now: MonoTime) -> Option<PartId> {
-        let found: FastSet<PartId> =
+    pub fn check(&mut self, parts: &[WorkId], may_try: bool, now: MonoTime) -> Option<WorkId> {
+        let found: FastSet<WorkId> =
             parts.iter().filter(|part| self.is_quarantined(**part)).copied().collect();
         let part = *found.iter().min()?;
         let quarantined = self.quarantined.get_mut(&part)?;
@@ -210,7 +210,7 @@
     /// Returns the part that caused the crash, if several crashes show it. Of several candidates it
     /// is the one that was not served, or served longest ago; then the one in most crashes, and
     /// then the last in the prompt, which fewer requests share.
-    fn find_cause(&self, crash: &OpenCrash) -> Option<PartId> {
+    fn find_cause(&self, crash: &OpenCrash) -> Option<WorkId> {
         // Another entry has the stronger suspect, and decides.
         if self.crashes.grade(&crash.upstream, crash.time) != Some(crash.grade) {
             return None;
@@ -236,7 +236,7 @@
             .map(|(part, ..)| part)
     }
 
-    fn quarantine(&mut self, part: PartId, now: MonoTime) -> bool {
+    fn quarantine(&mut self, part: WorkId, now: MonoTime) -> bool {
         if self.is_quarantined(part) {
             return false;
         }
@@ -246,7 +246,7 @@
                 self.release(oldest, now);
             }
         }
-        self.quarantined.insert(part, QuarantinedPart::new(now));
+        self.quarantined.insert(part, QuarantinedWork::new(now));
         true
     }
 }
--- a/crates/gentian-decide/src/serving/serving_call.rs
+++ b/crates/gentian-decide/src/serving/serving_call.rs
@@ -4,7 +4,7 @@
 
 use gentian_config::serving::{ServingOrganisation, ServingRoute};
 use gentian_core::peer::TargetId;
-use gentian_core::{MonoTime, PartId, RequestId, ServiceId, TimeSpan, TokenCount, UpstreamId};
+use gentian_core::{MonoTime, RequestId, ServiceId, TimeSpan, TokenCount, UpstreamId, WorkId};
 
 /// State of a request that the call scheduler needs.
 #[derive(Clone, Debug)]
@@ -26,7 +26,7 @@
     /// Length in tokens of the prompt prefix that other requests share, and its digest.
     pub shared_prefix: Option<(u32, u64)>,
     /// Parts of the prompt that other requests may share, in their order.
-    pub shared_parts: Vec<PartId>,
+    pub shared_parts: Vec<WorkId>,
     /// When the request arrived.
     pub received: MonoTime,
     /// Time by which the response must be complete.
--- a/crates/gentian-decide/tests/part_quarantine.rs
+++ b/crates/gentian-decide/tests/part_quarantine.rs
@@ -3,8 +3,8 @@
 #![allow(clippy::unwrap_used)]
 
 use gentian_core::peer::{FleetMessage, QuarantineNotice, SuspicionGrade};
-use gentian_core::{FastSet, MonoTime, PartId, TimeSpan, UpstreamId, VmId};
-use gentian_decide::quarantine::{MessageRepeats, PartQuarantine};
+use gentian_core::{FastSet, MonoTime, TimeSpan, UpstreamId, VmId, WorkId};
+use gentian_decide::quarantine::{MessageRepeats, WorkQuarantine};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
@@ -21,7 +21,7 @@
 const CRASHES: usize = 5;
 const MAX_LATER: usize = 3;
 /// The part that makes upstreams end.
-const CRASH_PART: PartId = PartId::new(0xdead);
+const CRASH_PART: WorkId = WorkId::new(0xdead);
 /// Percentage of messages that are lost.
 const LOST_PERCENT: u32 = 3;
 
@@ -37,14 +37,14 @@
 
 struct Entry {
     vm: VmId,
-    quarantine: PartQuarantine,
+    quarantine: WorkQuarantine,
     repeats: MessageRepeats,
 }
 
 struct Request {
     entry: usize,
     upstream: usize,
-    parts: Vec<PartId>,
+    parts: Vec<WorkId>,
     sent: MonoTime,
 }
 
@@ -66,7 +66,7 @@
     fn new(size: FleetSize, seed: u64) -> Self {
         let vms = (0..size.entries).map(|index| format!("vm-{index}").parse::<VmId>().unwrap());
         let entries = vms.map(|vm| Entry {
-            quarantine: PartQuarantine::new(vm.clone()),
+            quarantine: WorkQuarantine::new(vm.clone()),
             repeats: MessageRepeats::new(),
             vm,
         });
@@ -113,8 +113,8 @@
     /// Sound requests share the first part with all others and the second with one in twelve.
     fn send_request(&mut self, crash_percent: f64) {
         let has_part = self.random.random_bool(crash_percent / 100.0);
-        let second = PartId::new(0xb0 + self.random.random_range(0..12));
-        let mut parts = vec![PartId::new(0xa0), second];
+        let second = WorkId::new(0xb0 + self.random.random_range(0..12));
+        let mut parts = vec![WorkId::new(0xa0), second];
         if has_part {
             parts.push(CRASH_PART);
         }
@@ -160,7 +160,7 @@
             let quarantine = &mut self.entries[request.entry].quarantine;
             let Some(notice) = quarantine.record_served(&request.parts, now) else { continue };
             let served = notice.parts.iter().map(|(part, _)| *part);
-            let released: Vec<PartId> =
+            let released: Vec<WorkId> =
                 served.filter(|part| quarantine.is_quarantined(*part)).collect();
             for part in released {
                 self.entries[request.entry].quarantine.release(part, now);
@@ -240,9 +240,9 @@
 
     /// Replaces every entry by one that knows only the parts of which a record is stored.
     fn restart_entries(&mut self) {
-        let stored: Vec<PartId> = self.entries[0].quarantine.parts().collect();
+        let stored: Vec<WorkId> = self.entries[0].quarantine.parts().collect();
         for entry in &mut self.entries {
-            entry.quarantine = PartQuarantine::new(entry.vm.clone());
+            entry.quarantine = WorkQuarantine::new(entry.vm.clone());
             entry.repeats = MessageRepeats::new();
             entry.quarantine.restore(stored.iter().copied(), self.now);
         }
@@ -255,9 +255,9 @@
         self.sent_with_part.iter().filter(|time| **time > limit).count()
     }
 
-    fn quarantined(&self) -> Vec<Vec<PartId>> {
+    fn quarantined(&self) -> Vec<Vec<WorkId>> {
         let parts = |entry: &Entry| {
-            let mut parts: Vec<PartId> = entry.quarantine.parts().collect();
+            let mut parts: Vec<WorkId> = entry.quarantine.parts().collect();
             parts.sort_unstable();
             parts
         };
@@ -316,10 +316,10 @@
 #[test]
 fn a_trial_releases_a_part_that_does_no_more_harm() {
     let vm: VmId = "vm-0".parse().unwrap();
-    let mut quarantine = PartQuarantine::new(vm);
+    let mut quarantine = WorkQuarantine::new(vm);
     let start = MonoTime::from_millis(1_000);
     quarantine.handle_notice(QuarantineNotice { part: CRASH_PART, is_quarantined: true }, start);
-    let parts = [PartId::new(0xa0), CRASH_PART];
+    let parts = [WorkId::new(0xa0), CRASH_PART];
     let at = |seconds| start + TimeSpan::from_secs(seconds);
     assert_eq!(quarantine.check(&parts, true, at(30)), Some(CRASH_PART));
     assert_eq!(quarantine.check(&parts, false, at(100)), Some(CRASH_PART), "only one entry tries");
@@ -333,21 +333,21 @@
 /// oldest parts are dropped.
 #[test]
 fn the_number_of_quarantined_parts_is_bounded() {
-    let mut quarantine = PartQuarantine::new("vm-0".parse().unwrap());
+    let mut quarantine = WorkQuarantine::new("vm-0".parse().unwrap());
     for number in 0..2_000 {
         let now = MonoTime::from_millis(number);
-        let notice = QuarantineNotice { part: PartId::new(number), is_quarantined: true };
+        let notice = QuarantineNotice { part: WorkId::new(number), is_quarantined: true };
         quarantine.handle_notice(notice, now);
     }
     assert!(quarantine.parts().count() <= 256);
-    assert!(quarantine.is_quarantined(PartId::new(1_999)));
+    assert!(quarantine.is_quarantined(WorkId::new(1_999)));
 }
 
 /// The hub deletes the record of a released part; an entry that was away at the release sees that.
 /// An operator may delete it too.
 #[test]
 fn a_deleted_record_releases_its_part() {
-    let mut quarantine = PartQuarantine::new("vm-0".parse().unwrap());
+    let mut quarantine = WorkQuarantine::new("vm-0".parse().unwrap());
     let now = MonoTime::from_millis(1_000);
     let notice = QuarantineNotice { part: CRASH_PART, is_quarantined: true };
     quarantine.handle_notice(notice, now);
@@ -361,7 +361,7 @@
 /// The record is missing from the copy, but nobody released the part.
 #[test]
 fn a_part_was_released_when_the_store_was_restored_without_its_record() {
-    let mut quarantine = PartQuarantine::new("vm-0".parse().unwrap());
+    let mut quarantine = WorkQuarantine::new("vm-0".parse().unwrap());
     let notice = QuarantineNotice { part: CRASH_PART, is_quarantined: true };
     quarantine.handle_notice(notice, MonoTime::from_millis(1_000));
     let (none, stored) = (FastSet::default(), FastSet::from_iter([CRASH_PART]));
--- a/crates/gentian-gateway/src/chain/call_context.rs
+++ b/crates/gentian-gateway/src/chain/call_context.rs
@@ -5,7 +5,7 @@
 use arc_swap::ArcSwap;
 use flume::Sender;
 use gentian_config::serving::{ServingConfig, ServingOrganisation, ServingRoute};
-use gentian_core::{MonoTime, PartId, RequestId, ServiceId, TimeSpan, TokenCount, UpstreamId};
+use gentian_core::{MonoTime, RequestId, ServiceId, TimeSpan, TokenCount, UpstreamId, WorkId};
 use gentian_decide::serving::{AttemptProgress, ServingCall};
 use gentian_http::ProcessClock;
 use gentian_http::forward::{
@@ -184,9 +184,9 @@
     }
 
     /// Returns the parts of the prompt that other requests may share, in their order.
-    pub(crate) fn shared_parts(&self) -> Vec<PartId> {
+    pub(crate) fn shared_parts(&self) -> Vec<WorkId> {
         let shared = self.metadata.prompt_prefix.split_last().map_or(&[][..], |(_, shared)| shared);
-        shared.iter().take(MAX_SHARED_PARTS).map(|(digest, _)| PartId::new(*digest)).collect()
+        shared.iter().take(MAX_SHARED_PARTS).map(|(digest, _)| WorkId::new(*digest)).collect()
     }
 
     /// Returns the token count and a combined digest of the parts of the prompt that other requests
--- a/crates/gentian-gateway/src/chain/forward_call.rs
+++ b/crates/gentian-gateway/src/chain/forward_call.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gentian_core::{EventCode, MonoTime, PartId, TimeSpan};
+use gentian_core::{EventCode, MonoTime, TimeSpan, WorkId};
 use gentian_decide::request::{FilterOutcome, Refusal, RefusalCode};
 use gentian_decide::serving::{AttemptEnd, AttemptOutcome, AttemptProgress, UpstreamPick};
 
@@ -234,7 +234,7 @@
         .metadata
         .prompt_prefix
         .iter()
-        .map(|(part, _)| PartId::new(*part).to_string())
+        .map(|(part, _)| WorkId::new(*part).to_string())
         .collect();
     log::info!(
         "{} request={} upstream={} progress={} ended={} after={elapsed} parts={}",
--- a/crates/gentian-gateway/src/control/control_state.rs
+++ b/crates/gentian-gateway/src/control/control_state.rs
@@ -7,12 +7,12 @@
 use gentian_config::serving::ServingConfig;
 use gentian_core::peer::HubHandover;
 use gentian_core::{
-    EventCode, FastMap, FastSet, FenceNumber, InstanceId, MonoTime, PartId, RequestId, StoreEra,
-    StoreRevision, VmId,
+    EventCode, FastMap, FastSet, FenceNumber, InstanceId, MonoTime, RequestId, StoreEra,
+    StoreRevision, VmId, WorkId,
 };
 use gentian_decide::limits::PermitLedger;
 use gentian_decide::orders::{FleetPlanner, HolderLease, LeaseTask};
-use gentian_decide::quarantine::{MessageRepeats, PartQuarantine};
+use gentian_decide::quarantine::{MessageRepeats, WorkQuarantine};
 use gentian_decide::serving::{
     CallScheduler, DrainedDomains, EraTracker, FleetHub, HubClient, OddRecords, ServingBounds,
     UpstreamTable,
@@ -114,11 +114,11 @@
     /// Channels to the traffic threads of requests that wait for an assignment.
     pub(crate) assignment_senders: FastMap<RequestId, Sender<CallAssignment>>,
     /// Parts of prompts that make upstreams end.
-    pub(crate) quarantine: PartQuarantine,
+    pub(crate) quarantine: WorkQuarantine,
     /// Era of the key-value service in which its records of these parts were read.
     pub(crate) quarantine_era: StoreEra,
     /// Parts of which the key-value service has a record, as far as this process knows.
-    pub(crate) stored_parts: FastSet<PartId>,
+    pub(crate) stored_parts: FastSet<WorkId>,
     /// Queue of the thread that writes the hub's records.
     pub(crate) record_writes: Sender<RecordWrite>,
     /// Messages that are sent again in case a datagram is lost.
@@ -157,7 +157,7 @@
         Self {
             scheduler: new_scheduler(&parts),
             hub_client: HubClient::new(parts.vm.clone(), parts.instance),
-            quarantine: PartQuarantine::new(parts.vm.clone()),
+            quarantine: WorkQuarantine::new(parts.vm.clone()),
             lease: HolderLease::new(parts.bounds.takeover_delay)
                 .with_predecessor(parts.has_predecessor),
             codec: parts.codec,
--- a/crates/gentian-gateway/src/control/hub_controller.rs
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -44,7 +44,7 @@
                 }
                 trace = stored;
             }
-            Some(FleetRecord::PastHolder | FleetRecord::QuarantinedPart(_)) => {}
+            Some(FleetRecord::PastHolder | FleetRecord::QuarantinedWork(_)) => {}
             None => state.log_odd_record(value, "malformed"),
         }
     }
--- a/crates/gentian-gateway/src/control/quarantine_controller.rs
+++ b/crates/gentian-gateway/src/control/quarantine_controller.rs
@@ -1,7 +1,7 @@
 //! Controller of the parts of prompts that make upstreams end.
 
 use gentian_core::peer::{FleetMessage, QuarantineNotice, ServedNotice, SuspicionGrade};
-use gentian_core::{EventCode, FastSet, MonoTime, PartId, UpstreamId, VmId};
+use gentian_core::{EventCode, FastSet, MonoTime, UpstreamId, VmId, WorkId};
 use gentian_decide::request::{Refusal, RefusalCode};
 use gentian_decide::serving::{AttemptEnd, AttemptProgress, ServingCall};
 use gentian_process::StoredValue;
@@ -110,7 +110,7 @@
     }
 }
 
-fn send_quarantined(state: &ControlState, part: PartId, vm: &VmId) {
+fn send_quarantined(state: &ControlState, part: WorkId, vm: &VmId) {
     let notice = QuarantineNotice { part, is_quarantined: true };
     send_to_vm(state, &FleetMessage::Quarantine(notice), vm);
 }
@@ -119,7 +119,7 @@
 fn restore_parts(state: &mut ControlState, values: &[StoredValue], now: MonoTime) {
     let prefix = state.codec.record_layout.fleet_prefix.clone();
     let parts = values.iter().filter_map(|value| match decode_fleet_record(&prefix, value) {
-        Some(FleetRecord::QuarantinedPart(part)) => Some(part),
+        Some(FleetRecord::QuarantinedWork(part)) => Some(part),
         _ => None,
     });
     state.stored_parts = parts.collect();
@@ -161,7 +161,7 @@
     }
 }
 
-fn quarantine_refusal(call: &ServingCall, part: PartId) -> Refusal {
+fn quarantine_refusal(call: &ServingCall, part: WorkId) -> Refusal {
     let message = format!("upstreams end when they answer a prompt with the part {part}");
     let refusal = Refusal::new(RefusalCode::PromptQuarantined, message);
     if call.possible_executions > 0 { refusal.with_unknown_run() } else { refusal }
@@ -170,13 +170,13 @@
 /// Has the hub write the records of quarantined parts, by which entries that start later know them,
 /// and delete those of released ones.
 fn store_parts(state: &mut ControlState) {
-    let parts: FastSet<PartId> = state.quarantine.parts().collect();
+    let parts: FastSet<WorkId> = state.quarantine.parts().collect();
     state.metrics.quarantined_parts.set(i64::try_from(parts.len()).unwrap_or(i64::MAX));
     if state.hub.is_none() || parts == state.stored_parts {
         return;
     }
-    let added = parts.difference(&state.stored_parts).map(|part| RecordWrite::PutPart(*part));
-    let removed = state.stored_parts.difference(&parts).map(|part| RecordWrite::DeletePart(*part));
+    let added = parts.difference(&state.stored_parts).map(|part| RecordWrite::PutWork(*part));
+    let removed = state.stored_parts.difference(&parts).map(|part| RecordWrite::DeleteWork(*part));
     for write in added.chain(removed) {
         if state.record_writes.send(write).is_err() {
             log::error!(
--- a/crates/gentian-gateway/src/io/fleet_records.rs
+++ b/crates/gentian-gateway/src/io/fleet_records.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use gentian_core::peer::UseTrace;
-use gentian_core::{FenceNumber, LeaseId, PartId, StoreRevision, TimeSpan, VmId};
+use gentian_core::{FenceNumber, LeaseId, StoreRevision, TimeSpan, VmId, WorkId};
 use gentian_decide::orders::HolderRecord;
 use gentian_process::{KeyValueError, KeyValueService, StoredValue, ValueChange, WriteCondition};
 use gentian_wire::{decode_record, encode_record};
@@ -40,7 +40,7 @@
     /// ends.
     PastHolder,
     /// A part of prompts with which requests are refused.
-    QuarantinedPart(PartId),
+    QuarantinedWork(WorkId),
     /// What organisations used of their quotas, as the hub last stored it; `None` if it can't be read.
     UseTrace(Option<UseTrace>),
 }
@@ -56,7 +56,7 @@
         _ if name.starts_with(ENTRY_PREFIX) => decode_record(bytes).ok().map(FleetRecord::Entry),
         _ => {
             let part = name.strip_prefix(QUARANTINE_PREFIX)?.parse();
-            part.ok().map(FleetRecord::QuarantinedPart)
+            part.ok().map(FleetRecord::QuarantinedWork)
         }
     }
 }
@@ -66,10 +66,10 @@
 /// # Errors
 ///
 /// Returns an error if the call to the service fails.
-pub(super) fn write_quarantined_part(
+pub(super) fn write_quarantined_work(
     service: &KeyValueService,
     prefix: &str,
-    part: PartId,
+    part: WorkId,
 ) -> Result<(), KeyValueError> {
     let key = format!("{prefix}{QUARANTINE_PREFIX}{part}");
     service.write(&[], &[ValueChange::put(key, encode(&part)?)])?;
@@ -81,10 +81,10 @@
 /// # Errors
 ///
 /// Returns an error if the call to the service fails.
-pub(super) fn delete_quarantined_part(
+pub(super) fn delete_quarantined_work(
     service: &KeyValueService,
     prefix: &str,
-    part: PartId,
+    part: WorkId,
 ) -> Result<(), KeyValueError> {
     let key = format!("{prefix}{QUARANTINE_PREFIX}{part}");
     service.write(&[], &[ValueChange::Delete { key }])?;
--- a/crates/gentian-gateway/src/io/record_writer.rs
+++ b/crates/gentian-gateway/src/io/record_writer.rs
@@ -4,20 +4,20 @@
 use std::thread::JoinHandle;
 
 use flume::Receiver;
-use gentian_core::PartId;
+use gentian_core::WorkId;
 use gentian_core::peer::UseTrace;
 use gentian_process::KeyValueService;
 
-use super::fleet_records::{delete_quarantined_part, write_quarantined_part, write_use_trace};
+use super::fleet_records::{delete_quarantined_work, write_quarantined_work, write_use_trace};
 use crate::gateway_metrics::GatewayMetrics;
 
 /// A change of a stored record.
 #[derive(Clone, Debug)]
 pub(crate) enum RecordWrite {
     /// Adds a quarantined part.
-    PutPart(PartId),
+    PutWork(WorkId),
     /// Removes a part that is no longer quarantined.
-    DeletePart(PartId),
+    DeleteWork(WorkId),
     /// Replaces the trace of the use.
     PutTrace(UseTrace),
 }
@@ -38,11 +38,11 @@
     let work = move || {
         while let Ok(write) = writes.recv() {
             let (call, result) = match &write {
-                RecordWrite::PutPart(part) => {
-                    ("quarantine", write_quarantined_part(&service, &prefix, *part))
+                RecordWrite::PutWork(part) => {
+                    ("quarantine", write_quarantined_work(&service, &prefix, *part))
                 }
-                RecordWrite::DeletePart(part) => {
-                    ("quarantine", delete_quarantined_part(&service, &prefix, *part))
+                RecordWrite::DeleteWork(part) => {
+                    ("quarantine", delete_quarantined_work(&service, &prefix, *part))
                 }
                 RecordWrite::PutTrace(trace) => {
                     ("use-trace", write_use_trace(&service, &prefix, trace))
