Log what identifies a request whose upstream ended

GW1108 names a digest that all repeats of a request share, and says of plain services' requests too whether the upstream had ended.

--- a/crates/gentian-gateway/src/chain/forward_call.rs
+++ b/crates/gentian-gateway/src/chain/forward_call.rs
@@ -9,6 +9,7 @@
 use super::attempt::{AttemptResult, run_attempt};
 use super::relay::{end_stream, send_response};
 use super::upstream_probe::{has_upstream_ended, is_refusing};
+use super::work_digest::digest_request;
 use super::{CallContext, CallHandles};
 use crate::control::{CallAssignment, ControlEvent};
 
@@ -88,8 +89,7 @@
     let mut end =
         AttemptEnd { id: call.id, outcome, progress: call.progress, has_upstream_ended: false };
     if outcome == AttemptOutcome::Broken {
-        let may_be_cause = call.metadata.prompt_prefix.len() > 1 && is_early(call, elapsed);
-        end.has_upstream_ended = may_be_cause
+        end.has_upstream_ended = is_early(call, elapsed)
             && match call.progress {
                 AttemptProgress::HeadReceived => has_upstream_ended(handles, pick),
                 // The request is a weak suspect only, and may soon be served elsewhere.
@@ -228,7 +228,7 @@
 }
 
 /// Logs an attempt whose connection broke. The parts of the prompt show which requests have one in
-/// common that ends upstreams.
+/// common that ends upstreams, and the digest which are repeats of one request.
 fn log_broken(call: &CallContext, pick: &UpstreamPick, end: &AttemptEnd, elapsed: TimeSpan) {
     let parts: Vec<String> = call
         .metadata
@@ -237,12 +237,13 @@
         .map(|(part, _)| WorkId::new(*part).to_string())
         .collect();
     log::info!(
-        "{} request={} upstream={} progress={} ended={} after={elapsed} parts={}",
+        "{} request={} upstream={} progress={} ended={} after={elapsed} work={} parts={}",
         EventCode::ATTEMPT_BROKEN,
         call.metadata.request_id,
         pick.upstream,
         end.progress,
         end.has_upstream_ended,
+        digest_request(call),
         parts.join(",")
     );
 }
