Reproduce one request that ends replica after replica

The soak's replicas end as they begin to answer certain requests, with and without a prompt, which callers repeat at any entry. It checks that few reach replicas later than 3 s after the third crash, and that no sound request is refused for them.

--- a/crates/gentian-soak/src/call_record.rs
+++ b/crates/gentian-soak/src/call_record.rs
@@ -49,8 +49,8 @@
     pub(crate) connected: Instant,
     /// When it was sent.
     pub(crate) sent: Instant,
-    /// Whether its prompt holds the part on which engines crash.
-    pub(crate) has_crash_part: bool,
+    /// Whether replicas crash as they begin to respond to it.
+    pub(crate) is_crashing: bool,
     /// How it ended.
     pub(crate) outcome: CallOutcome,
     /// Replica that the response said is leaving, and when the response arrived.
--- a/crates/gentian-soak/src/fleet_layout.rs
+++ b/crates/gentian-soak/src/fleet_layout.rs
@@ -18,6 +18,8 @@
 pub(crate) const MODELS: [&str; 6] = ["m0", "m1", "m2", "m3", "m4", "m5"];
 /// Part of a prompt on which engines crash.
 pub(crate) const CRASH_PART: &str = "dead0";
+/// End of the path of requests on which replicas crash.
+pub(crate) const CRASH_PATH: &str = "/crash";
 /// Memory that an entry may use.
 pub(crate) const ENTRY_MEMORY_MB: u64 = 160;
 /// Timeout of each route.
--- a/crates/gentian-soak/src/main.rs
+++ b/crates/gentian-soak/src/main.rs
@@ -33,6 +33,9 @@
     /// percentage of streams with a part on which engines crash (default 2)
     #[argh(option, default = "2")]
     crash_percent: u32,
+    /// percentage of calls that repeat one request on which replicas crash (default 1)
+    #[argh(option, default = "1")]
+    crash_request_percent: u32,
     /// folder with the programs (default target/release)
     #[argh(option, default = "PathBuf::from(\"target/release\")")]
     programs: PathBuf,
@@ -51,7 +54,8 @@
             .with_fault_plan(arguments.plan)
             .with_size(arguments.entries, arguments.callers)
             .with_idle_callers(arguments.idle_callers)
-            .with_crash_percent(arguments.crash_percent);
+            .with_crash_percent(arguments.crash_percent)
+            .with_crash_request_percent(arguments.crash_request_percent);
         match run_soak(&settings) {
             Ok(report) => {
                 println!("seed {seed}: {report}");
--- a/crates/gentian-soak/src/soak_caller.rs
+++ b/crates/gentian-soak/src/soak_caller.rs
@@ -14,7 +14,9 @@
 
 use crate::call_record::{CallKind, CallOutcome, CallRecord};
 use crate::config_probe::ConfigLog;
-use crate::fleet_layout::{CRASH_PART, FleetLayout, HOST, KEYS, MODELS, ROUTE_TIMEOUT_MILLIS};
+use crate::fleet_layout::{
+    CRASH_PART, CRASH_PATH, FleetLayout, HOST, KEYS, MODELS, ROUTE_TIMEOUT_MILLIS,
+};
 
 /// Events of a complete streamed response.
 const EVENTS_PER_STREAM: u64 = 8;
@@ -28,6 +30,10 @@
 const LEAVE_EARLY_PERCENT: u32 = 4;
 /// Parts of prompts that callers share. Each prompt begins with the first one and one of the others.
 const SHARED_PARTS: [&str; 4] = ["a0", "b1", "b2", "b3"];
+/// Last part of the prompt of the request on which engines crash.
+const CRASH_REQUEST_PART: &str = "c0ffee";
+/// Length of the body of the requests on which replicas crash.
+const CRASH_REQUEST_BYTES: usize = 700;
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
 
 /// A connection that stays open between two calls.
@@ -44,6 +50,7 @@
     random: StdRng,
     number: u64,
     crash_percent: u32,
+    crash_request_percent: u32,
     clock: ProcessClock,
     max_pause: Duration,
     kept_connection: Option<KeptConnection>,
@@ -63,6 +70,7 @@
             random,
             number,
             crash_percent: 0,
+            crash_request_percent: 0,
             clock: ProcessClock::new(),
             max_pause: CALL_PAUSE,
             kept_connection: None,
@@ -76,6 +84,12 @@
         Self { crash_percent, ..self }
     }
 
+    /// Sets the percentage of calls that are repeats of one request of their kind, on which replicas
+    /// crash.
+    pub(crate) fn with_crash_request_percent(self, crash_request_percent: u32) -> Self {
+        Self { crash_request_percent, ..self }
+    }
+
     /// Sets the longest pause between two calls, in which the connection stays open; the shortest is
     /// half of it.
     pub(crate) fn with_max_pause(self, max_pause: Duration) -> Self {
@@ -138,7 +152,7 @@
             entry,
             connected: self.connected,
             sent,
-            has_crash_part: false,
+            is_crashing: false,
             outcome,
             leaving: self.take_leaving(),
         }
@@ -150,6 +164,11 @@
             1 => CallKind::Look,
             _ => CallKind::Book,
         };
+        if self.crash_request_percent > 0
+            && self.random.random_range(0..100) < self.crash_request_percent
+        {
+            return self.repeat_crash_request(kind, count);
+        }
         let (organisation, key) = KEYS[self.random.random_range(0..KEYS.len())];
         let id = format!("{:04x}{:012x}", self.number, count);
         let (method, target) = match kind {
@@ -159,37 +178,78 @@
         };
         let body_bytes = if method == "GET" { 0 } else { self.random.random_range(1..20_000) };
         let mut headers = call_headers(key, &id);
-        let mut has_crash_part = false;
+        let mut is_crashing = false;
         if kind == CallKind::Advice {
-            has_crash_part = self.random.random_range(0..100) < self.crash_percent;
-            headers.push("X-Gentianwheel-Prompt-Prefix", self.prompt_prefix(has_crash_part, count));
+            is_crashing = self.random.random_range(0..100) < self.crash_percent;
             let model = MODELS[self.random.random_range(0..MODELS.len())];
             let adapter = ["", "/a1", "/a2", "/a3"][self.random.random_range(0..4)];
-            headers.push("X-Gentianwheel-Model", format!("{model}{adapter}"));
-            headers.push("X-Gentianwheel-Token-Count", "200,40");
+            let prompt_prefix = self.prompt_prefix(is_crashing, count);
+            push_stream_headers(&mut headers, prompt_prefix, format!("{model}{adapter}"));
         }
-        if method == "POST" {
-            headers.push("Content-Length", body_bytes.to_string());
+        let call = CallRecord {
+            id,
+            kind,
+            organisation,
+            target,
+            body_bytes,
+            entry: self.choose_entry(),
+            connected: self.connected,
+            sent: Instant::now(),
+            is_crashing,
+            outcome: CallOutcome::Overdue,
+            leaving: None,
+        };
+        self.complete(call, method, headers)
+    }
+
+    /// Makes a call on which replicas crash. All such calls of a kind are the same but for their ids.
+    fn repeat_crash_request(&mut self, kind: CallKind, count: u64) -> CallRecord {
+        let (organisation, key) = KEYS[0];
+        let id = format!("{:04x}{:012x}", self.number, count);
+        let mut headers = call_headers(key, &id);
+        let (method, route, body_bytes) = match kind {
+            CallKind::Advice => ("POST", "advice", CRASH_REQUEST_BYTES),
+            CallKind::Look => ("GET", "look", 0),
+            CallKind::Book => ("POST", "book", CRASH_REQUEST_BYTES),
+        };
+        if kind == CallKind::Advice {
+            let [first, second, ..] = SHARED_PARTS;
+            let prompt_prefix = format!("{first}:80,{second}:40,{CRASH_REQUEST_PART}:40");
+            push_stream_headers(&mut headers, prompt_prefix, MODELS[0].to_owned());
         }
-        let (method, recorded_target) = (method.to_owned(), target.clone());
-        let head = RequestHead { method, target, is_http11: true, headers };
-        let entry = self.kept_connection.as_ref().map(|kept| kept.entry);
-        let entry = entry.unwrap_or_else(|| self.random.random_range(0..self.entries));
-        let sent = Instant::now();
-        let outcome = self.send(entry, &head, body_bytes, kind, &id);
-        CallRecord {
+        let call = CallRecord {
             id,
             kind,
             organisation,
-            target: recorded_target,
+            target: format!("/{route}{CRASH_PATH}"),
             body_bytes,
-            entry,
+            entry: self.choose_entry(),
             connected: self.connected,
-            sent,
-            has_crash_part,
-            outcome,
-            leaving: self.take_leaving(),
+            sent: Instant::now(),
+            is_crashing: true,
+            outcome: CallOutcome::Overdue,
+            leaving: None,
+        };
+        self.complete(call, method, headers)
+    }
+
+    /// Returns the entry of the kept connection, or a random one.
+    fn choose_entry(&mut self) -> usize {
+        let entry = self.kept_connection.as_ref().map(|kept| kept.entry);
+        entry.unwrap_or_else(|| self.random.random_range(0..self.entries))
+    }
+
+    /// Sends a call and returns it with its outcome.
+    fn complete(&mut self, call: CallRecord, method: &str, mut headers: HeaderList) -> CallRecord {
+        if method == "POST" {
+            headers.push("Content-Length", call.body_bytes.to_string());
         }
+        let (method, target) = (method.to_owned(), call.target.clone());
+        let head = RequestHead { method, target, is_http11: true, headers };
+        let sent = Instant::now();
+        let outcome = self.send(call.entry, &head, call.body_bytes, call.kind, &call.id);
+        let (connected, leaving) = (self.connected, self.take_leaving());
+        CallRecord { sent, outcome, connected, leaving, ..call }
     }
 
     fn take_leaving(&mut self) -> Option<(String, Instant)> {
@@ -286,6 +346,13 @@
         .with("X-Gentianwheel-Pin-Ms", "4000")
 }
 
+/// Adds the headers of a stream.
+fn push_stream_headers(headers: &mut HeaderList, prompt_prefix: String, model: String) {
+    headers.push("X-Gentianwheel-Prompt-Prefix", prompt_prefix);
+    headers.push("X-Gentianwheel-Model", model);
+    headers.push("X-Gentianwheel-Token-Count", "200,40");
+}
+
 fn check_response(response: &ResponseHead, body: &[u8], kind: CallKind, id: &str) -> CallOutcome {
     match response.status {
         200..=299 => {}
--- a/crates/gentian-soak/src/soak_check.rs
+++ b/crates/gentian-soak/src/soak_check.rs
@@ -8,6 +8,7 @@
 
 use crate::call_record::{CallKind, CallOutcome, CallRecord};
 use crate::contact_log::ContactLog;
+use crate::fleet_layout::CRASH_PART;
 
 /// Executions that a repeatable call may have: the `attempts` of its route.
 const MAX_ATTEMPTS: usize = 2;
@@ -15,12 +16,17 @@
 const MIN_SERVED_PERCENT: usize = 90;
 
 /// Crashes after which a part of a prompt must be recognised as their cause.
-const CRASHES_TO_RECOGNISE: usize = 5;
-/// Time after the last of these crashes by which every entry must refuse requests with the part.
+const CRASHES_TO_RECOGNISE_PART: usize = 5;
+/// Crashes after which a request must be recognised as their cause.
+const CRASHES_TO_RECOGNISE_REQUEST: usize = 3;
+/// Time after the last of these crashes by which every entry must refuse such requests.
 const RECOGNITION_TIME: Duration = Duration::from_secs(3);
-/// Requests with the part that may reach replicas even so.
+/// Such requests that may reach replicas even so.
 const MAX_LATER_CRASHES: usize = 3;
 
+/// Status of a refusal because of what upstreams do when they respond to the request.
+const REFUSED_STATUS: u16 = 400;
+
 /// Time from the acceptance of a replica's leaving until no request may reach it.
 pub(crate) const DRAIN_TIME: Duration = Duration::from_millis(2_000);
 
@@ -102,7 +108,7 @@
     let journal = read_journals(folder)?;
     let is_served = |record: &&CallRecord| record.outcome == CallOutcome::Served;
     let final_records: Vec<&CallRecord> =
-        final_records.iter().filter(|record| !record.has_crash_part).collect();
+        final_records.iter().filter(|record| !record.is_crashing).collect();
     let served = records.iter().filter(is_served).count();
     let is_failed = |record: &&CallRecord| matches!(record.outcome, CallOutcome::Failed(_));
     let failed = records.iter().filter(is_failed).count();
@@ -140,29 +146,37 @@
     Ok(report)
 }
 
-/// Checks that few requests with the part that crashes engines reach them once it has been
-/// recognised; the time for that starts at `faults_ended_at` at the earliest.
+/// Checks that few requests on which replicas crash reach them once their cause, a part of prompts or
+/// one request, has been recognised; the time for that starts at `faults_ended_at` at the earliest.
 pub(crate) fn check_crashes(
     folder: &Path,
     faults_ended_at: SystemTime,
-) -> eyre::Result<Option<String>> {
-    let journal = read_journals(folder)?;
-    let mut times: Vec<u128> = journal
-        .iter()
-        .filter(|line| line.event == "crash")
-        .filter_map(|line| line.detail.strip_prefix("at=")?.parse().ok())
-        .collect();
-    times.sort_unstable();
-    let Some(fifth) = times.get(CRASHES_TO_RECOGNISE - 1) else { return Ok(None) };
+) -> eyre::Result<Vec<String>> {
     let faults_ended = faults_ended_at.duration_since(UNIX_EPOCH)?.as_millis();
-    let limit = (*fifth).max(faults_ended) + RECOGNITION_TIME.as_millis();
-    let later = times.iter().filter(|time| **time > limit).count();
-    Ok((later > MAX_LATER_CRASHES).then(|| {
-        format!(
-            "one part crashed engines {later} times after it had to be recognised; {} in all",
-            times.len()
-        )
-    }))
+    let mut crashes: FastMap<String, Vec<u128>> = FastMap::default();
+    for line in read_journals(folder)?.iter().filter(|line| line.event == "crash") {
+        let detail = line.detail.strip_prefix("at=").and_then(|it| it.split_once(" cause="));
+        let Some((time, cause)) = detail else { continue };
+        crashes.entry(cause.to_owned()).or_default().extend(time.parse::<u128>());
+    }
+    let mut violations = Vec::new();
+    for (cause, mut times) in crashes {
+        times.sort_unstable();
+        let needed = match cause == CRASH_PART {
+            true => CRASHES_TO_RECOGNISE_PART,
+            false => CRASHES_TO_RECOGNISE_REQUEST,
+        };
+        let Some(last) = times.get(needed - 1) else { continue };
+        let limit = (*last).max(faults_ended) + RECOGNITION_TIME.as_millis();
+        let later = times.iter().filter(|time| **time > limit).count();
+        if later > MAX_LATER_CRASHES {
+            let all = times.len();
+            violations.push(format!(
+                "{cause} crashed replicas {later} times after it had to be recognised; {all} in all"
+            ));
+        }
+    }
+    Ok(violations)
 }
 
 /// Checks that no replica got requests later than [`DRAIN_TIME`] after the store had accepted that
@@ -247,6 +261,9 @@
             return Some(format!("{kind:?} {id} was refused with {status} but executed"));
         }
         CallOutcome::Served if executions == 0 => return Some(format!("{kind:?} {id} never ran")),
+        CallOutcome::Failed(REFUSED_STATUS) if !record.is_crashing => {
+            return Some(format!("{kind:?} {id} was refused though no replica crashes on it"));
+        }
         _ => {}
     }
     let max_executions = if kind == CallKind::Book { 1 } else { MAX_ATTEMPTS };
--- a/crates/gentian-soak/src/soak_run.rs
+++ b/crates/gentian-soak/src/soak_run.rs
@@ -15,7 +15,8 @@
 use crate::config_probe::ConfigLog;
 use crate::contact_log::ContactLog;
 use crate::fleet_layout::{
-    CRASH_PART, ENTRY_MEMORY_MB, FIRST_VERSION, FleetLayout, MODELS, VERSION_STEP, zone_name,
+    CRASH_PART, CRASH_PATH, ENTRY_MEMORY_MB, FIRST_VERSION, FleetLayout, MODELS, VERSION_STEP,
+    zone_name,
 };
 use crate::loopback_proxy::{LinkMode, LoopbackProxy};
 use crate::notice_check::{check_departures, check_pauses};
@@ -116,7 +117,7 @@
     settings: &SoakSettings,
     faults_ended_at: SystemTime,
 ) -> eyre::Result<Vec<String>> {
-    let mut violations = Vec::from_iter(check_crashes(&settings.folder, faults_ended_at)?);
+    let mut violations = check_crashes(&settings.folder, faults_ended_at)?;
     if let Some(limit) = settings.request_limit {
         violations.extend(check_limits(&settings.folder, limit)?);
     }
@@ -132,6 +133,7 @@
     let new_caller = |number: usize| {
         SoakCaller::new(layout, settings.entries, settings.seed, number as u64)
             .with_crash_percent(settings.crash_percent)
+            .with_crash_request_percent(settings.crash_request_percent)
     };
     let prober = new_caller(settings.callers);
     let (config_log, probe_stop) = (Arc::clone(&fleet.config_log), Arc::clone(stop));
@@ -449,6 +451,7 @@
     if let Some(limit) = settings.request_limit {
         command.extend(option("request-limit", limit.to_string()));
     }
+    command.extend(option("crash-path", CRASH_PATH.to_owned()));
     if is_engine {
         command.extend(option("memory", "150000".to_owned()));
         command.extend(option("holds", holds.to_owned()));
--- a/crates/gentian-soak/src/soak_settings.rs
+++ b/crates/gentian-soak/src/soak_settings.rs
@@ -23,6 +23,8 @@
     pub idle_callers: usize,
     /// Percentage of streams whose prompt holds a part on which engines crash.
     pub crash_percent: u32,
+    /// Percentage of calls that are repeats of one request of their kind, on which replicas crash.
+    pub crash_request_percent: u32,
     /// Fault that the first answers of these replicas have.
     pub answer_fault: Option<String>,
     /// Replicas with that fault; all of them if this is `None`.
@@ -47,6 +49,7 @@
             callers: 6,
             idle_callers: 2,
             crash_percent: 0,
+            crash_request_percent: 0,
             answer_fault: None,
             faulty_replicas: None,
             request_limit: None,
@@ -80,6 +83,12 @@
         Self { crash_percent, ..self }
     }
 
+    /// Sets the percentage of calls that are repeats of one request of their kind, on which replicas
+    /// crash.
+    pub fn with_crash_request_percent(self, crash_request_percent: u32) -> Self {
+        Self { crash_request_percent, ..self }
+    }
+
     /// Sets the fault that the first answers of each replica have, or of those of
     /// [`Self::with_faulty_replicas`].
     pub fn with_answer_fault(self, name: impl Into<String>) -> Self {
--- a/crates/gentian-standin/src/commands/fleet_replica.rs
+++ b/crates/gentian-standin/src/commands/fleet_replica.rs
@@ -172,12 +172,10 @@
         if let Some(is_kept) = self.send_faulty(&FaultyResponse::RESPONSES, request, stream) {
             return is_kept;
         }
+        let crash = self.find_crash(request);
         match self.settings.memory {
-            0 => self.run_plain(id, stream),
-            _ => {
-                let is_crashing = self.is_crashing(request.header("X-Gentianwheel-Prompt-Prefix"));
-                self.run_stream(id, after.parse().unwrap_or(0), is_crashing, stream)
-            }
+            0 => self.run_plain(id, crash, stream),
+            _ => self.run_stream(id, after.parse().unwrap_or(0), crash, stream),
         }
     }
 
@@ -207,8 +205,9 @@
         Some(response.send(fault, stream))
     }
 
-    fn run_plain(&self, id: &str, stream: &mut BufferedStream) -> bool {
+    fn run_plain(&self, id: &str, crash: Option<String>, stream: &mut BufferedStream) -> bool {
         std::thread::sleep(self.settings.event_time.into());
+        self.crash_if(crash, id);
         let body = json!({ "done": id }).to_string();
         if self.faults.consume(FaultName::TruncatedResponse) {
             let head = self.head(200, &[("X-Gentianwheel-Request-Id", id)], body.len());
@@ -220,20 +219,34 @@
         self.send(stream, 200, &[("X-Gentianwheel-Request-Id", id)], body.as_bytes())
     }
 
-    /// Returns whether a prompt holds the part on which the replica crashes, other than as its last
-    /// part.
-    fn is_crashing(&self, prompt_prefix: &str) -> bool {
-        let Some(crash_part) = &self.settings.crash_part else { return false };
+    /// Returns what in a request makes the replica crash: the part of its prompt, other than as the
+    /// last one, or its path.
+    fn find_crash(&self, request: &ReplicaRequest) -> Option<String> {
+        let prompt_prefix = request.header("X-Gentianwheel-Prompt-Prefix");
         let shared = prompt_prefix.rsplit_once(',').map_or("", |(shared, _)| shared);
-        let digests = shared.split(',').filter_map(|part| part.split_once(':'));
-        digests.into_iter().any(|(digest, _)| digest == crash_part)
+        let mut digests = shared.split(',').filter_map(|part| part.split_once(':'));
+        let part = self.settings.crash_part.as_deref();
+        if let Some((digest, _)) = digests.find(|(digest, _)| Some(*digest) == part) {
+            return Some(digest.to_owned());
+        }
+        let path = request.head.path();
+        let is_crashing = self.settings.crash_path.as_ref().is_some_and(|end| path.ends_with(end));
+        is_crashing.then(|| path.to_owned())
+    }
+
+    /// Ends the process if there is a cause for a crash.
+    fn crash_if(&self, cause: Option<String>, id: &str) {
+        if let Some(cause) = cause {
+            self.record("crash", id, &format!("at={} cause={cause}", unix_millis()));
+            std::process::exit(CRASH_EXIT_CODE);
+        }
     }
 
     fn run_stream(
         &self,
         id: &str,
         after: u64,
-        is_crashing: bool,
+        crash: Option<String>,
         stream: &mut BufferedStream,
     ) -> bool {
         let head = self
@@ -245,10 +258,7 @@
         if !self.write(stream, &head.to_bytes()) {
             return false;
         }
-        if is_crashing {
-            self.record("crash", id, &format!("at={}", unix_millis()));
-            std::process::exit(CRASH_EXIT_CODE);
-        }
+        self.crash_if(crash, id);
         for event in after + 1..=self.settings.events {
             std::thread::sleep(self.settings.event_time.into());
             let text = event_text(id, event);
--- a/crates/gentian-standin/src/fleet/replica_settings.rs
+++ b/crates/gentian-standin/src/fleet/replica_settings.rs
@@ -55,6 +55,9 @@
     /// part of a prompt, in hexadecimal, on which the replica crashes when it begins to respond
     #[argh(option)]
     pub(crate) crash_part: Option<String>,
+    /// end of the path of requests on which the replica crashes when it begins to respond
+    #[argh(option)]
+    pub(crate) crash_path: Option<String>,
     /// file to which each executed request and each order is appended
     #[argh(option)]
     pub(crate) journal: PathBuf,
