Refuse a request that ends upstream after upstream

Cause: crashes were recorded against parts of prompts only. A request that ends each upstream that begins an answer to it was sent again by its callers and by the entry for as long as it came; requests of plain services were not recorded at all, and a part that sound requests share could be quarantined in its place.

Change: one account of work serves parts and requests. A request is identified by what the upstream is asked (RequestIdentity), the same at every entry; ids of requests have the highest bit set, so messages and records keep their form. It is refused with 400 request_quarantined after three successive crashes without an answer that ended well since (four if another request was there each time), and goes before its parts. Upstreams that end together count once. After two crashes an entry leaves further attempts to the caller. Suspicions of more than one crash are told to entries that start anew, and kept as crash-trace in the key-value service while there are some. Any entry makes the trials, one at a time, since a single request seldom reaches the hub. Entries of an earlier version don't read the new reports, but know what was quarantined.

--- a/crates/gentian-core/src/ids.rs
+++ b/crates/gentian-core/src/ids.rs
@@ -103,12 +103,6 @@
     PublicationId,
     "publication id"
 );
-hex_newtype!(
-    /// Identifies work of requests: a part of a prompt, which many requests may share, or all that an
-    /// upstream is asked by one request, repeats included.
-    WorkId,
-    "work id"
-);
 hex_newtype!(
     /// Identifies one request of a caller.
     RequestId,
--- a/crates/gentian-core/src/lib.rs
+++ b/crates/gentian-core/src/lib.rs
@@ -14,6 +14,7 @@
 mod store_revision;
 mod time_span;
 mod token_amounts;
+mod work_id;
 
 pub use byte_size::ByteSize;
 pub use event_code::{EVENT_CATALOGUE, EventCode, EventInfo};
@@ -21,7 +22,7 @@
 pub use ids::{
     AdapterId, BootId, ConfigVersion, DomainId, FenceNumber, InstanceId, KeyDigest, KeyId, ModelId,
     OrderId, OrganisationId, PublicationId, RequestId, RouteId, SequenceNumber, ServiceId,
-    ShardNumber, StoreEra, UpstreamId, VmId, WorkId,
+    ShardNumber, StoreEra, UpstreamId, VmId,
 };
 pub use lease_id::LeaseId;
 pub use mono_time::MonoTime;
@@ -30,3 +31,4 @@
 pub use store_revision::StoreRevision;
 pub use time_span::TimeSpan;
 pub use token_amounts::{SlotCount, TokenCount, TokenRate};
+pub use work_id::WorkId;
--- a/crates/gentian-core/src/peer/crash_report.rs
+++ b/crates/gentian-core/src/peer/crash_report.rs
@@ -1,4 +1,4 @@
-//! Report of an upstream that ended.
+//! Report of an upstream that ended, as entries of earlier versions send it.
 
 use serde::{Deserialize, Serialize};
 
@@ -13,7 +13,7 @@
     Strong,
 }
 
-/// States that an upstream ended while it had a request of an entry.
+/// States that an upstream ended while it had a request of an entry. A [`SuspectReport`](super::SuspectReport) has replaced it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CrashReport {
     /// VM of the entry.
--- a/crates/gentian-core/src/peer/fleet_message.rs
+++ b/crates/gentian-core/src/peer/fleet_message.rs
@@ -6,7 +6,8 @@
 
 use super::{
     CrashReport, FleetUse, LimitNotice, OperatorNotice, PermitReply, PermitRequest,
-    QuarantineNotice, RankedPermits, ServedNotice, TargetId, UseHistory, UseNotice, UseReport,
+    QuarantineNotice, RankedPermits, ServedNotice, SuspectReport, TargetId, TrialNotice,
+    UseHistory, UseNotice, UseReport,
 };
 use crate::{
     DomainId, FenceNumber, InstanceId, ModelId, OrganisationId, SequenceNumber, ServiceId,
@@ -27,11 +28,12 @@
     Announcement(HubAnnouncement),
     /// States that a hub sends no more orders.
     Handover(HubHandover),
-    /// An upstream ended while an entry had a request there that may be the cause.
+    /// An upstream ended while an entry of an earlier version had a request there that may be the
+    /// cause.
     Crash(CrashReport),
-    /// Answers on some parts of prompts ended well.
+    /// Answers to requests with some work ended well.
     Served(ServedNotice),
-    /// A part of prompts was quarantined or released.
+    /// A part of prompts or a request was quarantined or released.
     Quarantine(QuarantineNotice),
     /// An upstream names another limit of requests, or none any more.
     Limit(LimitNotice),
@@ -51,6 +53,10 @@
     UseNotice(UseNotice),
     /// An entry needs permits for requests of some priorities.
     RankedPermits(RankedPermits),
+    /// An upstream ended while an entry had a request there that may be the cause.
+    Suspect(SuspectReport),
+    /// An entry finds out whether quarantined work still does harm.
+    Trial(TrialNotice),
 }
 
 /// Announces that a process has become the hub.
--- a/crates/gentian-core/src/peer/work_notice.rs
+++ b/crates/gentian-core/src/peer/work_notice.rs
@@ -1,21 +1,31 @@
-//! Notices about parts of prompts.
+//! Notices about work that may make upstreams end.
 
 use serde::{Deserialize, Serialize};
 
 use crate::{TimeSpan, WorkId};
 
-/// States that answers to prompts with certain parts ended well.
+/// States that answers to requests with certain work ended well.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServedNotice {
-    /// The parts, each with the time since the end of the last such answer.
-    pub parts: Vec<(WorkId, TimeSpan)>,
+    /// The work, each with the time since the end of the last such answer.
+    #[serde(rename = "parts")]
+    pub works: Vec<(WorkId, TimeSpan)>,
 }
 
-/// States that requests with a part are refused from now on, or no longer.
+/// States that requests with some work are refused from now on, or no longer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineNotice {
-    /// The part.
-    pub part: WorkId,
+    /// The work.
+    #[serde(rename = "part")]
+    pub work: WorkId,
     /// Whether requests with it are refused.
     pub is_quarantined: bool,
 }
+
+/// States that a request with quarantined work is let through, to find out whether the work still does
+/// harm. The other entries make no trial of it for a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrialNotice {
+    /// The work.
+    pub work: WorkId,
+}
--- a/crates/gentian-decide/src/quarantine/message_repeats.rs
+++ b/crates/gentian-decide/src/quarantine/message_repeats.rs
@@ -50,9 +50,9 @@
 fn age_message(message: &FleetMessage, delay: TimeSpan) -> FleetMessage {
     let mut message = message.clone();
     match &mut message {
-        FleetMessage::Crash(report) => report.age = report.age + delay,
+        FleetMessage::Suspect(report) => report.age = report.age + delay,
         FleetMessage::Served(notice) => {
-            notice.parts.iter_mut().for_each(|(_, age)| *age = *age + delay);
+            notice.works.iter_mut().for_each(|(_, age)| *age = *age + delay);
         }
         FleetMessage::Limit(notice) => notice.age = notice.age + delay,
         _ => {}
--- a/crates/gentian-decide/src/quarantine/work_quarantine.rs
+++ b/crates/gentian-decide/src/quarantine/work_quarantine.rs
@@ -1,25 +1,39 @@
-//! Finds parts of prompts that make upstreams end, and refuses requests with them.
+//! Finds work that makes upstreams end, and refuses requests with it.
 
-use gentian_core::peer::{CrashReport, QuarantineNotice, ServedNotice, SuspicionGrade};
+use std::hash::BuildHasher;
+
+use gentian_core::peer::{
+    QuarantineNotice, ServedNotice, SuspectReport, SuspicionGrade, TrialNotice,
+};
 use gentian_core::{FastMap, FastSet, MonoTime, TimeSpan, UpstreamId, VmId, WorkId};
+use rustc_hash::FxBuildHasher;
 
-use super::{CrashLog, QuarantinedWork, ServedWork};
+use super::{CrashCount, CrashLog, QuarantineCheck, QuarantinedWork, ServedWork};
 
+/// Successive crashes under a request after which it is taken to be the cause, if no answer to it ended
+/// well since and no other request was there at all of them.
+const REQUEST_CRASHES: usize = 3;
+/// The same if another request was there each time.
+const SHARED_REQUEST_CRASHES: usize = 4;
 /// Crashes in the moment of a part's answer after which the part is taken to be the cause, if no
 /// answer to it is known to have ended well.
 const STRONG_CRASHES: usize = 3;
 /// The same for a part of which some answers ended well before the first of the crashes.
 const STRONG_CRASHES_OF_SERVED: usize = 5;
-/// Crashes that suffice without a view of whose answer had just begun.
+/// Crashes that suffice for a part without a view of whose answer had just begun.
 const WEAK_CRASHES: usize = 5;
 /// Time over which these must be spread. Upstreams that end together have an outer cause.
 const MIN_WEAK_SPAN: TimeSpan = TimeSpan::from_secs(2);
-/// Time after a crash in which the other entries state which parts they have served.
+/// Crashes under a request after which it is not sent again by itself, only if its caller repeats it.
+const CRASHES_TO_STOP_RETRIES: usize = 2;
+/// Time after a crash in which the other entries state what they have served.
 const SETTLE_TIME: TimeSpan = TimeSpan::from_millis(200);
-/// Largest number of quarantined parts; the part refused longest ago is released first.
+/// Largest number of works in quarantine; the one refused longest ago is released first.
 const MAX_QUARANTINED: usize = 256;
-/// Time after a release in which a record that still names the part is ignored.
+/// Time after a release in which a record that still names the work is ignored.
 const RELEASE_MEMORY: TimeSpan = TimeSpan::from_secs(60);
+/// Time over which the entries of a fleet spread their trials of the same work.
+const TRIAL_STAGGER: TimeSpan = TimeSpan::from_secs(20);
 
 /// A crash on which this entry decides, since it reported it.
 #[derive(Clone, Debug)]
@@ -27,14 +41,16 @@
     upstream: UpstreamId,
     time: MonoTime,
     grade: SuspicionGrade,
-    /// Parts that were reported; the other entries state which of them they have served.
-    parts: Vec<WorkId>,
+    /// Work that was reported; the other entries state which of it they have served.
+    works: Vec<WorkId>,
 }
 
-/// Parts of prompts that are suspected of making upstreams end, and those found to do so.
+/// Work that is suspected of making upstreams end, and that found to do so: parts of prompts, and
+/// requests as a whole.
 ///
 /// Each entry reports crashes under its own requests to all others. The entry that reported a crash
-/// decides on it, once the others had time to state which of the parts they have served.
+/// decides on it, once the others had time to state which of the work they have served. A request goes
+/// before the parts of its prompt: other requests share those.
 #[derive(Debug)]
 pub struct WorkQuarantine {
     vm: VmId,
@@ -43,10 +59,12 @@
     open_crashes: Vec<OpenCrash>,
     quarantined: FastMap<WorkId, QuarantinedWork>,
     released: FastMap<WorkId, MonoTime>,
+    /// Whether the trace may have changed.
+    is_trace_changed: bool,
 }
 
 impl WorkQuarantine {
-    /// Creates the quarantine of the entry on `vm`, without any parts.
+    /// Creates the quarantine of the entry on `vm`, without any work.
     pub fn new(vm: VmId) -> Self {
         Self {
             vm,
@@ -55,64 +73,94 @@
             open_crashes: Vec::new(),
             quarantined: FastMap::default(),
             released: FastMap::default(),
+            is_trace_changed: false,
         }
     }
 
-    /// Records that an upstream ended under a request of this entry. Returns the report for the
-    /// other entries.
+    /// Returns whether crashes are known, or work is quarantined, so that requests must be identified.
+    pub fn has_suspects(&self, now: MonoTime) -> bool {
+        !self.quarantined.is_empty() || !self.crashes.is_empty(now)
+    }
+
+    /// Records that an upstream ended under a request of this entry, which it had had for `running`.
+    /// `works` are the parts of its prompt that others may share, then the request itself. Returns the
+    /// report for the other entries.
     pub fn record_crash(
         &mut self,
         upstream: UpstreamId,
         grade: SuspicionGrade,
-        parts: &[WorkId],
+        works: &[WorkId],
+        running: TimeSpan,
         now: MonoTime,
-    ) -> CrashReport {
-        let vm = self.vm.clone();
-        let parts = parts.to_vec();
-        let report = CrashReport { vm, upstream, age: TimeSpan::ZERO, grade, parts };
+    ) -> SuspectReport {
+        let (vm, works) = (self.vm.clone(), works.to_vec());
+        let report = SuspectReport { vm, upstream, age: TimeSpan::ZERO, running, grade, works };
         self.crashes.record(&report, now);
+        self.is_trace_changed = true;
         self.open_crashes.push(OpenCrash {
             upstream: report.upstream.clone(),
             time: now,
             grade,
-            parts: report.parts.clone(),
+            works: report.works.clone(),
         });
         report
     }
 
-    /// Applies the report of another entry. Returns the notice for that entry of the parts that
-    /// this one has served.
-    pub fn handle_crash(&mut self, report: &CrashReport, now: MonoTime) -> Option<ServedNotice> {
+    /// Applies a report of another entry. Returns the notice for that entry of the work that this one
+    /// has served.
+    pub fn handle_report(&mut self, report: &SuspectReport, now: MonoTime) -> Option<ServedNotice> {
         self.crashes.record(report, now);
-        let age = |part: &WorkId| Some((*part, now.since(self.served.last_served(*part)?)));
-        let parts: Vec<_> = report.parts.iter().filter_map(age).collect();
-        (!parts.is_empty()).then_some(ServedNotice { parts })
-    }
-
-    /// Records that an answer to a prompt with `parts` ended well. Returns the notice for the
-    /// other entries, of the suspected ones among the parts.
-    pub fn record_served(&mut self, parts: &[WorkId], now: MonoTime) -> Option<ServedNotice> {
-        let is_suspected = |part: &&WorkId| {
-            self.is_quarantined(**part)
-                || self.crashes.is_suspect(**part, self.served.last_served(**part))
-        };
-        let suspected: Vec<_> =
-            parts.iter().filter(is_suspected).map(|part| (*part, TimeSpan::ZERO)).collect();
-        for part in parts {
-            self.served.record(*part, now);
+        self.is_trace_changed = true;
+        let age = |work: &WorkId| Some((*work, now.since(self.served.last_served(*work)?)));
+        let works: Vec<_> = report.works.iter().filter_map(age).collect();
+        (!works.is_empty()).then_some(ServedNotice { works })
+    }
+
+    /// Returns the reports that an entry needs that starts anew: those of crashes under one request, or
+    /// one part of prompts, that may be its cause.
+    pub fn trace(&self, now: MonoTime) -> Vec<SuspectReport> {
+        let last_served = |work| self.served.last_served(work);
+        self.crashes.trace(last_served, |work| self.is_quarantined(work), now)
+    }
+
+    /// Returns whether the trace may have changed since the last call.
+    pub fn take_trace_change(&mut self) -> bool {
+        std::mem::take(&mut self.is_trace_changed)
+    }
+
+    /// Records that an answer to a request with `works` ended well. Returns the notice for the other
+    /// entries, of the suspected ones among them.
+    pub fn record_served(
+        &mut self,
+        works: impl IntoIterator<Item = WorkId>,
+        now: MonoTime,
+    ) -> Option<ServedNotice> {
+        let mut suspected = Vec::new();
+        for work in works {
+            let is_suspected = self.is_quarantined(work)
+                || self.crashes.is_suspect(work, self.served.last_served(work));
+            if is_suspected {
+                suspected.push((work, TimeSpan::ZERO));
+            }
+            // Most requests come once, so only the suspected ones are kept.
+            if is_suspected || !work.is_request() {
+                self.served.record(work, now);
+            }
         }
-        (!suspected.is_empty()).then_some(ServedNotice { parts: suspected })
+        self.is_trace_changed |= !suspected.is_empty();
+        (!suspected.is_empty()).then_some(ServedNotice { works: suspected })
     }
 
-    /// Applies what another entry states of the parts that it has served.
+    /// Applies what another entry states of the work that it has served.
     pub fn handle_served(&mut self, notice: &ServedNotice, now: MonoTime) {
-        for (part, age) in &notice.parts {
-            self.served.record(*part, now - *age);
+        for (work, age) in &notice.works {
+            self.served.record(*work, now - *age);
         }
+        self.is_trace_changed = true;
     }
 
-    /// Decides on the crashes that this entry reported, and returns the parts that are quarantined
-    /// by that.
+    /// Decides on the crashes that this entry reported, and returns the work that is quarantined by
+    /// that.
     pub fn decide(&mut self, now: MonoTime) -> Vec<WorkId> {
         let (due, open): (Vec<_>, Vec<_>) = std::mem::take(&mut self.open_crashes)
             .into_iter()
@@ -120,9 +168,9 @@
         self.open_crashes = open;
         let mut found = Vec::new();
         for crash in due {
-            if let Some(part) = self.find_cause(&crash) {
-                self.quarantine(part, now);
-                found.push(part);
+            if let Some(work) = self.find_cause(&crash) {
+                self.quarantine(work, now);
+                found.push(work);
             }
         }
         found
@@ -136,117 +184,165 @@
     /// Applies a notice of another entry; returns whether it changed anything.
     pub fn handle_notice(&mut self, notice: QuarantineNotice, now: MonoTime) -> bool {
         match notice.is_quarantined {
-            true => self.quarantine(notice.part, now),
-            false => self.release(notice.part, now),
+            true => self.quarantine(notice.work, now),
+            false => self.release(notice.work, now),
+        }
+    }
+
+    /// Records that another entry makes a trial.
+    pub fn handle_trial(&mut self, notice: TrialNotice, now: MonoTime) {
+        if let Some(state) = self.quarantined.get_mut(&notice.work) {
+            state.record_trial(now);
         }
     }
 
-    /// Drops the parts whose record was deleted, as the hub or an operator does to release them;
-    /// `parts` are those that the stored records name. Returns the dropped parts.
-    pub fn drop_deleted(&mut self, parts: &FastSet<WorkId>) -> Vec<WorkId> {
-        for (part, state) in &mut self.quarantined {
-            state.is_stored |= parts.contains(part);
+    /// Drops the work whose record was deleted, as the hub or an operator does to release it; `works`
+    /// are those that the stored records name. Returns the dropped work.
+    pub fn drop_deleted(&mut self, works: &FastSet<WorkId>) -> Vec<WorkId> {
+        for (work, state) in &mut self.quarantined {
+            state.is_stored |= works.contains(work);
         }
         let is_deleted =
-            |part: &WorkId, state: &mut QuarantinedWork| state.is_stored && !parts.contains(part);
-        self.quarantined.extract_if(is_deleted).map(|(part, _)| part).collect()
+            |work: &WorkId, state: &mut QuarantinedWork| state.is_stored && !works.contains(work);
+        self.quarantined.extract_if(is_deleted).map(|(work, _)| work).collect()
     }
 
-    /// Forgets which parts have a record, since the key-value service was restored from a copy that
-    /// may lack some.
+    /// Forgets what has a record, since the key-value service was restored from a copy that may lack
+    /// some.
     pub fn forget_records(&mut self) {
         self.quarantined.values_mut().for_each(|state| state.is_stored = false);
     }
 
-    /// Applies the parts that the stored records name; returns those that are new.
+    /// Applies the work that the stored records name; returns that which is new.
     pub fn restore(
         &mut self,
-        parts: impl IntoIterator<Item = WorkId>,
+        works: impl IntoIterator<Item = WorkId>,
         now: MonoTime,
     ) -> Vec<WorkId> {
         self.released.retain(|_, time| now.since(*time) < RELEASE_MEMORY);
-        let parts: Vec<WorkId> =
-            parts.into_iter().filter(|part| !self.released.contains_key(part)).collect();
-        parts.into_iter().filter(|part| self.quarantine(*part, now)).collect()
+        let works: Vec<WorkId> =
+            works.into_iter().filter(|work| !self.released.contains_key(work)).collect();
+        works.into_iter().filter(|work| self.quarantine(*work, now)).collect()
     }
 
-    /// Releases a part; returns whether it was quarantined.
-    pub fn release(&mut self, part: WorkId, now: MonoTime) -> bool {
-        self.released.insert(part, now);
-        self.quarantined.remove(&part).is_some()
+    /// Releases work; returns whether it was quarantined.
+    pub fn release(&mut self, work: WorkId, now: MonoTime) -> bool {
+        self.released.insert(work, now);
+        self.quarantined.remove(&work).is_some()
     }
 
-    /// Returns whether requests with `part` are refused.
-    pub fn is_quarantined(&self, part: WorkId) -> bool {
-        self.quarantined.contains_key(&part)
+    /// Returns whether requests with `work` are refused.
+    pub fn is_quarantined(&self, work: WorkId) -> bool {
+        self.quarantined.contains_key(&work)
     }
 
-    /// Returns the quarantined parts.
-    pub fn parts(&self) -> impl Iterator<Item = WorkId> {
+    /// Returns the quarantined work.
+    pub fn works(&self) -> impl Iterator<Item = WorkId> {
         self.quarantined.keys().copied()
     }
 
-    /// Returns the part because of which a queued request with `parts` is refused.
-    pub fn find_quarantined(&self, parts: &[WorkId]) -> Option<WorkId> {
-        parts.iter().find(|part| self.is_quarantined(**part)).copied()
+    /// Returns the work because of which a queued request with `works` is refused.
+    pub fn find_quarantined(&self, works: impl IntoIterator<Item = WorkId>) -> Option<WorkId> {
+        works.into_iter().find(|work| self.is_quarantined(*work))
     }
 
-    /// Returns the part because of which a new request with `parts` is refused. With `may_try`, a
-    /// request with only one such part is let through from time to time, to find out whether the
-    /// part still does harm; only one entry of the fleet may do so.
-    pub fn check(&mut self, parts: &[WorkId], may_try: bool, now: MonoTime) -> Option<WorkId> {
+    /// Returns whether a new request with `works` is refused. One with only one quarantined work is let
+    /// through from time to time, to find out whether that still does harm; the other entries must get a
+    /// [`TrialNotice`].
+    pub fn check(
+        &mut self,
+        works: impl IntoIterator<Item = WorkId>,
+        now: MonoTime,
+    ) -> QuarantineCheck {
         let found: FastSet<WorkId> =
-            parts.iter().filter(|part| self.is_quarantined(**part)).copied().collect();
-        let part = *found.iter().min()?;
-        let quarantined = self.quarantined.get_mut(&part)?;
-        if may_try && found.len() == 1 && quarantined.is_trial_due(now) {
-            quarantined.record_trial(now);
-            return None;
+            works.into_iter().filter(|work| self.is_quarantined(*work)).collect();
+        let Some(work) = found.iter().min().copied() else { return QuarantineCheck::Pass };
+        let Some(state) = self.quarantined.get_mut(&work) else { return QuarantineCheck::Pass };
+        if found.len() == 1 && state.is_trial_due(now) {
+            state.record_trial(now);
+            return QuarantineCheck::Trial(work);
         }
-        quarantined.last_refused = now;
-        Some(part)
+        state.last_refused = now;
+        QuarantineCheck::Refuse(work)
+    }
+
+    /// Returns whether so many upstreams ended under `request` that another attempt is left to its
+    /// caller, even if the route allows one.
+    pub fn stops_retries(&self, request: WorkId) -> bool {
+        self.count(request).total >= CRASHES_TO_STOP_RETRIES
     }
 
-    /// Returns the part that caused the crash, if several crashes show it. Of several candidates it
-    /// is the one that was not served, or served longest ago; then the one in most crashes, and
-    /// then the last in the prompt, which fewer requests share.
+    /// Returns the work that caused the crash, if several crashes show it: the request itself, or a part
+    /// of its prompt.
     fn find_cause(&self, crash: &OpenCrash) -> Option<WorkId> {
         // Another entry has the stronger suspect, and decides.
         if self.crashes.grade(&crash.upstream, crash.time) != Some(crash.grade) {
             return None;
         }
         let suspects = self.crashes.suspects(&crash.upstream, crash.time);
-        let reported = suspects.iter().enumerate().filter(|(_, part)| crash.parts.contains(part));
-        let counts = reported.map(|(position, part)| {
-            let served = self.served.last_served(*part);
-            let count = self.crashes.count(*part, served, |other| self.is_quarantined(other));
-            (*part, position, served, count)
+        let reported = suspects.into_iter().filter(|work| crash.works.contains(work));
+        let (requests, parts): (Vec<WorkId>, Vec<WorkId>) =
+            reported.partition(|work| work.is_request());
+        let request = requests.into_iter().find(|request| is_cause(&self.count(*request)));
+        request.or_else(|| self.find_part(&parts))
+    }
+
+    /// Returns the part that caused several crashes. Of several candidates it is the one that was not
+    /// served, or served longest ago; then the one in most crashes, and then the last in the prompt,
+    /// which fewer requests share.
+    fn find_part(&self, parts: &[WorkId]) -> Option<WorkId> {
+        let counted = parts.iter().enumerate().map(|(position, part)| {
+            (*part, position, self.served.last_served(*part), self.count(*part))
         });
-        let is_cause = |served: Option<MonoTime>, strong: usize, total: usize, span: TimeSpan| {
-            let needed = served.map_or(STRONG_CRASHES, |_| STRONG_CRASHES_OF_SERVED);
-            strong >= needed || (total >= WEAK_CRASHES && span >= MIN_WEAK_SPAN)
-        };
-        counts
-            .filter(|(_, _, served, count)| {
-                is_cause(*served, count.strong, count.total, count.span)
-            })
+        counted
+            .filter(|(_, _, served, count)| is_part_cause(served.is_some(), count))
             .max_by_key(|(_, position, served, count)| {
                 (std::cmp::Reverse(*served), count.total, *position)
             })
             .map(|(part, ..)| part)
     }
 
-    fn quarantine(&mut self, part: WorkId, now: MonoTime) -> bool {
-        if self.is_quarantined(part) {
+    /// Counts the crashes since `work` was last served that no quarantined work explains.
+    fn count(&self, work: WorkId) -> CrashCount {
+        let served = self.served.last_served(work);
+        self.crashes.count(work, served, |other| self.is_quarantined(other))
+    }
+
+    fn quarantine(&mut self, work: WorkId, now: MonoTime) -> bool {
+        if self.is_quarantined(work) {
             return false;
         }
         if self.quarantined.len() >= MAX_QUARANTINED {
             let oldest = self.quarantined.iter().min_by_key(|(_, state)| state.last_refused);
-            if let Some(oldest) = oldest.map(|(part, _)| *part) {
+            if let Some(oldest) = oldest.map(|(work, _)| *work) {
                 self.release(oldest, now);
             }
         }
-        self.quarantined.insert(part, QuarantinedWork::new(now));
+        self.quarantined.insert(work, QuarantinedWork::new(self.trial_stagger(work), now));
+        self.is_trace_changed = true;
         true
     }
+
+    /// Returns how much later than the first one this entry makes a trial of `work`.
+    fn trial_stagger(&self, work: WorkId) -> TimeSpan {
+        let hash = FxBuildHasher.hash_one((&self.vm, work));
+        TRIAL_STAGGER * (hash as f64 / u64::MAX as f64)
+    }
+}
+
+/// Returns whether these crashes under a request show that it is their cause.
+fn is_cause(count: &CrashCount) -> bool {
+    let needed = match count.has_one_common_request() {
+        true => REQUEST_CRASHES,
+        false => SHARED_REQUEST_CRASHES,
+    };
+    count.successive >= needed
+}
+
+/// Returns whether these crashes under a part of prompts show that it is their cause. A single request
+/// is a cause of its own.
+fn is_part_cause(was_served: bool, count: &CrashCount) -> bool {
+    let strong_crashes = if was_served { STRONG_CRASHES_OF_SERVED } else { STRONG_CRASHES };
+    let is_weak_cause = count.total >= WEAK_CRASHES && count.span >= MIN_WEAK_SPAN;
+    count.has_several_requests() && (count.strong >= strong_crashes || is_weak_cause)
 }
--- a/crates/gentian-decide/src/request/refusal.rs
+++ b/crates/gentian-decide/src/request/refusal.rs
@@ -38,6 +38,8 @@
     RecordUnavailable,
     /// A part of the prompt makes upstreams end.
     PromptQuarantined,
+    /// The request makes upstreams end.
+    RequestQuarantined,
     /// An upstream failed after the request was sent, and may have executed it.
     UpstreamFailed,
 }
@@ -60,6 +62,7 @@
             Self::KeyReused => "idempotency_key_reused",
             Self::RecordUnavailable => "record_unavailable",
             Self::PromptQuarantined => "prompt_quarantined",
+            Self::RequestQuarantined => "request_quarantined",
             Self::UpstreamFailed => "upstream_failed",
         })
     }
--- a/crates/gentian-decide/src/serving/attempt_end.rs
+++ b/crates/gentian-decide/src/serving/attempt_end.rs
@@ -1,6 +1,6 @@
 //! End of an attempt.
 
-use gentian_core::RequestId;
+use gentian_core::{RequestId, TimeSpan, WorkId};
 
 use super::{AttemptOutcome, AttemptProgress};
 
@@ -16,4 +16,8 @@
     /// Whether the upstream was found to have ended. Only checked where the request may be the
     /// cause.
     pub has_upstream_ended: bool,
+    /// Time from the start of the attempt to its end.
+    pub running: TimeSpan,
+    /// The request as a whole; known if the connection broke.
+    pub request: Option<WorkId>,
 }
--- a/crates/gentian-decide/src/serving/serving_call.rs
+++ b/crates/gentian-decide/src/serving/serving_call.rs
@@ -27,6 +27,8 @@
     pub shared_prefix: Option<(u32, u64)>,
     /// Parts of the prompt that other requests may share, in their order.
     pub shared_parts: Vec<WorkId>,
+    /// The request as a whole; only known while upstreams have ended lately.
+    pub request: Option<WorkId>,
     /// When the request arrived.
     pub received: MonoTime,
     /// Time by which the response must be complete.
@@ -45,6 +47,12 @@
         let organisation = self.organisation.as_ref();
         organisation.and_then(|organisation| organisation.priority).unwrap_or(self.route.priority)
     }
+
+    /// Returns the work in the request that may make upstreams end: the parts of its prompt, then the
+    /// request itself.
+    pub fn works(&self) -> impl Iterator<Item = WorkId> {
+        self.shared_parts.iter().copied().chain(self.request)
+    }
 }
 
 /// Outcome of an attempt to forward a request.
--- a/crates/gentian-decide/tests/engine_fleet/mod.rs
+++ b/crates/gentian-decide/tests/engine_fleet/mod.rs
@@ -351,6 +351,7 @@
                 prompt_tokens: kind.tokens.0 as u32,
                 shared_prefix: None,
                 shared_parts: Vec::new(),
+                request: None,
                 received: self.now,
                 deadline: self.now + kind.deadline,
                 tried: Vec::new(),
--- a/crates/gentian-decide/tests/upstream_notices.rs
+++ b/crates/gentian-decide/tests/upstream_notices.rs
@@ -72,6 +72,7 @@
             prompt_tokens: 0,
             shared_prefix: None,
             shared_parts: Vec::new(),
+            request: None,
             received: now,
             deadline: now + DEADLINE,
             tried: Vec::new(),
--- a/crates/gentian-gateway/src/chain/call_context.rs
+++ b/crates/gentian-gateway/src/chain/call_context.rs
@@ -6,6 +6,7 @@
 use flume::Sender;
 use gentian_config::serving::{ServingConfig, ServingOrganisation, ServingRoute};
 use gentian_core::{MonoTime, RequestId, ServiceId, TimeSpan, TokenCount, UpstreamId, WorkId};
+use gentian_decide::quarantine::RequestIdentity;
 use gentian_decide::serving::{AttemptProgress, ServingCall};
 use gentian_http::ProcessClock;
 use gentian_http::forward::{
@@ -87,6 +88,8 @@
     pub(crate) tried: Vec<UpstreamId>,
     /// Number of attempts that an upstream may have executed; it is logged as `runs`.
     pub(crate) possible_executions: u32,
+    /// The request as a whole, once it had to be identified.
+    pub(crate) work: Option<WorkId>,
     /// Whether the organisation has been charged.
     pub(crate) is_charged: bool,
     /// How far the latest attempt got.
@@ -125,6 +128,7 @@
             deadline: received,
             tried: Vec::new(),
             possible_executions: 0,
+            work: None,
             is_charged: false,
             progress: AttemptProgress::Unsent,
             time_to_head: TimeSpan::ZERO,
@@ -156,6 +160,7 @@
             prompt_tokens: self.metadata.tokens.map_or(0, |(prompt, _)| prompt),
             shared_prefix: self.shared_prefix(),
             shared_parts: self.shared_parts(),
+            request: self.work,
             received: self.received,
             deadline: self.deadline,
             tried: self.tried.clone(),
@@ -164,6 +169,27 @@
         })
     }
 
+    /// Returns the id that all repeats of the request share.
+    pub(crate) fn identify(&mut self) -> WorkId {
+        let work = self.work.unwrap_or_else(|| self.identity_digest());
+        self.work = Some(work);
+        work
+    }
+
+    fn identity_digest(&self) -> WorkId {
+        let parts = self.metadata.prompt_prefix.iter().map(|(digest, _)| *digest);
+        let identity = RequestIdentity {
+            method: &self.head.method,
+            host: &self.metadata.host,
+            path: &self.head.target,
+            organisation: self.organisation.as_ref().map(|organisation| &organisation.spec.id),
+            target: self.metadata.target.as_ref(),
+            parts: &parts.collect::<Vec<u64>>(),
+            body: &self.body,
+        };
+        identity.work_id()
+    }
+
     /// Returns the time left until the deadline.
     pub(crate) fn time_left(&self, now: MonoTime) -> TimeSpan {
         self.deadline.since(now)
@@ -186,7 +212,7 @@
     /// Returns the parts of the prompt that other requests may share, in their order.
     pub(crate) fn shared_parts(&self) -> Vec<WorkId> {
         let shared = self.metadata.prompt_prefix.split_last().map_or(&[][..], |(_, shared)| shared);
-        shared.iter().take(MAX_SHARED_PARTS).map(|(digest, _)| WorkId::new(*digest)).collect()
+        shared.iter().take(MAX_SHARED_PARTS).map(|(digest, _)| WorkId::of_part(*digest)).collect()
     }
 
     /// Returns the token count and a combined digest of the parts of the prompt that other requests
--- a/crates/gentian-gateway/src/chain/forward_call.rs
+++ b/crates/gentian-gateway/src/chain/forward_call.rs
@@ -9,7 +9,6 @@
 use super::attempt::{AttemptResult, run_attempt};
 use super::relay::{end_stream, send_response};
 use super::upstream_probe::{has_upstream_ended, is_refusing};
-use super::work_digest::digest_request;
 use super::{CallContext, CallHandles};
 use crate::control::{CallAssignment, ControlEvent};
 
@@ -80,21 +79,35 @@
 /// ended.
 fn end_attempt(
     handles: &CallHandles,
-    call: &CallContext,
+    call: &mut CallContext,
     pick: &UpstreamPick,
     outcome: AttemptOutcome,
     sent: MonoTime,
 ) -> AttemptEnd {
     let elapsed = handles.clock.now().since(sent);
-    let mut end =
-        AttemptEnd { id: call.id, outcome, progress: call.progress, has_upstream_ended: false };
+    let mut end = AttemptEnd {
+        id: call.id,
+        outcome,
+        progress: call.progress,
+        has_upstream_ended: false,
+        running: elapsed,
+        request: None,
+    };
     if outcome == AttemptOutcome::Broken {
+        end.request = Some(call.identify());
         end.has_upstream_ended = is_early(call, elapsed)
             && match call.progress {
-                AttemptProgress::HeadReceived => has_upstream_ended(handles, pick),
+                AttemptProgress::HeadReceived => has_upstream_ended(handles, pick, true),
+                // Plain services end their answers soon after they begin them, so this is all that
+                // shows which request may be the cause.
+                _ if call.metadata.prompt_prefix.is_empty() => {
+                    has_upstream_ended(handles, pick, false)
+                }
                 // The request is a weak suspect only, and may soon be served elsewhere.
                 _ => is_refusing(handles, pick),
             };
+        // The check may have taken a while.
+        end.running = handles.clock.now().since(sent);
         log_broken(call, pick, &end, elapsed);
     }
     end
@@ -118,6 +131,9 @@
 }
 
 fn wait_for_upstream(handles: &CallHandles, call: &mut CallContext) -> AssignmentResult {
+    if handles.view.load().has_suspects {
+        call.identify();
+    }
     let Some(serving) = call.serving_call() else {
         let message = "the route has no service";
         return AssignmentResult::Refused(Refusal::new(RefusalCode::NotFound, message));
@@ -234,7 +250,7 @@
         .metadata
         .prompt_prefix
         .iter()
-        .map(|(part, _)| WorkId::new(*part).to_string())
+        .map(|(part, _)| WorkId::of_part(*part).to_string())
         .collect();
     log::info!(
         "{} request={} upstream={} progress={} ended={} after={elapsed} work={} parts={}",
@@ -243,7 +259,7 @@
         pick.upstream,
         end.progress,
         end.has_upstream_ended,
-        digest_request(call),
+        end.request.map_or_else(|| "-".to_owned(), |request| request.to_string()),
         parts.join(",")
     );
 }
--- a/crates/gentian-gateway/src/chain/mod.rs
+++ b/crates/gentian-gateway/src/chain/mod.rs
@@ -8,7 +8,6 @@
 mod relay;
 mod response_reader;
 mod upstream_probe;
-mod work_digest;
 
 pub(crate) use call_context::{CallContext, CallHandles};
 pub(crate) use gateway_chain::build_chain;
--- a/crates/gentian-gateway/src/control/config_controller.rs
+++ b/crates/gentian-gateway/src/control/config_controller.rs
@@ -7,7 +7,7 @@
 use gentian_process::StoredValue;
 
 use super::fleet_broadcast::broadcast;
-use super::{ControlEvent, ControlState, StoreRecords, TrafficView};
+use super::{ControlEvent, ControlState, StoreRecords};
 
 /// Applies changed records of the operators, and updates which failure domains are drained.
 pub(super) fn handle_operator_records(
@@ -80,9 +80,7 @@
     if let Some(hub) = &mut state.hub {
         hub.planner.update(Arc::clone(&state.config));
     }
-    let has_upstreams = state.view.load().has_upstreams;
-    let config = Some(Arc::clone(&state.config));
-    state.view.store(Arc::new(TrafficView { config, has_upstreams }));
+    state.update_view(|view| view.config = Some(Arc::clone(&state.config)));
 }
 
 fn apply_drains(
--- a/crates/gentian-gateway/src/control/control_state.rs
+++ b/crates/gentian-gateway/src/control/control_state.rs
@@ -12,7 +12,7 @@
 };
 use gentian_decide::limits::PermitLedger;
 use gentian_decide::orders::{FleetPlanner, HolderLease, LeaseTask};
-use gentian_decide::quarantine::{MessageRepeats, WorkQuarantine};
+use gentian_decide::quarantine::{CrashTracer, MessageRepeats, WorkQuarantine};
 use gentian_decide::serving::{
     CallScheduler, DrainedDomains, EraTracker, FleetHub, HubClient, OddRecords, ServingBounds,
     UpstreamTable,
@@ -31,6 +31,8 @@
     pub(crate) config: Option<Arc<ServingConfig>>,
     /// Whether any upstream has registered.
     pub(crate) has_upstreams: bool,
+    /// Whether upstreams have ended lately, so that requests must be identified.
+    pub(crate) has_suspects: bool,
 }
 
 /// State of the hub, from when this process acquires the lease until it learns of another hub.
@@ -113,12 +115,14 @@
     pub(crate) drained: FastSet<gentian_core::DomainId>,
     /// Channels to the traffic threads of requests that wait for an assignment.
     pub(crate) assignment_senders: FastMap<RequestId, Sender<CallAssignment>>,
-    /// Parts of prompts that make upstreams end.
+    /// Work that makes upstreams end.
     pub(crate) quarantine: WorkQuarantine,
-    /// Era of the key-value service in which its records of these parts were read.
+    /// Era of the key-value service in which its records of this work were read.
     pub(crate) quarantine_era: StoreEra,
-    /// Parts of which the key-value service has a record, as far as this process knows.
-    pub(crate) stored_parts: FastSet<WorkId>,
+    /// Work of which the key-value service has a record, as far as this process knows.
+    pub(crate) stored_works: FastSet<WorkId>,
+    /// Decides when the trace of crashes is stored; `None` until the records were read.
+    pub(crate) crash_tracer: Option<CrashTracer>,
     /// Queue of the thread that writes the hub's records.
     pub(crate) record_writes: Sender<RecordWrite>,
     /// Messages that are sent again in case a datagram is lost.
@@ -179,7 +183,8 @@
             drained_domains: DrainedDomains::new(parts.bounds.registration_ttl),
             drained: FastSet::default(),
             quarantine_era: StoreEra::default(),
-            stored_parts: FastSet::default(),
+            stored_works: FastSet::default(),
+            crash_tracer: None,
             record_writes: parts.record_writes,
             message_repeats: MessageRepeats::new(),
             assignment_senders: FastMap::default(),
@@ -191,6 +196,13 @@
         }
     }
 
+    /// Publishes a changed view for the traffic threads.
+    pub(crate) fn update_view(&self, update: impl FnOnce(&mut TrafficView)) {
+        let mut view = TrafficView::clone(&self.view.load());
+        update(&mut view);
+        self.view.store(Arc::new(view));
+    }
+
     /// Returns the number of entries, at least 1.
     pub(crate) fn fleet_size(&self) -> u32 {
         u32::try_from(self.entries.len()).unwrap_or(u32::MAX).max(1)
--- a/crates/gentian-gateway/src/control/hub_controller.rs
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -44,7 +44,12 @@
                 }
                 trace = stored;
             }
-            Some(FleetRecord::PastHolder | FleetRecord::QuarantinedWork(_)) => {}
+            Some(FleetRecord::CrashTrace(None)) => state.log_odd_record(value, "malformed"),
+            Some(
+                FleetRecord::PastHolder
+                | FleetRecord::QuarantinedWork(_)
+                | FleetRecord::CrashTrace(Some(_)),
+            ) => {}
             None => state.log_odd_record(value, "malformed"),
         }
     }
@@ -194,7 +199,7 @@
         send_summary(state, &vm, now);
     }
     if is_returning && vm != state.vm {
-        send_quarantine(state, &vm);
+        send_quarantine(state, &vm, now);
         let notice = OperatorNotice { revision: state.operator_revision };
         send_to_vm(state, &FleetMessage::Operators(notice), &vm);
     }
--- a/crates/gentian-gateway/src/control/upstream_controller.rs
+++ b/crates/gentian-gateway/src/control/upstream_controller.rs
@@ -1,12 +1,10 @@
 //! Controller of the registered upstreams.
 
-use std::sync::Arc;
-
 use gentian_core::peer::UpstreamListing;
 use gentian_core::{EventCode, FastSet, FenceNumber, MonoTime, UpstreamId};
 use gentian_decide::serving::{UpstreamRegistration, UpstreamState};
 
-use super::{ControlEvent, ControlState, StoreRecords, TrafficView};
+use super::{ControlEvent, ControlState, StoreRecords};
 
 /// Longest cause in the log line of a record that can't be read.
 const MAX_CAUSE_CHARS: usize = 160;
@@ -45,10 +43,8 @@
         let planner = &hub.planner;
         hub.fleet_hub.retain_resident_models(|id| planner.has_engine(id));
     }
-    let view = state.view.load();
-    if has_upstreams && !view.has_upstreams {
-        let config = view.config.clone();
-        state.view.store(Arc::new(TrafficView { config, has_upstreams }));
+    if has_upstreams && !state.view.load().has_upstreams {
+        state.update_view(|view| view.has_upstreams = true);
     }
 }
 
--- a/crates/gentian-gateway/src/io/fleet_records.rs
+++ b/crates/gentian-gateway/src/io/fleet_records.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use gentian_core::peer::UseTrace;
+use gentian_core::peer::{SuspectReport, UseTrace};
 use gentian_core::{FenceNumber, LeaseId, StoreRevision, TimeSpan, VmId, WorkId};
 use gentian_decide::orders::HolderRecord;
 use gentian_process::{KeyValueError, KeyValueService, StoredValue, ValueChange, WriteCondition};
@@ -17,6 +17,7 @@
 const QUARANTINE_PREFIX: &str = "quarantine/";
 const PAST_HOLDER_KEY: &str = "past-holder";
 const USE_TRACE_KEY: &str = "use-trace";
+const CRASH_TRACE_KEY: &str = "crash-trace";
 
 /// Record in which an entry makes itself known to the others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -39,10 +40,12 @@
     /// Exists once the lease has had a holder. It names the latest one and stays when the lease
     /// ends.
     PastHolder,
-    /// A part of prompts with which requests are refused.
+    /// A part of prompts with which requests are refused, or a request that is.
     QuarantinedWork(WorkId),
     /// What organisations used of their quotas, as the hub last stored it; `None` if it can't be read.
     UseTrace(Option<UseTrace>),
+    /// Crashes and what is suspected of them, as the hub last stored it; `None` if it can't be read.
+    CrashTrace(Option<Vec<SuspectReport>>),
 }
 
 /// Decodes a record under `prefix`; returns `None` if it is malformed or of an unknown kind.
@@ -53,15 +56,16 @@
         HOLDER_KEY => decode_record(bytes).ok().map(FleetRecord::Holder),
         PAST_HOLDER_KEY => Some(FleetRecord::PastHolder),
         USE_TRACE_KEY => Some(FleetRecord::UseTrace(decode_record(bytes).ok())),
+        CRASH_TRACE_KEY => Some(FleetRecord::CrashTrace(decode_record(bytes).ok())),
         _ if name.starts_with(ENTRY_PREFIX) => decode_record(bytes).ok().map(FleetRecord::Entry),
         _ => {
-            let part = name.strip_prefix(QUARANTINE_PREFIX)?.parse();
-            part.ok().map(FleetRecord::QuarantinedWork)
+            let work = name.strip_prefix(QUARANTINE_PREFIX)?.parse();
+            work.ok().map(FleetRecord::QuarantinedWork)
         }
     }
 }
 
-/// Writes the record of a quarantined part.
+/// Writes the record of quarantined work.
 ///
 /// # Errors
 ///
@@ -69,14 +73,14 @@
 pub(super) fn write_quarantined_work(
     service: &KeyValueService,
     prefix: &str,
-    part: WorkId,
+    work: WorkId,
 ) -> Result<(), KeyValueError> {
-    let key = format!("{prefix}{QUARANTINE_PREFIX}{part}");
-    service.write(&[], &[ValueChange::put(key, encode(&part)?)])?;
+    let key = format!("{prefix}{QUARANTINE_PREFIX}{work}");
+    service.write(&[], &[ValueChange::put(key, encode(&work)?)])?;
     Ok(())
 }
 
-/// Deletes the record of a part that is no longer quarantined.
+/// Deletes the record of work that is no longer quarantined.
 ///
 /// # Errors
 ///
@@ -84,9 +88,9 @@
 pub(super) fn delete_quarantined_work(
     service: &KeyValueService,
     prefix: &str,
-    part: WorkId,
+    work: WorkId,
 ) -> Result<(), KeyValueError> {
-    let key = format!("{prefix}{QUARANTINE_PREFIX}{part}");
+    let key = format!("{prefix}{QUARANTINE_PREFIX}{work}");
     service.write(&[], &[ValueChange::Delete { key }])?;
     Ok(())
 }
@@ -106,6 +110,21 @@
     Ok(())
 }
 
+/// Writes the trace of crashes.
+///
+/// # Errors
+///
+/// Returns an error if the call to the service fails.
+pub(super) fn write_crash_trace(
+    service: &KeyValueService,
+    prefix: &str,
+    trace: &[SuspectReport],
+) -> Result<(), KeyValueError> {
+    let key = format!("{prefix}{CRASH_TRACE_KEY}");
+    service.write(&[], &[ValueChange::put(key, encode(&trace)?)])?;
+    Ok(())
+}
+
 /// Writes the record of an entry and returns its revision.
 ///
 /// # Errors
--- a/crates/gentian-gateway/src/io/record_writer.rs
+++ b/crates/gentian-gateway/src/io/record_writer.rs
@@ -5,21 +5,25 @@
 
 use flume::Receiver;
 use gentian_core::WorkId;
-use gentian_core::peer::UseTrace;
+use gentian_core::peer::{SuspectReport, UseTrace};
 use gentian_process::KeyValueService;
 
-use super::fleet_records::{delete_quarantined_work, write_quarantined_work, write_use_trace};
+use super::fleet_records::{
+    delete_quarantined_work, write_crash_trace, write_quarantined_work, write_use_trace,
+};
 use crate::gateway_metrics::GatewayMetrics;
 
 /// A change of a stored record.
 #[derive(Clone, Debug)]
 pub(crate) enum RecordWrite {
-    /// Adds a quarantined part.
+    /// Adds quarantined work.
     PutWork(WorkId),
-    /// Removes a part that is no longer quarantined.
+    /// Removes work that is no longer quarantined.
     DeleteWork(WorkId),
     /// Replaces the trace of the use.
     PutTrace(UseTrace),
+    /// Replaces the trace of crashes.
+    PutCrashes(Vec<SuspectReport>),
 }
 
 /// Starts a thread that makes the writes of `writes` one after the other until the channel is
@@ -38,11 +42,14 @@
     let work = move || {
         while let Ok(write) = writes.recv() {
             let (call, result) = match &write {
-                RecordWrite::PutWork(part) => {
-                    ("quarantine", write_quarantined_work(&service, &prefix, *part))
+                RecordWrite::PutWork(work) => {
+                    ("quarantine", write_quarantined_work(&service, &prefix, *work))
                 }
-                RecordWrite::DeleteWork(part) => {
-                    ("quarantine", delete_quarantined_work(&service, &prefix, *part))
+                RecordWrite::DeleteWork(work) => {
+                    ("quarantine", delete_quarantined_work(&service, &prefix, *work))
+                }
+                RecordWrite::PutCrashes(trace) => {
+                    ("crash-trace", write_crash_trace(&service, &prefix, trace))
                 }
                 RecordWrite::PutTrace(trace) => {
                     ("use-trace", write_use_trace(&service, &prefix, trace))
--- a/crates/gentian-process/src/refusal_response.rs
+++ b/crates/gentian-process/src/refusal_response.rs
@@ -7,7 +7,10 @@
 pub fn refusal_status(code: RefusalCode) -> u16 {
     match code {
         // Callers do not repeat a request after 400, and a repeat could not succeed.
-        RefusalCode::BadRequest | RefusalCode::ExceedsBurst | RefusalCode::PromptQuarantined => 400,
+        RefusalCode::BadRequest
+        | RefusalCode::ExceedsBurst
+        | RefusalCode::PromptQuarantined
+        | RefusalCode::RequestQuarantined => 400,
         RefusalCode::InvalidKey => 401,
         RefusalCode::Forbidden => 403,
         RefusalCode::NotFound => 404,
