Send copies of a suspected request one after the other, and tell entries that start what is suspected

Change: once upstreams have ended under two attempts of a request, an entry claims it before it sends a copy, and the others hold theirs back (RequestClaims); a copy waits for the verdict on the last crash. The trace counts attempts. An entry that starts asks eight others.

--- a/crates/gentian-core/src/peer/fleet_message.rs
+++ b/crates/gentian-core/src/peer/fleet_message.rs
@@ -5,9 +5,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    CrashReport, FleetUse, LimitNotice, OperatorNotice, PermitReply, PermitRequest,
-    QuarantineNotice, RankedPermits, ServedNotice, SuspectReport, TargetId, TrialNotice,
-    UseHistory, UseNotice, UseReport,
+    ClaimNotice, CrashReport, FleetUse, LimitNotice, OperatorNotice, PermitReply, PermitRequest,
+    QuarantineNotice, RankedPermits, ServedNotice, SuspectQuery, SuspectReport, TargetId,
+    TrialNotice, UseHistory, UseNotice, UseReport,
 };
 use crate::{
     DomainId, FenceNumber, InstanceId, ModelId, OrganisationId, SequenceNumber, ServiceId,
@@ -57,6 +57,10 @@
     Suspect(SuspectReport),
     /// An entry finds out whether quarantined work still does harm.
     Trial(TrialNotice),
+    /// An entry sends a suspected request next.
+    Claim(ClaimNotice),
+    /// An entry that has just started asks what is quarantined and suspected.
+    SuspectQuery(SuspectQuery),
 }
 
 /// Announces that a process has become the hub.
--- a/crates/gentian-core/src/peer/mod.rs
+++ b/crates/gentian-core/src/peer/mod.rs
@@ -52,4 +52,4 @@
 pub use target_id::TargetId;
 pub use upstream_view::{ObjectPhase, ObjectView, UpstreamView};
 pub use use_message::{FleetUse, OrganisationUse, UseHistory, UseNotice, UseReport, UseTrace};
-pub use work_notice::{QuarantineNotice, ServedNotice, TrialNotice};
+pub use work_notice::{ClaimNotice, QuarantineNotice, ServedNotice, SuspectQuery, TrialNotice};
--- a/crates/gentian-core/src/peer/suspect_report.rs
+++ b/crates/gentian-core/src/peer/suspect_report.rs
@@ -3,13 +3,15 @@
 use serde::{Deserialize, Serialize};
 
 use super::{CrashReport, SuspicionGrade};
-use crate::{TimeSpan, UpstreamId, VmId, WorkId};
+use crate::{RequestId, TimeSpan, UpstreamId, VmId, WorkId};
 
 /// States that an upstream ended while it had a request of an entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SuspectReport {
     /// VM of the entry.
     pub vm: VmId,
+    /// Identifies the request within the entry's process.
+    pub request: RequestId,
     /// The upstream.
     pub upstream: UpstreamId,
     /// Time since the end of the upstream.
@@ -27,6 +29,7 @@
 impl From<CrashReport> for SuspectReport {
     fn from(report: CrashReport) -> Self {
         let CrashReport { vm, upstream, age, grade, parts } = report;
-        Self { vm, upstream, age, running: TimeSpan::ZERO, grade, works: parts }
+        let (request, running) = (RequestId::default(), TimeSpan::ZERO);
+        Self { vm, request, upstream, age, running, grade, works: parts }
     }
 }
--- a/crates/gentian-core/src/peer/work_notice.rs
+++ b/crates/gentian-core/src/peer/work_notice.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{TimeSpan, WorkId};
+use crate::{TimeSpan, VmId, WorkId};
 
 /// States that answers to requests with certain work ended well.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -29,3 +29,20 @@
     /// The work.
     pub work: WorkId,
 }
+
+/// States that an entry is about to send a suspected request, or has sent it. The other entries hold
+/// their copies back for a while.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ClaimNotice {
+    /// VM of the entry.
+    pub vm: VmId,
+    /// The request.
+    pub request: WorkId,
+}
+
+/// Asks another entry what is quarantined and suspected, since the sender has just started.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SuspectQuery {
+    /// VM of the sender.
+    pub vm: VmId,
+}
--- a/crates/gentian-decide/src/quarantine/crash_count.rs
+++ b/crates/gentian-decide/src/quarantine/crash_count.rs
@@ -15,6 +15,10 @@
     /// Those of them that upstreams suffered after they got the request, which they did after the one
     /// before. Upstreams that end together, by an outer cause, count once.
     pub(super) successive: usize,
+    /// Requests with the work that upstreams had then; several of them may have had one crash.
+    pub(super) attempts: usize,
+    /// When the last of them was.
+    pub(super) last: MonoTime,
     first: MonoTime,
     last_successive: MonoTime,
     requests: FastSet<Option<WorkId>>,
@@ -42,6 +46,7 @@
             self.last_successive = time;
         }
         self.total += 1;
+        self.last = time;
         self.span = time.since(self.first);
         self.common_requests.retain(|request| requests.contains(request));
         self.requests.extend(requests);
--- a/crates/gentian-decide/src/quarantine/crash_log.rs
+++ b/crates/gentian-decide/src/quarantine/crash_log.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use gentian_core::peer::{SuspectReport, SuspicionGrade};
-use gentian_core::{FastMap, FastSet, MonoTime, TimeSpan, UpstreamId, VmId, WorkId};
+use gentian_core::{FastMap, FastSet, MonoTime, RequestId, TimeSpan, UpstreamId, VmId, WorkId};
 
 use super::CrashCount;
 
@@ -16,16 +16,20 @@
 const CRASH_RETENTION: TimeSpan = TimeSpan::from_secs(600);
 /// Reports on one upstream within this time are about the same crash.
 const SAME_CRASH_TIME: TimeSpan = TimeSpan::from_millis(1_500);
-/// Crashes of which the same work must be suspected to be told to entries that start anew.
-const MIN_TRACED_CRASHES: usize = 2;
-/// Largest number of reports that are told to such an entry; the latest go first.
+/// Attempts of a request under which upstreams must have ended, or crashes of which a part must be
+/// suspected, to be told to entries that start anew.
+const MIN_TRACED: usize = 2;
+/// Largest number of reports that are told to such an entry, of all crashes and of one of them; the latest
+/// go first.
 const MAX_TRACED_REPORTS: usize = 32;
+const MAX_TRACED_REPORTS_OF_CRASH: usize = 4;
 
 /// A request that an upstream had when it ended.
 #[derive(Clone, Debug)]
 struct Suspicion {
-    /// Entry that reported it first.
+    /// Entry that reported it, and the request's id there.
     vm: VmId,
+    request: RequestId,
     /// When the upstream got the request.
     began: MonoTime,
     works: Vec<WorkId>,
@@ -97,19 +101,22 @@
     }
 
     /// Counts the crashes for which `work` is a possible cause and that no work explains for which
-    /// `is_quarantined` returns `true`. Only those after `since` count.
+    /// `is_quarantined` returns `true`. Only those after `since` count, up to `until`.
     pub(super) fn count(
         &self,
         work: WorkId,
         since: Option<MonoTime>,
+        until: MonoTime,
         is_quarantined: impl Fn(WorkId) -> bool,
     ) -> CrashCount {
         let mut count = CrashCount::default();
-        for crash in self.crashes.iter().filter(|crash| crash.is_after(since)) {
+        let counted = |crash: &&CrashRecord| crash.is_after(since) && crash.time <= until;
+        for crash in self.crashes.iter().filter(counted) {
             let suspicions = crash.suspicions.iter().filter(|it| it.works.contains(&work));
-            let Some(began) = suspicions.map(|it| it.began).max() else { continue };
+            let Some(began) = suspicions.clone().map(|it| it.began).max() else { continue };
             if !crash.works().any(&is_quarantined) {
                 count.add(crash.time, began, crash.grade, crash.requests());
+                count.attempts += suspicions.count();
             }
         }
         count
@@ -121,9 +128,15 @@
         crashes.any(|crash| crash.works().any(|other| other == work))
     }
 
-    /// Returns reports on the crashes that have a request in common, or a part of prompts whose
-    /// answers had just begun, if it was not served since and no work explains the crash for which
-    /// `is_quarantined` returns `true`.
+    /// Returns all requests that are a possible cause of a crash.
+    pub(super) fn requests(&self) -> FastSet<WorkId> {
+        let works = self.crashes.iter().flat_map(CrashRecord::works);
+        works.filter(|work| work.is_request()).collect()
+    }
+
+    /// Returns reports on the crashes of several attempts of one request, or at which several answers to
+    /// prompts with one part had just begun, if that was not served since and no work explains the crash
+    /// for which `is_quarantined` returns `true`.
     pub(super) fn trace(
         &self,
         last_served: impl Fn(WorkId) -> Option<MonoTime>,
@@ -139,16 +152,18 @@
         let mut counts: FastMap<WorkId, usize> = FastMap::default();
         for crash in &open {
             let is_strong = crash.grade == SuspicionGrade::Strong;
-            let works: FastSet<WorkId> =
-                crash.works().filter(|work| is_strong || work.is_request()).collect();
-            for work in works.into_iter().filter(|work| crash.is_after(last_served(*work))) {
+            let requests = crash.works().filter(|work| work.is_request());
+            let parts: FastSet<WorkId> =
+                crash.works().filter(|work| is_strong && !work.is_request()).collect();
+            let works = requests.chain(parts);
+            for work in works.filter(|work| crash.is_after(last_served(*work))) {
                 *counts.entry(work).or_default() += 1;
             }
         }
-        let is_traced = |work: &WorkId| counts.get(work) >= Some(&MIN_TRACED_CRASHES);
+        let is_traced = |work: &WorkId| counts.get(work) >= Some(&MIN_TRACED);
         let reports = open.iter().rev().flat_map(|crash| {
             let traced = crash.suspicions.iter().filter(|it| it.works.iter().any(is_traced));
-            traced.map(|suspicion| {
+            traced.take(MAX_TRACED_REPORTS_OF_CRASH).map(|suspicion| {
                 // The request tells whether the crashes of a part are those of one request.
                 let is_told = |work: &WorkId| is_traced(work) || work.is_request();
                 let works = suspicion.works.iter().copied().filter(is_told).collect();
@@ -165,14 +180,21 @@
             self.grade = report.grade;
             self.suspicions.clear();
         }
-        let is_known = self.suspicions.iter().any(|it| it.works == report.works);
+        // Reports of earlier versions all have the same request id, and are known by their works.
+        let is_unnamed = report.request == RequestId::default();
+        let is_same = |it: &Suspicion| {
+            let is_same_request = it.vm == report.vm && it.request == report.request;
+            is_same_request && (!is_unnamed || it.works == report.works)
+        };
+        let is_known = self.suspicions.iter().any(is_same);
         if report.grade < self.grade || is_known || self.suspicions.len() >= MAX_SUSPICIONS {
             return;
         }
         let room = MAX_WORKS.saturating_sub(self.works().count());
         let works = report.works.iter().take(room).copied().collect();
         let began = time - report.running;
-        self.suspicions.push(Suspicion { vm: report.vm.clone(), began, works });
+        let (vm, request) = (report.vm.clone(), report.request);
+        self.suspicions.push(Suspicion { vm, request, began, works });
     }
 
     fn is_near(&self, upstream: &UpstreamId, time: MonoTime) -> bool {
@@ -199,6 +221,7 @@
     fn report(&self, suspicion: &Suspicion, works: Vec<WorkId>, now: MonoTime) -> SuspectReport {
         SuspectReport {
             vm: suspicion.vm.clone(),
+            request: suspicion.request,
             upstream: self.upstream.clone(),
             age: now.since(self.time),
             running: self.time.since(suspicion.began),
--- a/crates/gentian-decide/src/quarantine/crash_tracer.rs
+++ b/crates/gentian-decide/src/quarantine/crash_tracer.rs
@@ -21,6 +21,11 @@
         Self { stored: name_suspects(stored), traced: None }
     }
 
+    /// Records which trace is stored, as it was read.
+    pub fn update_stored(&mut self, stored: &[SuspectReport]) {
+        self.stored = name_suspects(stored);
+    }
+
     /// Returns whether a change of the trace may be stored now.
     pub fn is_due(&self, now: MonoTime) -> bool {
         self.traced.is_none_or(|traced| now.since(traced) >= MIN_TRACE_INTERVAL)
--- a/crates/gentian-decide/src/quarantine/work_quarantine.rs
+++ b/crates/gentian-decide/src/quarantine/work_quarantine.rs
@@ -3,12 +3,12 @@
 use std::hash::BuildHasher;
 
 use gentian_core::peer::{
-    QuarantineNotice, ServedNotice, SuspectReport, SuspicionGrade, TrialNotice,
+    ClaimNotice, QuarantineNotice, ServedNotice, SuspectReport, SuspicionGrade, TrialNotice,
 };
-use gentian_core::{FastMap, FastSet, MonoTime, TimeSpan, UpstreamId, VmId, WorkId};
+use gentian_core::{FastMap, FastSet, MonoTime, RequestId, TimeSpan, UpstreamId, VmId, WorkId};
 use rustc_hash::FxBuildHasher;
 
-use super::{CrashCount, CrashLog, QuarantineCheck, QuarantinedWork, ServedWork};
+use super::{CrashCount, CrashLog, QuarantineCheck, QuarantinedWork, RequestClaims, ServedWork};
 
 /// Successive crashes under a request after which it is taken to be the cause, if no answer to it ended
 /// well since and no other request was there at all of them.
@@ -26,6 +26,11 @@
 const MIN_WEAK_SPAN: TimeSpan = TimeSpan::from_secs(2);
 /// Crashes under a request after which it is not sent again by itself, only if its caller repeats it.
 const CRASHES_TO_STOP_RETRIES: usize = 2;
+/// Attempts of a request during which upstreams ended, after which its copies at all entries are sent
+/// one after the other.
+const ATTEMPTS_TO_CLAIM: usize = 2;
+/// Time after a crash in which no further copy is sent: the crash may have shown the cause.
+const VERDICT_TIME: TimeSpan = TimeSpan::from_millis(300);
 /// Time after a crash in which the other entries state what they have served.
 const SETTLE_TIME: TimeSpan = TimeSpan::from_millis(200);
 /// Largest number of works in quarantine; the one refused longest ago is released first.
@@ -59,6 +64,10 @@
     open_crashes: Vec<OpenCrash>,
     quarantined: FastMap<WorkId, QuarantinedWork>,
     released: FastMap<WorkId, MonoTime>,
+    claims: RequestClaims,
+    /// Requests whose copies are sent one after the other, with the time of the last crash under each;
+    /// `None` if that must be counted again.
+    held_requests: Option<FastMap<WorkId, MonoTime>>,
     /// Whether the trace may have changed.
     is_trace_changed: bool,
 }
@@ -67,6 +76,8 @@
     /// Creates the quarantine of the entry on `vm`, without any work.
     pub fn new(vm: VmId) -> Self {
         Self {
+            claims: RequestClaims::new(vm.clone()),
+            held_requests: None,
             vm,
             crashes: CrashLog::new(),
             served: ServedWork::new(),
@@ -88,15 +99,15 @@
     pub fn record_crash(
         &mut self,
         upstream: UpstreamId,
+        request: RequestId,
         grade: SuspicionGrade,
         works: &[WorkId],
         running: TimeSpan,
         now: MonoTime,
     ) -> SuspectReport {
-        let (vm, works) = (self.vm.clone(), works.to_vec());
-        let report = SuspectReport { vm, upstream, age: TimeSpan::ZERO, running, grade, works };
-        self.crashes.record(&report, now);
-        self.is_trace_changed = true;
+        let (vm, works, age) = (self.vm.clone(), works.to_vec(), TimeSpan::ZERO);
+        let report = SuspectReport { vm, request, upstream, age, running, grade, works };
+        self.record_report(&report, now);
         self.open_crashes.push(OpenCrash {
             upstream: report.upstream.clone(),
             time: now,
@@ -109,13 +120,24 @@
     /// Applies a report of another entry. Returns the notice for that entry of the work that this one
     /// has served.
     pub fn handle_report(&mut self, report: &SuspectReport, now: MonoTime) -> Option<ServedNotice> {
-        self.crashes.record(report, now);
-        self.is_trace_changed = true;
+        self.record_report(report, now);
         let age = |work: &WorkId| Some((*work, now.since(self.served.last_served(*work)?)));
         let works: Vec<_> = report.works.iter().filter_map(age).collect();
         (!works.is_empty()).then_some(ServedNotice { works })
     }
 
+    fn record_report(&mut self, report: &SuspectReport, now: MonoTime) {
+        self.crashes.record(report, now);
+        report.works.iter().for_each(|work| self.claims.end(*work));
+        self.record_change();
+    }
+
+    /// Records that what is suspected may have changed.
+    fn record_change(&mut self) {
+        self.is_trace_changed = true;
+        self.held_requests = None;
+    }
+
     /// Returns the reports that an entry needs that starts anew: those of crashes under one request, or
     /// one part of prompts, that may be its cause.
     pub fn trace(&self, now: MonoTime) -> Vec<SuspectReport> {
@@ -147,7 +169,10 @@
                 self.served.record(work, now);
             }
         }
-        self.is_trace_changed |= !suspected.is_empty();
+        if !suspected.is_empty() {
+            suspected.iter().for_each(|(work, _)| self.claims.end(*work));
+            self.record_change();
+        }
         (!suspected.is_empty()).then_some(ServedNotice { works: suspected })
     }
 
@@ -156,7 +181,7 @@
         for (work, age) in &notice.works {
             self.served.record(*work, now - *age);
         }
-        self.is_trace_changed = true;
+        self.record_change();
     }
 
     /// Decides on the crashes that this entry reported, and returns the work that is quarantined by
@@ -168,7 +193,7 @@
         self.open_crashes = open;
         let mut found = Vec::new();
         for crash in due {
-            if let Some(work) = self.find_cause(&crash) {
+            if let Some(work) = self.find_cause(&crash, now) {
                 self.quarantine(work, now);
                 found.push(work);
             }
@@ -268,31 +293,72 @@
 
     /// Returns whether so many upstreams ended under `request` that another attempt is left to its
     /// caller, even if the route allows one.
-    pub fn stops_retries(&self, request: WorkId) -> bool {
-        self.count(request).total >= CRASHES_TO_STOP_RETRIES
+    pub fn stops_retries(&self, request: WorkId, now: MonoTime) -> bool {
+        self.count(request, now).total >= CRASHES_TO_STOP_RETRIES
+    }
+
+    /// Returns whether a copy of `request` must wait, since upstreams ended under others and it is not
+    /// its turn. The other entries must get the claims that [`Self::take_claims`] returns.
+    pub fn holds_back(&mut self, request: WorkId, now: MonoTime) -> bool {
+        if self.held_requests.is_none() {
+            self.held_requests = Some(self.count_held(now));
+        }
+        let last_crash = self.held_requests.as_ref().and_then(|held| held.get(&request));
+        let Some(last_crash) = last_crash else { return false };
+        now.since(*last_crash) < VERDICT_TIME || !self.claims.may_send(request, now)
+    }
+
+    fn count_held(&self, now: MonoTime) -> FastMap<WorkId, MonoTime> {
+        let counts = self.crashes.requests().into_iter().map(|it| (it, self.count(it, now)));
+        let held = counts.filter(|(_, count)| count.attempts >= ATTEMPTS_TO_CLAIM);
+        held.map(|(request, count)| (request, count.last)).collect()
+    }
+
+    /// Records that a copy of `request` is sent.
+    pub fn record_send(&mut self, request: WorkId, now: MonoTime) {
+        self.claims.record_send(request, now);
+    }
+
+    /// Records that an attempt of `request` ended, neither with an answer nor with its upstream, so that
+    /// the next copy may be sent.
+    pub fn record_end(&mut self, request: WorkId) {
+        self.claims.end_own(request);
+    }
+
+    /// Applies the claim of another entry to send a request next.
+    pub fn handle_claim(&mut self, notice: &ClaimNotice, now: MonoTime) {
+        self.claims.handle_notice(notice, now);
+    }
+
+    /// Returns this entry's claims that the others must get, and removes them.
+    pub fn take_claims(&mut self) -> Vec<ClaimNotice> {
+        self.claims.take_notices()
     }
 
     /// Returns the work that caused the crash, if several crashes show it: the request itself, or a part
     /// of its prompt.
-    fn find_cause(&self, crash: &OpenCrash) -> Option<WorkId> {
+    fn find_cause(&self, crash: &OpenCrash, now: MonoTime) -> Option<WorkId> {
         // Another entry has the stronger suspect, and decides.
         if self.crashes.grade(&crash.upstream, crash.time) != Some(crash.grade) {
             return None;
         }
         let suspects = self.crashes.suspects(&crash.upstream, crash.time);
-        let reported = suspects.into_iter().filter(|work| crash.works.contains(work));
+        // The order is that of the own prompt: parts of other prompts may stand anywhere among these.
+        let reported = crash.works.iter().copied().filter(|work| suspects.contains(work));
         let (requests, parts): (Vec<WorkId>, Vec<WorkId>) =
             reported.partition(|work| work.is_request());
-        let request = requests.into_iter().find(|request| is_cause(&self.count(*request)));
-        request.or_else(|| self.find_part(&parts))
+        // Stronger suspects of later crashes may not have been reported yet.
+        let until = now - SETTLE_TIME;
+        let request = requests.into_iter().find(|request| is_cause(&self.count(*request, until)));
+        request.or_else(|| self.find_part(&parts, until))
     }
 
     /// Returns the part that caused several crashes. Of several candidates it is the one that was not
     /// served, or served longest ago; then the one in most crashes, and then the last in the prompt,
     /// which fewer requests share.
-    fn find_part(&self, parts: &[WorkId]) -> Option<WorkId> {
+    fn find_part(&self, parts: &[WorkId], until: MonoTime) -> Option<WorkId> {
         let counted = parts.iter().enumerate().map(|(position, part)| {
-            (*part, position, self.served.last_served(*part), self.count(*part))
+            (*part, position, self.served.last_served(*part), self.count(*part, until))
         });
         counted
             .filter(|(_, _, served, count)| is_part_cause(served.is_some(), count))
@@ -302,10 +368,10 @@
             .map(|(part, ..)| part)
     }
 
-    /// Counts the crashes since `work` was last served that no quarantined work explains.
-    fn count(&self, work: WorkId) -> CrashCount {
+    /// Counts the crashes since `work` was last served, up to `until`, that no quarantined work explains.
+    fn count(&self, work: WorkId, until: MonoTime) -> CrashCount {
         let served = self.served.last_served(work);
-        self.crashes.count(work, served, |other| self.is_quarantined(other))
+        self.crashes.count(work, served, until, |other| self.is_quarantined(other))
     }
 
     fn quarantine(&mut self, work: WorkId, now: MonoTime) -> bool {
@@ -319,7 +385,7 @@
             }
         }
         self.quarantined.insert(work, QuarantinedWork::new(self.trial_stagger(work), now));
-        self.is_trace_changed = true;
+        self.record_change();
         true
     }
 
--- a/crates/gentian-decide/src/serving/call_refusal.rs
+++ b/crates/gentian-decide/src/serving/call_refusal.rs
@@ -15,6 +15,7 @@
         PickOutcome::Full | PickOutcome::AwaitsPermit | PickOutcome::Limited(_) => {
             "the upstreams bear no more now"
         }
+        PickOutcome::HeldBack => "upstreams ended under this request, and its copies wait in turn",
         PickOutcome::Send(_) | PickOutcome::Paused(_) | PickOutcome::NoUpstream => {
             "no upstream takes work"
         }
--- a/crates/gentian-decide/src/serving/call_scheduler.rs
+++ b/crates/gentian-decide/src/serving/call_scheduler.rs
@@ -14,6 +14,7 @@
     AttemptOutcome, DemandLog, OrganisationQuotas, PickOutcome, ServingBounds, ServingCall,
     SharedRetryBudget, UpstreamNotice, UpstreamPick, UpstreamTable,
 };
+use crate::quarantine::WorkQuarantine;
 use crate::request::Refusal;
 
 /// Requests that no upstream can take are refused after this fraction of the time between their
@@ -107,14 +108,23 @@
         Ok(())
     }
 
-    /// Decides which queued requests start and which are refused now.
-    pub fn decide(&mut self, table: &mut UpstreamTable, now: MonoTime) -> Vec<ScheduleDecision> {
+    /// Decides which queued requests start and which are refused now. The quarantine tells which wait
+    /// for another copy of the same request.
+    pub fn decide(
+        &mut self,
+        table: &mut UpstreamTable,
+        quarantine: &mut WorkQuarantine,
+        now: MonoTime,
+    ) -> Vec<ScheduleDecision> {
         let mut decisions = Vec::new();
         self.waits_for_capacity = false;
         table.permits.begin_round(now);
         for call in std::mem::take(&mut self.waiting) {
-            match table.pick(&call, now) {
+            let is_held = call.request.is_some_and(|request| quarantine.holds_back(request, now));
+            let outcome = if is_held { PickOutcome::HeldBack } else { table.pick(&call, now) };
+            match outcome {
                 PickOutcome::Send(pick) => {
+                    call.request.inspect(|request| quarantine.record_send(*request, now));
                     table.record_start(&pick.upstream, call.prompt_tokens, now);
                     decisions.push(ScheduleDecision::Send(call.id, pick.clone()));
                     let running = RunningCall {
--- a/crates/gentian-decide/src/serving/pick_outcome.rs
+++ b/crates/gentian-decide/src/serving/pick_outcome.rs
@@ -9,6 +9,8 @@
 pub enum PickOutcome {
     /// The request goes to this upstream.
     Send(UpstreamPick),
+    /// Upstreams ended under other copies of the request, and another one is tried first.
+    HeldBack,
     /// No available upstream has the target loaded.
     NotLoaded,
     /// The upstreams that have it loaded accept no more requests from this entry now.
--- a/crates/gentian-decide/tests/crash_fleet/mod.rs
+++ b/crates/gentian-decide/tests/crash_fleet/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 use gentian_core::peer::{FleetMessage, QuarantineNotice, SuspectReport, SuspicionGrade};
-use gentian_core::{MonoTime, TimeSpan, UpstreamId, VmId, WorkId};
+use gentian_core::{MonoTime, RequestId, TimeSpan, UpstreamId, VmId, WorkId};
 use gentian_decide::quarantine::{MessageRepeats, QuarantineCheck, WorkQuarantine};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -26,6 +26,8 @@
 pub(crate) const CRASH_REQUEST: WorkId = WorkId::of_request(0xdead);
 /// Percentage of messages that are lost.
 const LOST_PERCENT: u32 = 3;
+/// Time that a request waits for an upstream at the longest.
+const QUEUE_TIME: TimeSpan = TimeSpan::from_secs(5);
 /// Attempts that an entry makes for a request that may be repeated.
 const ATTEMPTS: usize = 2;
 
@@ -62,9 +64,12 @@
 
 #[derive(Clone)]
 struct Request {
+    number: u64,
     entry: usize,
     upstream: usize,
     works: Vec<WorkId>,
+    /// When it arrived at its entry.
+    arrived: MonoTime,
     sent: MonoTime,
     attempt: usize,
     is_crashing: bool,
@@ -77,6 +82,7 @@
     pub(crate) now: MonoTime,
     entries: Vec<Entry>,
     away_until: Vec<MonoTime>,
+    waiting: Vec<Request>,
     running: Vec<Request>,
     messages: Vec<(MonoTime, usize, FleetMessage)>,
     request_count: u64,
@@ -84,6 +90,10 @@
     pub(crate) crashing_sent: Vec<MonoTime>,
     pub(crate) crashes: Vec<MonoTime>,
     pub(crate) refused_sound: usize,
+    /// Sound requests that waited too long for their turn.
+    pub(crate) refused_held: usize,
+    /// Interval at which the model is loaded that the requests need that cause crashes.
+    load_interval: Option<TimeSpan>,
 }
 
 impl Fleet {
@@ -101,15 +111,24 @@
             now: MonoTime::from_millis(10_000),
             entries: entries.collect(),
             away_until: vec![MonoTime::ORIGIN; size.upstreams],
+            waiting: Vec::new(),
             running: Vec::new(),
             messages: Vec::new(),
             request_count: 0,
             crashing_sent: Vec::new(),
             crashes: Vec::new(),
             refused_sound: 0,
+            refused_held: 0,
+            load_interval: None,
         }
     }
 
+    /// Has the requests that cause crashes wait until their model is loaded, on one upstream, which is
+    /// the case for 300 ms each `interval`.
+    pub(crate) fn with_rare_model(self, interval: TimeSpan) -> Self {
+        Self { load_interval: Some(interval), ..self }
+    }
+
     /// Runs the fleet; `crash_percent` of the requests make upstreams end, and `outages` upstreams a
     /// second end for other reasons.
     pub(crate) fn run(&mut self, span: TimeSpan, crash_percent: f64, outages: f64) {
@@ -128,6 +147,7 @@
                 self.end_upstream(upstream);
             }
             self.deliver();
+            self.send_waiting();
             self.run_upstreams();
             self.decide();
         }
@@ -164,13 +184,21 @@
             _ => WorkId::of_request(0x1_0000 + self.request_count),
         });
         let entry = self.random.random_range(0..self.size.entries);
-        let (sent, upstream, attempt) = (self.now, 0, 1);
-        self.send_request(Request { entry, upstream, works, sent, attempt, is_crashing });
+        let (arrived, upstream, attempt, number) = (self.now, 0, 1, self.request_count);
+        let sent = arrived;
+        self.admit_request(Request {
+            number,
+            entry,
+            upstream,
+            works,
+            arrived,
+            sent,
+            attempt,
+            is_crashing,
+        });
     }
 
-    fn send_request(&mut self, request: Request) {
-        let present: Vec<usize> =
-            (0..self.size.upstreams).filter(|it| self.away_until[*it] <= self.now).collect();
+    fn admit_request(&mut self, request: Request) {
         let quarantine = &mut self.entries[request.entry].quarantine;
         match quarantine.check(request.works.iter().copied(), self.now) {
             QuarantineCheck::Refuse(_) => {
@@ -178,16 +206,52 @@
                 return;
             }
             QuarantineCheck::Trial(_) => panic!("no run is so long"),
-            QuarantineCheck::Pass => {}
+            QuarantineCheck::Pass => self.waiting.push(request),
         }
-        if present.is_empty() {
-            return;
+    }
+
+    /// Sends the requests that may be sent; those that cause crashes need a model that is loaded only
+    /// from time to time, if [`Self::with_rare_model`] says so.
+    fn send_waiting(&mut self) {
+        let is_loaded = self.load_interval.is_none_or(|interval| {
+            self.now.since(MonoTime::ORIGIN).as_millis() % interval.as_millis() < 300
+        });
+        for request in std::mem::take(&mut self.waiting) {
+            let quarantine = &mut self.entries[request.entry].quarantine;
+            if quarantine.find_quarantined(request.works.iter().copied()).is_some() {
+                self.refused_sound += usize::from(!request.is_crashing);
+                continue;
+            }
+            let work = *request.works.last().unwrap();
+            let is_held = quarantine.holds_back(work, self.now);
+            if (request.is_crashing && !is_loaded) || is_held {
+                if self.now.since(request.arrived) < QUEUE_TIME {
+                    self.waiting.push(request);
+                } else {
+                    self.refused_held += usize::from(is_held && !request.is_crashing);
+                }
+                continue;
+            }
+            let present: Vec<usize> =
+                (0..self.size.upstreams).filter(|it| self.away_until[*it] <= self.now).collect();
+            if present.is_empty() {
+                continue;
+            }
+            let upstream = match request.is_crashing && self.load_interval.is_some() {
+                true => present[0],
+                false => present[self.random.random_range(0..present.len())],
+            };
+            if request.is_crashing {
+                self.crashing_sent.push(self.now);
+            }
+            self.entries[request.entry].quarantine.record_send(work, self.now);
+            self.running.push(Request { upstream, sent: self.now, ..request });
         }
-        let upstream = present[self.random.random_range(0..present.len())];
-        if request.is_crashing {
-            self.crashing_sent.push(self.now);
+        for index in 0..self.entries.len() {
+            for claim in self.entries[index].quarantine.take_claims() {
+                self.post(index, None, FleetMessage::Claim(claim));
+            }
         }
-        self.running.push(Request { upstream, sent: self.now, ..request });
     }
 
     fn time_to_answer(&self) -> TimeSpan {
@@ -254,13 +318,20 @@
                 false => SuspicionGrade::Weak,
             };
             let quarantine = &mut self.entries[request.entry].quarantine;
-            let report =
-                quarantine.record_crash(id.clone(), grade, &request.works, running, self.now);
-            let stops = request.works.last().is_some_and(|work| quarantine.stops_retries(*work));
+            let report = quarantine.record_crash(
+                id.clone(),
+                RequestId::new(request.number),
+                grade,
+                &request.works,
+                running,
+                self.now,
+            );
+            let stops =
+                request.works.last().is_some_and(|work| quarantine.stops_retries(*work, self.now));
             self.broadcast(request.entry, FleetMessage::Suspect(report));
             let is_repeated = self.cause != CrashCause::Part && request.attempt < ATTEMPTS;
             if is_repeated && grade == SuspicionGrade::Weak && !stops {
-                self.send_request(Request { attempt: request.attempt + 1, ..request });
+                self.admit_request(Request { attempt: request.attempt + 1, ..request });
             }
         }
     }
@@ -305,6 +376,7 @@
                     }
                 }
                 FleetMessage::Served(notice) => quarantine.handle_served(&notice, now),
+                FleetMessage::Claim(notice) => quarantine.handle_claim(&notice, now),
                 FleetMessage::Quarantine(notice) => {
                     quarantine.handle_notice(notice, now);
                 }
@@ -321,6 +393,7 @@
             self.restart_entry(index, &stored, &trace);
         }
         self.running.clear();
+        self.waiting.clear();
     }
 
     /// Replaces a random entry by one that knows what the hub, the first entry, tells it.
@@ -330,6 +403,7 @@
         let trace = self.entries[0].quarantine.trace(self.now);
         self.restart_entry(index, &stored, &trace);
         self.running.retain(|request| request.entry != index);
+        self.waiting.retain(|request| request.entry != index);
     }
 
     fn restart_entry(&mut self, index: usize, stored: &[WorkId], trace: &[SuspectReport]) {
--- a/crates/gentian-decide/tests/engine_fleet/mod.rs
+++ b/crates/gentian-decide/tests/engine_fleet/mod.rs
@@ -19,6 +19,7 @@
 };
 use gentian_decide::limits::PermitLedger;
 use gentian_decide::orders::{EngineCall, FleetPlanner, OrderAction, OrderReply};
+use gentian_decide::quarantine::WorkQuarantine;
 use gentian_decide::serving::{
     AttemptOutcome, CallScheduler, EngineModels, FleetHub, FleetPartition, ScheduleDecision,
     ServingBounds, ServingCall, UpstreamRegistration, UpstreamState, UpstreamTable,
@@ -85,6 +86,7 @@
     hub: FleetHub,
     table: UpstreamTable,
     scheduler: CallScheduler,
+    quarantine: WorkQuarantine,
     route: Arc<ServingRoute>,
     engines: BTreeMap<UpstreamId, SimulatedEngine>,
     reports: BTreeMap<UpstreamId, VecDeque<gentian_decide::orders::EngineStateReport>>,
@@ -195,6 +197,7 @@
             hub: FleetHub::new(HUB),
             table,
             scheduler,
+            quarantine: WorkQuarantine::new("vm-0".parse().unwrap()),
             route: Arc::new(ServingRoute {
                 id: "plans".parse().unwrap(),
                 host: "plans.example".into(),
@@ -407,7 +410,7 @@
 
     fn apply_decisions(&mut self) {
         self.table.permits.update_hub(true);
-        for decision in self.scheduler.decide(&mut self.table, self.now) {
+        for decision in self.scheduler.decide(&mut self.table, &mut self.quarantine, self.now) {
             match decision {
                 ScheduleDecision::Send(id, pick) => {
                     *self.sent.entry(pick.upstream.clone()).or_default() += 1;
--- a/crates/gentian-decide/tests/part_quarantine.rs
+++ b/crates/gentian-decide/tests/part_quarantine.rs
@@ -36,7 +36,9 @@
 
 /// At the start no entry has served anything, so shared parts are under the same suspicion.
 #[rstest]
-fn shared_parts_are_not_refused_with_the_part_that_crashes(#[values(1, 2, 3, 4)] seed: u64) {
+fn shared_parts_are_not_refused_with_the_part_that_crashes(
+    #[values(1, 2, 3, 4, 36, 41, 61, 88)] seed: u64,
+) {
     let mut fleet = Fleet::new(SMALL, CrashCause::Part, seed);
     fleet.run(TimeSpan::from_secs(20), 50.0, 0.0);
     assert!(fleet.quarantined().iter().all(|parts| *parts == [CRASH_PART]));
--- a/crates/gentian-decide/tests/request_quarantine.rs
+++ b/crates/gentian-decide/tests/request_quarantine.rs
@@ -6,7 +6,7 @@
 
 use crash_fleet::{CRASH_REQUEST, CrashCause, Fleet, FleetSize, HUGE, LARGE, MAX_LATER, SMALL};
 use gentian_core::peer::{CrashReport, QuarantineNotice, SuspectReport, SuspicionGrade, TargetId};
-use gentian_core::{MonoTime, TimeSpan, UpstreamId, VmId, WorkId};
+use gentian_core::{MonoTime, RequestId, TimeSpan, UpstreamId, VmId, WorkId};
 use gentian_decide::quarantine::{CrashTracer, QuarantineCheck, RequestIdentity, WorkQuarantine};
 use rstest::rstest;
 
@@ -48,6 +48,22 @@
     assert_eq!(fleet.refused_sound, 0);
 }
 
+/// The copies of the request wait at many entries until their model is loaded somewhere, and could all
+/// be sent in that moment.
+#[rstest]
+fn copies_that_wait_for_a_model_are_not_sent_all_at_once(
+    #[values(SMALL, LARGE)] size: FleetSize,
+    #[values(CrashCause::Stream, CrashCause::Plain)] cause: CrashCause,
+    #[values(5.0, 20.0)] crash_percent: f64,
+    #[values(1, 2, 3, 4, 5)] seed: u64,
+) {
+    let mut fleet = Fleet::new(size, cause, seed).with_rare_model(TimeSpan::from_millis(5_300));
+    fleet.run(TimeSpan::from_secs(40), crash_percent, 0.3);
+    let (crashes, later) = (fleet.crashes.len(), fleet.later_requests(2));
+    assert!(later <= MAX_LATER, "{later} requests too late, {crashes} crashes");
+    assert_eq!((fleet.refused_sound, fleet.refused_held), (0, 0));
+}
+
 /// Every entry ends after each crash or two; all that is known then is what is stored.
 #[rstest]
 fn a_request_is_found_although_all_entries_end_again_and_again(
@@ -110,8 +126,9 @@
         self.now = self.now + TimeSpan::from_secs(1);
         self.upstream += 1;
         let upstream: UpstreamId = format!("i-{}", self.upstream).parse().unwrap();
-        for works in requests {
-            self.quarantine.record_crash(upstream.clone(), grade, works, RUNNING, self.now);
+        for (number, works) in requests.iter().enumerate() {
+            let (upstream, id) = (upstream.clone(), RequestId::new(number as u64));
+            self.quarantine.record_crash(upstream, id, grade, works, RUNNING, self.now);
         }
         self.quarantine.decide(self.now + SETTLE_TIME)
     }
@@ -125,7 +142,8 @@
         let upstream: UpstreamId = format!("i-{number}").parse().unwrap();
         let now = crashes.now + TimeSpan::from_millis(5) * number;
         let (grade, works) = (SuspicionGrade::Weak, [CRASH_REQUEST]);
-        crashes.quarantine.record_crash(upstream, grade, &works, RUNNING, now);
+        let id = RequestId::new(number);
+        crashes.quarantine.record_crash(upstream, id, grade, &works, RUNNING, now);
     }
     assert_eq!(crashes.quarantine.decide(crashes.now + TimeSpan::from_secs(1)), []);
 }
@@ -192,10 +210,10 @@
 fn a_request_under_which_two_upstreams_ended_is_not_sent_again_by_itself() {
     let mut crashes = Crashes::new();
     crashes.end_upstream(SuspicionGrade::Weak, &[&[CRASH_REQUEST]]);
-    assert!(!crashes.quarantine.stops_retries(CRASH_REQUEST));
+    assert!(!crashes.quarantine.stops_retries(CRASH_REQUEST, crashes.now));
     crashes.end_upstream(SuspicionGrade::Weak, &[&[CRASH_REQUEST]]);
-    assert!(crashes.quarantine.stops_retries(CRASH_REQUEST));
-    assert!(!crashes.quarantine.stops_retries(WorkId::of_request(1)));
+    assert!(crashes.quarantine.stops_retries(CRASH_REQUEST, crashes.now));
+    assert!(!crashes.quarantine.stops_retries(WorkId::of_request(1), crashes.now));
 }
 
 /// Upstreams end in normal operation; nothing is stored for that.
--- a/crates/gentian-decide/tests/upstream_notices.rs
+++ b/crates/gentian-decide/tests/upstream_notices.rs
@@ -10,6 +10,7 @@
 use gentian_core::{
     MonoTime, RequestId, ServiceId, SlotCount, StoreRevision, TimeSpan, TokenCount, UpstreamId,
 };
+use gentian_decide::quarantine::WorkQuarantine;
 use gentian_decide::serving::{
     AttemptOutcome, CallScheduler, ScheduleDecision, ServingCall, UpstreamNotice,
     UpstreamRegistration, UpstreamState, UpstreamTable,
@@ -26,6 +27,7 @@
 struct Entry {
     table: UpstreamTable,
     scheduler: CallScheduler,
+    quarantine: WorkQuarantine,
     requests: u64,
     lists: u64,
 }
@@ -35,7 +37,8 @@
         let bounds = engine_fleet::bounds();
         let table = UpstreamTable::new("north".parse().unwrap(), bounds);
         let scheduler = CallScheduler::new(bounds);
-        let mut entry = Self { table, scheduler, requests: 0, lists: 0 };
+        let quarantine = WorkQuarantine::new("vm-0".parse().unwrap());
+        let mut entry = Self { table, scheduler, quarantine, requests: 0, lists: 0 };
         entry.read(upstreams, INCARNATION, NOW);
         entry
     }
@@ -80,7 +83,7 @@
             is_charged: false,
         };
         self.scheduler.admit(call, now).unwrap();
-        self.scheduler.decide(&mut self.table, now)
+        self.scheduler.decide(&mut self.table, &mut self.quarantine, now)
     }
 
     /// Sends a request and returns to which upstream, and its id.
@@ -195,7 +198,7 @@
     entry.receive(UpstreamNotice::Pause(SECOND), NOW);
     assert_eq!(entry.admit(NOW), []);
     assert_eq!(entry.scheduler.due(NOW), Some(NOW + SECOND));
-    let decisions = entry.scheduler.decide(&mut entry.table, NOW + SECOND);
+    let decisions = entry.scheduler.decide(&mut entry.table, &mut entry.quarantine, NOW + SECOND);
     assert!(matches!(decisions.as_slice(), [ScheduleDecision::Send(..)]), "{decisions:?}");
 }
 
--- a/crates/gentian-gateway/src/control/call_controller.rs
+++ b/crates/gentian-gateway/src/control/call_controller.rs
@@ -4,7 +4,7 @@
 use gentian_core::{EventCode, MonoTime, RequestId, RequestRate};
 use gentian_decide::serving::{ScheduleDecision, UpstreamNotice};
 
-use super::fleet_broadcast::broadcast;
+use super::fleet_broadcast::{broadcast, broadcast_once};
 use super::permit_controller::log_limit;
 use super::quarantine_controller::{check_quarantine, record_attempt_end};
 use super::{CallAssignment, ControlEvent, ControlState};
@@ -76,7 +76,11 @@
 
 /// Sends traffic threads the assignments and refusals that are due.
 pub(super) fn start_calls(state: &mut ControlState, _event: &ControlEvent, now: MonoTime) {
-    for decision in state.scheduler.decide(&mut state.table, now) {
+    let decisions = state.scheduler.decide(&mut state.table, &mut state.quarantine, now);
+    for claim in state.quarantine.take_claims() {
+        broadcast_once(state, &FleetMessage::Claim(claim));
+    }
+    for decision in decisions {
         let (id, assignment) = match decision {
             ScheduleDecision::Send(id, pick) => (id, CallAssignment::Send(pick)),
             ScheduleDecision::Refuse(id, refusal) => (id, CallAssignment::Refuse(refusal)),
--- a/crates/gentian-gateway/src/control/fleet_broadcast.rs
+++ b/crates/gentian-gateway/src/control/fleet_broadcast.rs
@@ -11,6 +11,11 @@
     state.message_repeats.add(message, now);
 }
 
+/// Sends a message to all other entries once. It is made anew while it matters, and would mislead later.
+pub(super) fn broadcast_once(state: &ControlState, message: &FleetMessage) {
+    send_to_all(state, message);
+}
+
 /// Sends the messages again that are due.
 pub(super) fn repeat_messages(state: &mut ControlState, _event: &ControlEvent, now: MonoTime) {
     for message in state.message_repeats.take_due(now) {
--- a/crates/gentian-gateway/src/control/quarantine_controller.rs
+++ b/crates/gentian-gateway/src/control/quarantine_controller.rs
@@ -1,19 +1,27 @@
 //! Controller of the work that makes upstreams end: parts of prompts, and requests as a whole.
 
+use std::hash::BuildHasher;
+
 use gentian_core::peer::{
-    FleetMessage, QuarantineNotice, ServedNotice, SuspectReport, SuspicionGrade, TrialNotice,
+    FleetMessage, QuarantineNotice, ServedNotice, SuspectQuery, SuspectReport, SuspicionGrade,
+    TrialNotice,
 };
 use gentian_core::{EventCode, FastSet, MonoTime, UpstreamId, VmId, WorkId};
 use gentian_decide::quarantine::{CrashTracer, QuarantineCheck};
 use gentian_decide::request::{Refusal, RefusalCode};
 use gentian_decide::serving::{AttemptEnd, AttemptProgress, ServingCall};
 use gentian_process::StoredValue;
+use rustc_hash::FxBuildHasher;
 
 use super::call_controller::send_assignment;
 use super::fleet_broadcast::{broadcast, send_to_vm};
 use super::{CallAssignment, ControlEvent, ControlState, StoreRecords};
 use crate::io::{FleetRecord, RecordWrite, decode_fleet_record};
 
+/// Entries that a process asks at its start what is quarantined and suspected. Some may have just started
+/// too.
+const QUERIED_ENTRIES: usize = 8;
+
 /// Handles messages of other entries and stored records, and decides on crashes.
 pub(super) fn handle_quarantine(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
     match event {
@@ -57,7 +65,7 @@
         QuarantineCheck::Pass => {}
     }
     let request = call.request.filter(|_| call.possible_executions > 0)?;
-    state.quarantine.stops_retries(request).then(|| {
+    state.quarantine.stops_retries(request, now).then(|| {
         let message = "upstreams ended while they had the request";
         Refusal::new(RefusalCode::UpstreamFailed, message).with_unknown_run()
     })
@@ -90,8 +98,11 @@
             names.join(",")
         );
         state.metrics.upstream_crashes.inc();
-        let report = state.quarantine.record_crash(upstream, grade, &works, end.running, now);
+        let report =
+            state.quarantine.record_crash(upstream, call.id, grade, &works, end.running, now);
         broadcast(state, FleetMessage::Suspect(report), now);
+    } else if let Some(request) = call.request {
+        state.quarantine.record_end(request);
     }
 }
 
@@ -100,6 +111,8 @@
         FleetMessage::Suspect(report) => handle_report(state, report, now),
         FleetMessage::Crash(report) => handle_report(state, &report.clone().into(), now),
         FleetMessage::Served(notice) => state.quarantine.handle_served(notice, now),
+        FleetMessage::SuspectQuery(query) => send_quarantine(state, &query.vm, now),
+        FleetMessage::Claim(notice) => state.quarantine.handle_claim(notice, now),
         FleetMessage::Trial(notice) => state.quarantine.handle_trial(*notice, now),
         FleetMessage::Quarantine(notice) => {
             if !state.quarantine.handle_notice(*notice, now) {
@@ -159,23 +172,40 @@
     apply_change(state, now);
 }
 
-/// Applies the stored trace of crashes if this process reads the records for the first time; it gets
-/// reports of later crashes by message.
+/// Takes note of the stored trace of crashes. Applies it if this process reads the records for the first
+/// time; it gets reports of later crashes by message.
 fn restore_trace(state: &mut ControlState, values: &[StoredValue], now: MonoTime) {
-    if state.crash_tracer.is_some() {
-        return;
-    }
     let prefix = state.codec.record_layout.fleet_prefix.clone();
     let trace = values.iter().find_map(|value| match decode_fleet_record(&prefix, value) {
         Some(FleetRecord::CrashTrace(trace)) => trace,
         _ => None,
     });
     let trace = trace.unwrap_or_default();
+    if let Some(tracer) = &mut state.crash_tracer {
+        // A hub knows better what it has stored than a read that may be older.
+        if state.hub.is_none() {
+            tracer.update_stored(&trace);
+        }
+        return;
+    }
     state.crash_tracer = Some(CrashTracer::new(&trace));
     for report in &trace {
         // This process has served nothing that could be stated.
         state.quarantine.handle_report(report, now);
     }
+    query_suspects(state);
+}
+
+/// Asks some other entries what this process has missed. The trace may be older, and there may be no hub
+/// that tells.
+fn query_suspects(state: &ControlState) {
+    let others = state.entries.keys().filter(|vm| **vm != state.vm);
+    let mut ranked: Vec<&VmId> = others.collect();
+    ranked.sort_by_key(|vm| FxBuildHasher.hash_one((vm, state.instance)));
+    let query = FleetMessage::SuspectQuery(SuspectQuery { vm: state.vm.clone() });
+    for vm in ranked.into_iter().take(QUERIED_ENTRIES) {
+        send_to_vm(state, &query, vm);
+    }
 }
 
 /// Has the hub store the trace of crashes if it has changed.
@@ -183,14 +213,11 @@
     let Some(tracer) = state.crash_tracer.as_mut().filter(|tracer| tracer.is_due(now)) else {
         return;
     };
-    if !state.quarantine.take_trace_change() {
+    if state.hub.is_none() || !state.quarantine.take_trace_change() {
         return;
     }
     let trace = state.quarantine.trace(now);
-    // The others follow it, so that each knows what is stored once it becomes the hub.
-    let is_changed = tracer.record_trace(&trace, now);
-    if is_changed
-        && state.hub.is_some()
+    if tracer.record_trace(&trace, now)
         && state.record_writes.send(RecordWrite::PutCrashes(trace)).is_err()
     {
         log::error!("the thread that writes records ended before the control thread");
