--- a/crates/gentian-decide/src/quarantine/work_quarantine.rs
+++ b/crates/gentian-decide/src/quarantine/work_quarantine.rs
@@ -5,7 +5,7 @@
 use gentian_core::peer::{
     ClaimNotice, QuarantineNotice, ServedNotice, SuspectReport, SuspicionGrade, TrialNotice,
 };
-use gentian_core::{FastMap, FastSet, MonoTime, RequestId, TimeSpan, UpstreamId, VmId, WorkId};
+use gentian_core::{FastMap, FastSet, MonoTime, TimeSpan, UpstreamId, VmId, WorkId};
 use rustc_hash::FxBuildHasher;
 
 use super::{CrashCount, CrashLog, QuarantineCheck, QuarantinedWork, RequestClaims, ServedWork};
@@ -93,28 +93,16 @@
         !self.quarantined.is_empty() || !self.crashes.is_empty(now)
     }
 
-    /// Records that an upstream ended under a request of this entry, which it had had for `running`.
-    /// `works` are the parts of its prompt that others may share, then the request itself. Returns the
-    /// report for the other entries.
-    pub fn record_crash(
-        &mut self,
-        upstream: UpstreamId,
-        request: RequestId,
-        grade: SuspicionGrade,
-        works: &[WorkId],
-        running: TimeSpan,
-        now: MonoTime,
-    ) -> SuspectReport {
-        let (vm, works, age) = (self.vm.clone(), works.to_vec(), TimeSpan::ZERO);
-        let report = SuspectReport { vm, request, upstream, age, running, grade, works };
-        self.record_report(&report, now);
+    /// Records that an upstream ended under a request of this entry. The other entries must get the
+    /// report too.
+    pub fn record_crash(&mut self, report: &SuspectReport, now: MonoTime) {
+        self.record_report(report, now);
         self.open_crashes.push(OpenCrash {
             upstream: report.upstream.clone(),
-            time: now,
-            grade,
+            time: now - report.age,
+            grade: report.grade,
             works: report.works.clone(),
         });
-        report
     }
 
     /// Applies a report of another entry. Returns the notice for that entry of the work that this one
--- a/crates/gentian-decide/tests/crash_fleet/mod.rs
+++ b/crates/gentian-decide/tests/crash_fleet/mod.rs
@@ -318,14 +318,16 @@
                 false => SuspicionGrade::Weak,
             };
             let quarantine = &mut self.entries[request.entry].quarantine;
-            let report = quarantine.record_crash(
-                id.clone(),
-                RequestId::new(request.number),
-                grade,
-                &request.works,
+            let report = SuspectReport {
+                vm: format!("vm-{}", request.entry).parse().unwrap(),
+                request: RequestId::new(request.number),
+                upstream: id.clone(),
+                age: TimeSpan::ZERO,
                 running,
-                self.now,
-            );
+                grade,
+                works: request.works.clone(),
+            };
+            quarantine.record_crash(&report, self.now);
             let stops =
                 request.works.last().is_some_and(|work| quarantine.stops_retries(*work, self.now));
             self.broadcast(request.entry, FleetMessage::Suspect(report));
--- a/crates/gentian-decide/tests/request_quarantine.rs
+++ b/crates/gentian-decide/tests/request_quarantine.rs
@@ -109,6 +109,23 @@
     assert_eq!(fleet.refused_sound, 0);
 }
 
+fn report(
+    upstream: UpstreamId,
+    number: u64,
+    grade: SuspicionGrade,
+    works: &[WorkId],
+) -> SuspectReport {
+    SuspectReport {
+        vm: "vm-0".parse().unwrap(),
+        request: RequestId::new(number),
+        upstream,
+        age: TimeSpan::ZERO,
+        running: RUNNING,
+        grade,
+        works: works.to_vec(),
+    }
+}
+
 struct Crashes {
     quarantine: WorkQuarantine,
     now: MonoTime,
@@ -127,8 +144,8 @@
         self.upstream += 1;
         let upstream: UpstreamId = format!("i-{}", self.upstream).parse().unwrap();
         for (number, works) in requests.iter().enumerate() {
-            let (upstream, id) = (upstream.clone(), RequestId::new(number as u64));
-            self.quarantine.record_crash(upstream, id, grade, works, RUNNING, self.now);
+            let report = report(upstream.clone(), number as u64, grade, works);
+            self.quarantine.record_crash(&report, self.now);
         }
         self.quarantine.decide(self.now + SETTLE_TIME)
     }
@@ -141,9 +158,8 @@
     for number in 0..8 {
         let upstream: UpstreamId = format!("i-{number}").parse().unwrap();
         let now = crashes.now + TimeSpan::from_millis(5) * number;
-        let (grade, works) = (SuspicionGrade::Weak, [CRASH_REQUEST]);
-        let id = RequestId::new(number);
-        crashes.quarantine.record_crash(upstream, id, grade, &works, RUNNING, now);
+        let report = report(upstream, number, SuspicionGrade::Weak, &[CRASH_REQUEST]);
+        crashes.quarantine.record_crash(&report, now);
     }
     assert_eq!(crashes.quarantine.decide(crashes.now + TimeSpan::from_secs(1)), []);
 }
--- a/crates/gentian-gateway/src/control/quarantine_controller.rs
+++ b/crates/gentian-gateway/src/control/quarantine_controller.rs
@@ -6,7 +6,7 @@
     FleetMessage, QuarantineNotice, ServedNotice, SuspectQuery, SuspectReport, SuspicionGrade,
     TrialNotice,
 };
-use gentian_core::{EventCode, FastSet, MonoTime, UpstreamId, VmId, WorkId};
+use gentian_core::{EventCode, FastSet, MonoTime, TimeSpan, UpstreamId, VmId, WorkId};
 use gentian_decide::quarantine::{CrashTracer, QuarantineCheck};
 use gentian_decide::request::{Refusal, RefusalCode};
 use gentian_decide::serving::{AttemptEnd, AttemptProgress, ServingCall};
@@ -98,8 +98,16 @@
             names.join(",")
         );
         state.metrics.upstream_crashes.inc();
-        let report =
-            state.quarantine.record_crash(upstream, call.id, grade, &works, end.running, now);
+        let report = SuspectReport {
+            vm: state.vm.clone(),
+            request: call.id,
+            upstream,
+            age: TimeSpan::ZERO,
+            running: end.running,
+            grade,
+            works,
+        };
+        state.quarantine.record_crash(&report, now);
         broadcast(state, FleetMessage::Suspect(report), now);
     } else if let Some(request) = call.request {
         state.quarantine.record_end(request);
