Timeline and hypotheses of streams that join the texts of two versions

The stand-ins' engines have a version, which shows in what they write; callers of the soak take up streams that break off; and a plan of faults replaces the engines while entries end.

--- a/crates/gentian-soak/src/call_record.rs
+++ b/crates/gentian-soak/src/call_record.rs
@@ -51,6 +51,10 @@
     pub(crate) sent: Instant,
     /// Whether replicas crash as they begin to respond to it.
     pub(crate) is_crashing: bool,
+    /// Version of the replicas that wrote the stream which it takes up.
+    pub(crate) resumed_version: Option<String>,
+    /// Whether its caller asks for the rest of the stream no more.
+    pub(crate) is_last_take_up: bool,
     /// How it ended.
     pub(crate) outcome: CallOutcome,
     /// Replica that the response said is leaving, and when the response arrived.
--- a/crates/gentian-soak/src/fault_plan.rs
+++ b/crates/gentian-soak/src/fault_plan.rs
@@ -18,11 +18,18 @@
     RestoredStore,
     /// Entries that are stopped in turn.
     StoppedEntries,
+    /// Engines that are replaced by ones of the next version, while entries end.
+    ReplacedEngines,
 }
 
 impl FaultPlan {
-    const ALL: [Self; 4] =
-        [Self::Random, Self::SilentStore, Self::RestoredStore, Self::StoppedEntries];
+    const ALL: [Self; 5] = [
+        Self::Random,
+        Self::SilentStore,
+        Self::RestoredStore,
+        Self::StoppedEntries,
+        Self::ReplacedEngines,
+    ];
 }
 
 impl fmt::Display for FaultPlan {
@@ -32,6 +39,7 @@
             Self::SilentStore => "silent-store",
             Self::RestoredStore => "restored-store",
             Self::StoppedEntries => "stopped-entries",
+            Self::ReplacedEngines => "replaced-engines",
         })
     }
 }
@@ -41,7 +49,8 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let found = Self::ALL.into_iter().find(|plan| plan.to_string() == text);
-        let expected = "one of random, silent-store, restored-store, stopped-entries";
+        let expected =
+            "one of random, silent-store, restored-store, stopped-entries, replaced-engines";
         found.ok_or_else(|| ParseError::new("fault plan", text, expected))
     }
 }
--- a/crates/gentian-soak/src/lib.rs
+++ b/crates/gentian-soak/src/lib.rs
@@ -15,6 +15,8 @@
 mod soak_run;
 mod soak_settings;
 mod stop_check;
+mod stream_text;
+mod version_log;
 
 pub use fault_plan::FaultPlan;
 pub use soak_check::SoakReport;
--- a/crates/gentian-soak/src/main.rs
+++ b/crates/gentian-soak/src/main.rs
@@ -18,7 +18,7 @@
     /// seconds of faults in each run (default 12)
     #[argh(option, default = "12")]
     seconds: u64,
-    /// faults: random (default), silent-store, restored-store or stopped-entries
+    /// faults: random (default), silent-store, restored-store, stopped-entries or replaced-engines
     #[argh(option, default = "FaultPlan::default()")]
     plan: FaultPlan,
     /// entries (default 3)
--- a/crates/gentian-soak/src/process_set.rs
+++ b/crates/gentian-soak/src/process_set.rs
@@ -45,6 +45,13 @@
         self.start(name, process.command)
     }
 
+    /// Sets the command with which a process starts again after it has exited.
+    pub(crate) fn replace_command(&mut self, name: &str, command: Vec<String>) {
+        if let Some(process) = self.processes.get_mut(name) {
+            process.command = command;
+        }
+    }
+
     /// Sends a signal to a process.
     pub(crate) fn signal(&self, name: &str, signal: Signal) {
         if let Some(process) = self.processes.get(name) {
--- a/crates/gentian-soak/src/soak_caller.rs
+++ b/crates/gentian-soak/src/soak_caller.rs
@@ -4,10 +4,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use gentian_core::TimeSpan;
+use gentian_core::{MonoTime, TimeSpan};
 use gentian_http::ProcessClock;
 use gentian_http::forward::{
-    BodyFraming, BufferedStream, HeaderList, RequestHead, ResponseHead, read_response_body,
+    BodyError, BodyFraming, BodyProgress, BodyReader, BufferedStream, HeaderList, RequestHead,
+    ResponseHead,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -17,9 +18,8 @@
 use crate::fleet_layout::{
     CRASH_PART, CRASH_PATH, FleetLayout, HOST, KEYS, MODELS, ROUTE_TIMEOUT_MILLIS,
 };
+use crate::stream_text::StreamText;
 
-/// Events of a complete streamed response.
-const EVENTS_PER_STREAM: u64 = 8;
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
 /// Time beyond the route's timeout after which a response is overdue.
 const OVERDUE_MARGIN: TimeSpan = TimeSpan::from_millis(1_000);
@@ -36,6 +36,19 @@
 const CRASH_REQUEST_BYTES: usize = 700;
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
 
+/// Time for which a caller tries to get the rest of a stream that broke off, and the pause between two
+/// calls.
+const TAKE_UP_TIME: Duration = Duration::from_secs(3);
+const TAKE_UP_PAUSE: Duration = Duration::from_millis(150);
+const REQUEST_ID: &str = "X-Gentianwheel-Request-Id";
+const LAST_EVENT_ID: &str = "Last-Event-Id";
+
+/// A stream that broke off after some events.
+struct BrokenStream {
+    call: CallRecord,
+    head: RequestHead,
+}
+
 /// A connection that stays open between two calls.
 struct KeptConnection {
     entry: usize,
@@ -58,6 +71,10 @@
     connected: Instant,
     /// Replica that the last response said is leaving.
     leaving_replica: Option<String>,
+    /// What this caller has of the current stream.
+    text: StreamText,
+    broken_stream: Option<BrokenStream>,
+    models: &'static [&'static str],
 }
 
 impl SoakCaller {
@@ -76,9 +93,17 @@
             kept_connection: None,
             connected: Instant::now(),
             leaving_replica: None,
+            text: StreamText::default(),
+            broken_stream: None,
+            models: &MODELS,
         }
     }
 
+    /// Sets the number of models that streams need.
+    pub(crate) fn with_models(self, count: usize) -> Self {
+        Self { models: &MODELS[..count], ..self }
+    }
+
     /// Sets the percentage of streams whose prompt holds the part on which engines crash.
     pub(crate) fn with_crash_percent(self, crash_percent: u32) -> Self {
         Self { crash_percent, ..self }
@@ -100,13 +125,52 @@
     pub(crate) fn run(mut self, stop: &Arc<AtomicBool>) -> Vec<CallRecord> {
         let mut records = Vec::new();
         while !stop.load(Ordering::Acquire) {
-            let count = records.len() as u64;
-            records.push(self.make_call(count));
+            records.push(self.make_call(records.len() as u64));
+            self.take_up_stream(&mut records);
             self.pause(stop);
         }
         records
     }
 
+    /// Asks any entry for the rest of the stream that broke off, until it is there, or there is no hope.
+    fn take_up_stream(&mut self, records: &mut Vec<CallRecord>) {
+        let end = Instant::now() + TAKE_UP_TIME;
+        while let Some(broken) = self.broken_stream.take() {
+            let number = records.len() as u64;
+            let (call, head) = (broken.call.clone(), broken.head.clone());
+            let mut record = self.take_up(broken, number);
+            let may_succeed =
+                matches!(record.outcome, CallOutcome::ConnectionLost | CallOutcome::NotExecuted(_));
+            if may_succeed && Instant::now() < end {
+                self.broken_stream.get_or_insert(BrokenStream { call, head });
+                std::thread::sleep(TAKE_UP_PAUSE);
+            } else {
+                self.broken_stream = None;
+                record.is_last_take_up = true;
+            }
+            records.push(record);
+        }
+    }
+
+    /// Asks any entry for the rest of a stream.
+    fn take_up(&mut self, broken: BrokenStream, count: u64) -> CallRecord {
+        let id = format!("{:04x}{count:012x}", self.number);
+        let is_kept = |name: &str| ![REQUEST_ID, LAST_EVENT_ID].contains(&name);
+        let mut headers = HeaderList::new();
+        for (name, value) in broken.head.headers.iter().filter(|(name, _)| is_kept(name)) {
+            headers.push(name, value);
+        }
+        headers.push(REQUEST_ID, id.as_str());
+        headers.push(LAST_EVENT_ID, self.text.last_event.to_string());
+        let call = CallRecord {
+            id,
+            entry: self.choose_entry(),
+            resumed_version: self.text.version.clone(),
+            ..broken.call
+        };
+        self.complete(call, RequestHead { headers, ..broken.head })
+    }
+
     fn pause(&mut self, stop: &AtomicBool) {
         let pause = match self.max_pause > CALL_PAUSE {
             true => self.random.random_range(self.max_pause / 2..self.max_pause),
@@ -153,6 +217,8 @@
             connected: self.connected,
             sent,
             is_crashing: false,
+            resumed_version: None,
+            is_last_take_up: false,
             outcome,
             leaving: self.take_leaving(),
         }
@@ -181,7 +247,7 @@
         let mut is_crashing = false;
         if kind == CallKind::Advice {
             is_crashing = self.random.random_range(0..100) < self.crash_percent;
-            let model = MODELS[self.random.random_range(0..MODELS.len())];
+            let model = self.models[self.random.random_range(0..self.models.len())];
             let adapter = ["", "/a1", "/a2", "/a3"][self.random.random_range(0..4)];
             let prompt_prefix = self.prompt_prefix(is_crashing, count);
             push_stream_headers(&mut headers, prompt_prefix, format!("{model}{adapter}"));
@@ -196,10 +262,12 @@
             connected: self.connected,
             sent: Instant::now(),
             is_crashing,
+            resumed_version: None,
+            is_last_take_up: false,
             outcome: CallOutcome::Overdue,
             leaving: None,
         };
-        self.complete(call, method, headers)
+        self.begin(call, method, headers)
     }
 
     /// Makes a call on which replicas crash. All such calls of a kind are the same but for their ids.
@@ -227,10 +295,12 @@
             connected: self.connected,
             sent: Instant::now(),
             is_crashing: true,
+            resumed_version: None,
+            is_last_take_up: false,
             outcome: CallOutcome::Overdue,
             leaving: None,
         };
-        self.complete(call, method, headers)
+        self.begin(call, method, headers)
     }
 
     /// Returns the entry of the kept connection, or a random one.
@@ -239,17 +309,27 @@
         entry.unwrap_or_else(|| self.random.random_range(0..self.entries))
     }
 
-    /// Sends a call and returns it with its outcome.
-    fn complete(&mut self, call: CallRecord, method: &str, mut headers: HeaderList) -> CallRecord {
+    /// Sends a new call and returns it with its outcome.
+    fn begin(&mut self, call: CallRecord, method: &str, mut headers: HeaderList) -> CallRecord {
         if method == "POST" {
             headers.push("Content-Length", call.body_bytes.to_string());
         }
         let (method, target) = (method.to_owned(), call.target.clone());
-        let head = RequestHead { method, target, is_http11: true, headers };
+        self.text = StreamText::default();
+        self.complete(call, RequestHead { method, target, is_http11: true, headers })
+    }
+
+    /// Sends a call and returns it with its outcome.
+    fn complete(&mut self, call: CallRecord, head: RequestHead) -> CallRecord {
         let sent = Instant::now();
         let outcome = self.send(call.entry, &head, call.body_bytes, call.kind, &call.id);
         let (connected, leaving) = (self.connected, self.take_leaving());
-        CallRecord { sent, outcome, connected, leaving, ..call }
+        let call = CallRecord { sent, outcome, connected, leaving, ..call };
+        let is_broken = call.outcome == CallOutcome::ConnectionLost;
+        if is_broken && self.text.last_event > 0 && !self.text.is_complete() {
+            self.broken_stream = Some(BrokenStream { call: call.clone(), head });
+        }
+        call
     }
 
     fn take_leaving(&mut self) -> Option<(String, Instant)> {
@@ -320,18 +400,40 @@
         let Ok(framing) = BodyFraming::of_response(response.status, &response.headers) else {
             return CallOutcome::Invalid("ambiguous framing".to_owned());
         };
-        let Ok(body) = read_response_body(&mut stream, framing, MAX_RESPONSE_BYTES, deadline)
-        else {
+        let mut body = Vec::new();
+        if read_body(&mut stream, framing, deadline, &mut body).is_err() {
+            let is_text = kind == CallKind::Advice && (200..300).contains(&response.status);
+            let result = if is_text { self.text.add(id, &body) } else { Ok(()) };
+            if let Err(fault) = result {
+                return CallOutcome::Invalid(fault.to_string());
+            }
             return CallOutcome::ConnectionLost;
-        };
+        }
         if response.keeps_connection() && self.random.random_range(0..10) > 0 {
             self.kept_connection = Some(KeptConnection { entry, opened: self.connected, stream });
         }
         let header = |name| response.headers.text(name).map(ToOwned::to_owned);
         self.leaving_replica =
             header("Server-Leaving").and_then(|_| header("X-Gentianwheel-Server-Stamp"));
-        check_response(&response, &body, kind, id)
+        check_response(&response, &body, kind, id, &mut self.text)
+    }
+}
+
+/// Reads a body; what has arrived stays in `body` if it breaks off.
+fn read_body(
+    stream: &mut BufferedStream,
+    framing: BodyFraming,
+    deadline: MonoTime,
+    body: &mut Vec<u8>,
+) -> Result<(), BodyError> {
+    let mut reader = BodyReader::new(framing);
+    while reader.read_buffered(stream, body)? == BodyProgress::Incomplete {
+        if body.len() > MAX_RESPONSE_BYTES {
+            return Err(BodyError::TooLarge);
+        }
+        stream.fill(deadline).map_err(BodyError::Failed)?;
     }
+    Ok(())
 }
 
 /// Returns the headers of every call. The tenant and pin headers are forged and must not reach a
@@ -353,7 +455,13 @@
     headers.push("X-Gentianwheel-Token-Count", "200,40");
 }
 
-fn check_response(response: &ResponseHead, body: &[u8], kind: CallKind, id: &str) -> CallOutcome {
+fn check_response(
+    response: &ResponseHead,
+    body: &[u8],
+    kind: CallKind,
+    id: &str,
+    text: &mut StreamText,
+) -> CallOutcome {
     match response.status {
         200..=299 => {}
         408 | 421 | 429 | 503 => return CallOutcome::NotExecuted(response.status),
@@ -365,13 +473,14 @@
     if response.headers.text("X-Gentianwheel-Request-Id") != Some(id) {
         return CallOutcome::Invalid("response of another call".to_owned());
     }
-    let expected = match kind {
-        CallKind::Advice => (1..=EVENTS_PER_STREAM)
-            .map(|event| format!("id: {event}\ndata: {id} {event}\n\n"))
-            .collect(),
-        CallKind::Look | CallKind::Book => format!("{{\"done\":\"{id}\"}}"),
+    let is_expected = match kind {
+        CallKind::Advice => match text.add(id, body) {
+            Ok(()) => text.is_complete(),
+            Err(fault) => return CallOutcome::Invalid(fault.to_string()),
+        },
+        CallKind::Look | CallKind::Book => body == format!("{{\"done\":\"{id}\"}}").as_bytes(),
     };
-    match body == expected.as_bytes() {
+    match is_expected {
         true => CallOutcome::Served,
         false => {
             CallOutcome::Invalid(format!("unexpected body {:?}", String::from_utf8_lossy(body)))
--- a/crates/gentian-soak/src/soak_fault.rs
+++ b/crates/gentian-soak/src/soak_fault.rs
@@ -9,6 +9,9 @@
 use crate::fleet_layout::zone_name;
 use crate::loopback_proxy::{FAULT_MODES, LinkMode};
 
+/// The last replicas, which are plain services.
+pub(crate) const PLAIN_REPLICAS: usize = 2;
+
 /// Faults of answers that the stand-in of a replica knows.
 const ANSWER_FAULTS: [&str; 10] = [
     "unframed-answer",
@@ -50,6 +53,8 @@
     HarmReplicaLink(usize, LinkMode, Duration),
     /// A replica receives SIGTERM, leaves after a while and is restarted.
     StopReplica(usize),
+    /// A replica receives SIGTERM, leaves after a while and is restarted with the next version.
+    ReplaceReplica(usize),
     /// The store is down for the second time span and comes back as it was the first one before.
     RestoreStore(Duration, Duration),
     /// The link to the store has a fault.
@@ -86,6 +91,7 @@
         FaultPlan::SilentStore => draw_silences(seed, span),
         FaultPlan::RestoredStore => draw_restorations(seed, span, entries, replicas),
         FaultPlan::StoppedEntries => draw_stops(seed, span, entries),
+        FaultPlan::ReplacedEngines => draw_replacements(seed, span, entries, replicas),
     }
 }
 
@@ -152,6 +158,38 @@
     faults
 }
 
+/// Generates replacements of the engines, the first replicas, one after the other. Meanwhile entries and
+/// engines end, single ones and all entries at once, and the store is silent at times.
+fn draw_replacements(
+    seed: u64,
+    span: Duration,
+    entries: usize,
+    replicas: usize,
+) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let engines = replicas - PLAIN_REPLICAS;
+    let (mut faults, mut at, mut next) = (Vec::new(), Duration::ZERO, 0);
+    while at < span {
+        let mut millis = |range| Duration::from_millis(random.random_range(range));
+        let mut series = vec![(millis(300..1_500), SoakFault::ReplaceReplica(next % engines))];
+        let pauses = [millis(300..2_500), millis(200..2_500), millis(200..2_000)];
+        let silence = millis(500..2_500);
+        next += 1;
+        for pause in pauses {
+            let fault = match random.random_range(0..6) {
+                0 | 1 => SoakFault::KillEntries,
+                2 | 3 => SoakFault::KillEntry(random.random_range(0..entries)),
+                4 => SoakFault::KillReplica(random.random_range(0..engines)),
+                _ => SoakFault::HarmStoreLink(LinkMode::Mute, silence),
+            };
+            series.push((pause, fault));
+        }
+        at += series.iter().map(|(pause, _)| *pause).sum::<Duration>();
+        faults.extend(series.into_iter().map(|(pause, fault)| PlannedFault { pause, fault }));
+    }
+    faults
+}
+
 /// Generates random faults. Some follow each other closely, and they may overlap.
 fn draw_random_faults(
     seed: u64,
@@ -180,7 +218,7 @@
     let mode = FAULT_MODES[random.random_range(0..FAULT_MODES.len())];
     let count = random.random_range(1..4);
     let answer_fault = ANSWER_FAULTS[random.random_range(0..ANSWER_FAULTS.len())];
-    match random.random_range(0..18) {
+    match random.random_range(0..19) {
         0 => SoakFault::StopEntry(entry),
         1 => SoakFault::KillEntry(entry),
         2 => SoakFault::PauseEntry(entry, span),
@@ -198,6 +236,7 @@
         14 => SoakFault::FaultyAnswers(replica, answer_fault, count),
         15 => SoakFault::StopReplica(replica),
         16 => SoakFault::RestoreStore(span * 3, span / 2),
+        17 => SoakFault::ReplaceReplica(replica),
         _ => SoakFault::Evacuate(zone_name(replica), span),
     }
 }
--- a/crates/gentian-soak/src/soak_run.rs
+++ b/crates/gentian-soak/src/soak_run.rs
@@ -23,13 +23,16 @@
 use crate::process_set::ProcessSet;
 use crate::soak_caller::SoakCaller;
 use crate::soak_check::{ExpectedService, check_crashes, check_drains, check_limits, check_run};
-use crate::soak_fault::{PlannedFault, SoakFault, draw_faults};
+use crate::soak_fault::{PLAIN_REPLICAS, PlannedFault, SoakFault, draw_faults};
 use crate::stop_check::StopLog;
+use crate::version_log::VersionLog;
 use crate::{SoakReport, SoakSettings};
 
 /// The first `ENGINES` replicas are model engines, the others plain services.
 const ENGINES: usize = 4;
-const REPLICAS: usize = 6;
+/// Models that an engine has room for.
+const MODELS_PER_ENGINE: usize = 2;
+const REPLICAS: usize = ENGINES + PLAIN_REPLICAS;
 /// Answers of each replica that have the fault of the settings.
 const FAULTY_ANSWERS: u64 = 8;
 /// Longest wait for every entry to become ready.
@@ -56,6 +59,9 @@
     config_log: Arc<ConfigLog>,
     contact_log: ContactLog,
     stop_log: StopLog,
+    version_log: VersionLog,
+    /// Version of the software of each replica.
+    replica_versions: Vec<u32>,
     evacuated: FastSet<&'static str>,
 }
 
@@ -134,6 +140,7 @@
         SoakCaller::new(layout, settings.entries, settings.seed, number as u64)
             .with_crash_percent(settings.crash_percent)
             .with_crash_request_percent(settings.crash_request_percent)
+            .with_models(settings.models)
     };
     let prober = new_caller(settings.callers);
     let (config_log, probe_stop) = (Arc::clone(&fleet.config_log), Arc::clone(stop));
@@ -162,8 +169,10 @@
             let (address, proxy) =
                 (layout.replica_address(replica), layout.replica_proxy_address(replica));
             links.push(LoopbackProxy::start(proxy, address)?);
-            processes
-                .start(&format!("replica-{replica}"), replica_command(settings, layout, replica))?;
+            processes.start(
+                &format!("replica-{replica}"),
+                replica_command(settings, layout, replica, 1),
+            )?;
         }
         let now = Instant::now();
         let mut fleet = Self {
@@ -178,8 +187,11 @@
             config_log: Arc::default(),
             contact_log: ContactLog::default(),
             stop_log: StopLog::default(),
+            version_log: VersionLog::default(),
+            replica_versions: vec![1; REPLICAS],
             evacuated: FastSet::default(),
         };
+        (0..ENGINES).for_each(|engine| fleet.record_engine_start(&format!("replica-{engine}")));
         fleet.retry(|fleet| fleet.layout.publish(FIRST_VERSION))?;
         for entry in 0..settings.entries {
             let path = settings.folder.join(format!("entry-{entry}.toml"));
@@ -235,6 +247,7 @@
                 self.processes.signal(&entry_name(entry), Signal::HUP);
             }
             SoakFault::KillReplica(replica) => {
+                self.version_log.record_end(replica, now);
                 self.processes.signal(&format!("replica-{replica}"), Signal::KILL);
             }
             SoakFault::PauseReplica(replica, span) => {
@@ -262,8 +275,10 @@
                 self.pending.push((now + span, FaultEnd::RestoreLink(Some(replica))));
             }
             SoakFault::StopReplica(replica) => {
+                self.version_log.record_end(replica, now);
                 self.processes.signal(&format!("replica-{replica}"), Signal::TERM);
             }
+            SoakFault::ReplaceReplica(replica) => self.replace_replica(replica, now),
             SoakFault::RestoreStore(age, down) => self.restore_store(age, down),
             SoakFault::HarmStoreLink(mode, span) => {
                 self.contact_log.record(None, now, span);
@@ -306,6 +321,7 @@
         violations.extend(check_drains(folder, &self.contact_log)?);
         violations.extend(check_departures(records, folder, &self.contact_log)?);
         violations.extend(self.stop_log.check(records));
+        violations.extend(self.version_log.check(records));
         violations.extend(self.check_memory());
         violations.extend(self.check_entry_records()?);
         Ok(violations)
@@ -364,6 +380,26 @@
         }
     }
 
+    /// Has a replica leave and start again with the next version.
+    fn replace_replica(&mut self, replica: usize, now: Instant) {
+        let name = format!("replica-{replica}");
+        self.replica_versions[replica] += 1;
+        let version = self.replica_versions[replica];
+        let command = replica_command(&self.settings, self.layout, replica, version);
+        self.version_log.record_end(replica, now);
+        self.processes.replace_command(&name, command);
+        self.processes.signal(&name, Signal::TERM);
+    }
+
+    /// Records which versions the engines have that start now.
+    fn record_engine_start(&mut self, name: &str) {
+        let engine = name.strip_prefix("replica-").and_then(|text| text.parse().ok());
+        if let Some(engine) = engine.filter(|engine| *engine < ENGINES) {
+            let version = version_name(self.replica_versions[engine]);
+            self.version_log.record_start(engine, version, Instant::now());
+        }
+    }
+
     /// Records that a fault harms an entry for `span`.
     fn disturb(&mut self, entry: usize, span: Duration) {
         let now = Instant::now();
@@ -397,6 +433,7 @@
             due.into_iter().for_each(|(_, pending)| self.restore(pending));
             for (name, status) in self.processes.restart_ended()? {
                 log::info!("{name} exited with {status}; restarting it");
+                self.record_engine_start(&name);
             }
             if now >= end {
                 return Ok(());
@@ -436,10 +473,18 @@
     }
 }
 
-fn replica_command(settings: &SoakSettings, layout: FleetLayout, replica: usize) -> Vec<String> {
+fn replica_command(
+    settings: &SoakSettings,
+    layout: FleetLayout,
+    replica: usize,
+    version: u32,
+) -> Vec<String> {
     let is_engine = replica < ENGINES;
     let journal = settings.folder.join(format!("replica-{replica}.journal"));
-    let holds = MODELS[replica % MODELS.len()];
+    let holds = match settings.models {
+        count @ 1..=MODELS_PER_ENGINE => MODELS[..count].join(","),
+        count => MODELS[replica % count].to_owned(),
+    };
     let option = |name: &str, value: String| [format!("--{name}"), value];
     let mut command = vec!["gentian-standin".to_owned(), "fleet-replica".to_owned()];
     command.extend(option("address", layout.replica_address(replica).to_string()));
@@ -454,12 +499,20 @@
     command.extend(option("crash-path", CRASH_PATH.to_owned()));
     if is_engine {
         command.extend(option("memory", "150000".to_owned()));
-        command.extend(option("holds", holds.to_owned()));
+        command.extend(option("holds", holds));
+        command.extend(option("version", version_name(version)));
+        command.extend(
+            settings.event_time.into_iter().flat_map(|time| option("event-time", time.to_string())),
+        );
         command.extend(option("crash-part", CRASH_PART.to_owned()));
     }
     command
 }
 
+fn version_name(version: u32) -> String {
+    format!("v{version}")
+}
+
 fn entry_name(entry: usize) -> String {
     format!("entry-{entry}")
 }
--- a/crates/gentian-soak/src/soak_settings.rs
+++ b/crates/gentian-soak/src/soak_settings.rs
@@ -2,9 +2,10 @@
 
 use std::path::PathBuf;
 
-use gentian_core::RequestRate;
+use gentian_core::{RequestRate, TimeSpan};
 
 use crate::FaultPlan;
+use crate::fleet_layout::MODELS;
 
 /// Settings of one run.
 #[derive(Clone, Debug)]
@@ -25,6 +26,10 @@
     pub crash_percent: u32,
     /// Percentage of calls that are repeats of one request of their kind, on which replicas crash.
     pub crash_request_percent: u32,
+    /// Number of models that streams need; all engines hold them if these are few.
+    pub models: usize,
+    /// Time between two events of a stream.
+    pub event_time: Option<TimeSpan>,
     /// Fault that the first answers of these replicas have.
     pub answer_fault: Option<String>,
     /// Replicas with that fault; all of them if this is `None`.
@@ -50,6 +55,8 @@
             idle_callers: 2,
             crash_percent: 0,
             crash_request_percent: 0,
+            models: MODELS.len(),
+            event_time: None,
             answer_fault: None,
             faulty_replicas: None,
             request_limit: None,
@@ -89,6 +96,16 @@
         Self { crash_request_percent, ..self }
     }
 
+    /// Sets the number of models that streams need.
+    pub fn with_models(self, models: usize) -> Self {
+        Self { models, ..self }
+    }
+
+    /// Sets the time between two events of a stream.
+    pub fn with_event_time(self, event_time: TimeSpan) -> Self {
+        Self { event_time: Some(event_time), ..self }
+    }
+
     /// Sets the fault that the first answers of each replica have, or of those of
     /// [`Self::with_faulty_replicas`].
     pub fn with_answer_fault(self, name: impl Into<String>) -> Self {
--- a/crates/gentian-standin/src/commands/fleet_replica.rs
+++ b/crates/gentian-standin/src/commands/fleet_replica.rs
@@ -198,6 +198,7 @@
         let response = FaultyResponse {
             request: id,
             replica: &self.id,
+            version: &self.settings.version,
             events: (self.settings.memory > 0).then_some(self.settings.events),
             after: request.header("Last-Event-Id").parse().unwrap_or(0),
             clock: self.clock,
@@ -261,7 +262,7 @@
         self.crash_if(crash, id);
         for event in after + 1..=self.settings.events {
             std::thread::sleep(self.settings.event_time.into());
-            let text = event_text(id, event);
+            let text = event_text(id, event, &self.settings.version);
             if self.faults.consume(FaultName::TruncatedResponse) {
                 self.write(stream, encode_chunk(&text[..text.len() / 2]).as_bytes());
                 return false;
@@ -345,7 +346,7 @@
         record["service"] = json!(self.settings.service);
         record["address"] = json!(self.settings.announce.unwrap_or(self.settings.address));
         record["zone"] = json!(zone);
-        record["version"] = json!("v1");
+        record["version"] = json!(self.settings.version);
         record["slots"] = json!(self.settings.slots);
         let is_draining = self.is_draining.load(Ordering::Acquire);
         record["state"] = json!(if is_draining { "draining" } else { "ready" });
--- a/crates/gentian-standin/src/fleet/faulty_response.rs
+++ b/crates/gentian-standin/src/fleet/faulty_response.rs
@@ -27,6 +27,8 @@
     pub(crate) request: &'a str,
     /// Id of the replica.
     pub(crate) replica: &'a str,
+    /// Version of the replica's software.
+    pub(crate) version: &'a str,
     /// Events of a complete stream; `None` for a plain service.
     pub(crate) events: Option<u64>,
     /// Last event that the caller of a resumed stream has; zero for a new one.
@@ -95,7 +97,9 @@
     fn body(&self) -> String {
         match self.events {
             None => json!({ "done": self.request }).to_string(),
-            Some(events) => (1..=events).map(|event| event_text(self.request, event)).collect(),
+            Some(events) => (self.after + 1..=events)
+                .map(|event| event_text(self.request, event, self.version))
+                .collect(),
         }
     }
 
@@ -138,7 +142,8 @@
             bytes.extend_from_slice(text.as_bytes());
             return self.write(stream, &bytes);
         }
-        let events = (1..=EVENTS_BEFORE_BREAK).map(|event| event_text(self.request, event));
+        let events =
+            (1..=EVENTS_BEFORE_BREAK).map(|event| event_text(self.request, event, self.version));
         let chunks: String = events.map(|event| encode_chunk(&event)).collect();
         self.write(stream, format!("{}{chunks}", self.chunked_head()).as_bytes());
         false
--- a/crates/gentian-standin/src/fleet/replica_settings.rs
+++ b/crates/gentian-standin/src/fleet/replica_settings.rs
@@ -43,6 +43,9 @@
     /// duration of a model load
     #[argh(option, default = "TimeSpan::from_millis(300)")]
     pub(crate) load_time: TimeSpan,
+    /// version of the replica's software; each writes other texts
+    #[argh(option, default = "String::from(\"v1\")")]
+    pub(crate) version: String,
     /// events of a streamed response of a model
     #[argh(option, default = "8")]
     pub(crate) events: u64,
--- a/crates/gentian-standin/src/main.rs
+++ b/crates/gentian-standin/src/main.rs
@@ -34,7 +34,7 @@
     Engine(EngineCommand),
     Service(ServiceCommand),
     FleetStore(FleetStoreCommand),
-    FleetReplica(ReplicaSettings),
+    FleetReplica(Box<ReplicaSettings>),
 }
 
 fn main() -> eyre::Result<()> {
@@ -47,6 +47,6 @@
         StandinCommand::Engine(command) => commands::run_engine(command),
         StandinCommand::Service(command) => commands::run_service(command),
         StandinCommand::FleetStore(command) => commands::run_fleet_store(command),
-        StandinCommand::FleetReplica(settings) => commands::run_fleet_replica(settings),
+        StandinCommand::FleetReplica(settings) => commands::run_fleet_replica(*settings),
     }
 }
