Log the version of an upstream and the event after which a request resumes

Registrations name the version of an upstream's software; entries keep it now, and ask the hub for that of upstreams which the hub lists (VersionQuery), since listings can't grow while entries of two releases exchange them.

--- a/crates/gentian-core/src/peer/fleet_message.rs
+++ b/crates/gentian-core/src/peer/fleet_message.rs
@@ -7,7 +7,7 @@
 use super::{
     ClaimNotice, CrashReport, FleetUse, LimitNotice, OperatorNotice, PermitReply, PermitRequest,
     QuarantineNotice, RankedPermits, ServedNotice, SuspectQuery, SuspectReport, TargetId,
-    TrialNotice, UseHistory, UseNotice, UseReport,
+    TrialNotice, UseHistory, UseNotice, UseReport, VersionQuery, VersionReply,
 };
 use crate::{
     DomainId, FenceNumber, InstanceId, ModelId, OrganisationId, SequenceNumber, ServiceId,
@@ -61,6 +61,10 @@
     Claim(ClaimNotice),
     /// An entry that has just started asks what is quarantined and suspected.
     SuspectQuery(SuspectQuery),
+    /// An entry asks the hub for the versions of upstreams.
+    VersionQuery(VersionQuery),
+    /// Reply of the hub to that.
+    VersionReply(VersionReply),
 }
 
 /// Announces that a process has become the hub.
--- a/crates/gentian-core/src/peer/mod.rs
+++ b/crates/gentian-core/src/peer/mod.rs
@@ -25,6 +25,7 @@
 mod target_id;
 mod upstream_view;
 mod use_message;
+mod version_message;
 mod work_notice;
 
 pub use config_query::ConfigQuery;
@@ -52,4 +53,5 @@
 pub use target_id::TargetId;
 pub use upstream_view::{ObjectPhase, ObjectView, UpstreamView};
 pub use use_message::{FleetUse, OrganisationUse, UseHistory, UseNotice, UseReport, UseTrace};
+pub use version_message::{VersionQuery, VersionReply};
 pub use work_notice::{ClaimNotice, QuarantineNotice, ServedNotice, SuspectQuery, TrialNotice};
--- a/crates/gentian-decide/src/serving/mod.rs
+++ b/crates/gentian-decide/src/serving/mod.rs
@@ -41,6 +41,7 @@
 mod use_push;
 mod use_tracer;
 mod use_window;
+mod version_queries;
 
 pub use attempt_end::AttemptEnd;
 pub use attempt_progress::AttemptProgress;
@@ -76,3 +77,4 @@
 pub use use_ledger::UseLedger;
 pub use use_push::UsePush;
 pub use use_tracer::UseTracer;
+pub use version_queries::VersionQueries;
--- a/crates/gentian-decide/src/serving/upstream_pick.rs
+++ b/crates/gentian-decide/src/serving/upstream_pick.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use gentian_core::peer::UpstreamWork;
-use gentian_core::{MonoTime, RequestRate, TimeSpan, UpstreamId};
+use gentian_core::{MonoTime, RequestRate, SoftwareVersion, TimeSpan, UpstreamId};
 
 /// Age up to which a selection is used. What allows it (a permit, a place at a cold upstream, that the
 /// upstream isn't leaving) may have ended if the process was suspended since.
@@ -16,6 +16,8 @@
     pub upstream: UpstreamId,
     /// Its address.
     pub address: SocketAddr,
+    /// Version of its software, if it is known.
+    pub version: Option<SoftwareVersion>,
     /// Work of all entries there when it was selected.
     pub work: UpstreamWork,
     /// Number of available upstreams that have the target loaded.
--- a/crates/gentian-decide/src/serving/upstream_registration.rs
+++ b/crates/gentian-decide/src/serving/upstream_registration.rs
@@ -4,7 +4,8 @@
 
 use gentian_core::peer::UpstreamListing;
 use gentian_core::{
-    AdapterId, DomainId, ModelId, ServiceId, SlotCount, StoreRevision, TimeSpan, UpstreamId,
+    AdapterId, DomainId, ModelId, ServiceId, SlotCount, SoftwareVersion, StoreRevision, TimeSpan,
+    UpstreamId,
 };
 
 /// Whether an upstream accepts requests.
@@ -35,6 +36,8 @@
     pub address: SocketAddr,
     /// Failure domain in which it runs.
     pub domain: DomainId,
+    /// Version of its software; `None` if it is not known.
+    pub version: Option<SoftwareVersion>,
     /// Whether it accepts requests.
     pub state: UpstreamState,
     /// Requests that it processes concurrently.
@@ -81,6 +84,7 @@
             service: listing.service,
             address: listing.address,
             domain: listing.domain,
+            version: None,
             state,
             slots: listing.slots,
             cold_remaining: listing.cold_remaining,
--- a/crates/gentian-decide/src/serving/upstream_row.rs
+++ b/crates/gentian-decide/src/serving/upstream_row.rs
@@ -69,6 +69,8 @@
             // without models looks the same.
             registration.models = self.registration.models.take();
         }
+        // The hub reports versions separately too.
+        registration.version = registration.version.or(self.registration.version.take());
         self.is_registered = true;
         if registration.cold_remaining > TimeSpan::ZERO {
             self.cold_until = self.cold_until.max(now + registration.cold_remaining);
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -6,8 +6,8 @@
 use gentian_config::serving::{ServiceSpec, ServingConfig};
 use gentian_core::peer::{LimitNotice, ResidentModels, UpstreamListing, UpstreamWork};
 use gentian_core::{
-    DomainId, FastMap, FastSet, InstanceId, MonoTime, RequestRate, ServiceId, StoreRevision,
-    TimeSpan, UpstreamId,
+    DomainId, FastMap, FastSet, InstanceId, MonoTime, RequestRate, ServiceId, SoftwareVersion,
+    StoreRevision, TimeSpan, UpstreamId,
 };
 
 use super::selection_cost::{hash_of, selection_cost};
@@ -206,6 +206,31 @@
         }
     }
 
+    /// Returns the registered upstreams whose versions are not known, with their incarnations.
+    pub fn unknown_versions(&self) -> impl Iterator<Item = (UpstreamId, u64)> {
+        let rows = self.rows.values().filter(|row| row.is_registered);
+        let unknown = rows.map(|row| &row.registration).filter(|it| it.version.is_none());
+        unknown.map(|registration| (registration.id.clone(), registration.incarnation))
+    }
+
+    /// Returns the version of this incarnation of an upstream, if it is known.
+    pub fn version(&self, id: &UpstreamId, incarnation: u64) -> Option<&SoftwareVersion> {
+        let registration = &self.rows.get(id)?.registration;
+        registration.version.as_ref().filter(|_| registration.incarnation == incarnation)
+    }
+
+    /// Records the version of this incarnation of an upstream; returns whether it is new.
+    pub fn record_version(
+        &mut self,
+        id: &UpstreamId,
+        incarnation: u64,
+        version: &SoftwareVersion,
+    ) -> bool {
+        let registration = self.rows.get_mut(id).map(|row| &mut row.registration);
+        let registration = registration.filter(|it| it.incarnation == incarnation);
+        registration.is_some_and(|it| it.version.replace(version.clone()).is_none())
+    }
+
     /// Returns the rows of all known upstreams.
     pub fn rows(&self) -> impl Iterator<Item = &UpstreamRow> {
         self.rows.values()
@@ -260,10 +285,16 @@
                     let row = self.rows.get(&id);
                     let work = row.map(UpstreamRow::work).unwrap_or_default();
                     let limit = row.and_then(|row| row.limit);
-                    let selected = now;
-                    let pick =
-                        UpstreamPick { upstream: id, address, work, candidates, limit, selected };
-                    return PickOutcome::Send(pick);
+                    let version = row.and_then(|row| row.registration.version.clone());
+                    return PickOutcome::Send(UpstreamPick {
+                        upstream: id,
+                        address,
+                        version,
+                        work,
+                        candidates,
+                        limit,
+                        selected: now,
+                    });
                 }
                 UpstreamCapacity::AwaitsPermit => return PickOutcome::AwaitsPermit,
                 UpstreamCapacity::None => {}
--- a/crates/gentian-decide/tests/engine_fleet/mod.rs
+++ b/crates/gentian-decide/tests/engine_fleet/mod.rs
@@ -280,6 +280,7 @@
                 service: service(),
                 address: format!("10.0.{}.{}:80", number / 250, number % 250 + 1).parse().unwrap(),
                 domain: "north".parse().unwrap(),
+                version: None,
                 state: UpstreamState::Ready,
                 slots: SlotCount::new(BATCH_SLOTS as u64),
                 cold_remaining: TimeSpan::ZERO,
--- a/crates/gentian-decide/tests/lapsed_registrations.rs
+++ b/crates/gentian-decide/tests/lapsed_registrations.rs
@@ -27,6 +27,7 @@
         service: "desk".parse().unwrap(),
         address: "10.0.0.1:80".parse().unwrap(),
         domain: "north".parse().unwrap(),
+        version: None,
         state: UpstreamState::Ready,
         slots: SlotCount::new(4),
         cold_remaining: TimeSpan::ZERO,
--- a/crates/gentian-decide/tests/store_eras.rs
+++ b/crates/gentian-decide/tests/store_eras.rs
@@ -24,6 +24,7 @@
         service: "desk".parse().unwrap(),
         address: "10.0.0.1:80".parse().unwrap(),
         domain: "north".parse().unwrap(),
+        version: None,
         state,
         slots: SlotCount::new(4),
         cold_remaining: TimeSpan::ZERO,
--- a/crates/gentian-decide/tests/upstream_notices.rs
+++ b/crates/gentian-decide/tests/upstream_notices.rs
@@ -54,6 +54,7 @@
             service: service(),
             address: "10.0.0.1:80".parse().unwrap(),
             domain: "north".parse().unwrap(),
+            version: None,
             state: UpstreamState::Ready,
             slots: SlotCount::new(4),
             cold_remaining: TimeSpan::ZERO,
--- a/crates/gentian-gateway/src/chain/call_context.rs
+++ b/crates/gentian-gateway/src/chain/call_context.rs
@@ -190,6 +190,12 @@
         identity.work_id()
     }
 
+    /// Returns the event after which the stream resumes, the caller's own or that of an earlier attempt.
+    pub(crate) fn resume_event(&self) -> Option<u64> {
+        let own = self.event_splitter.as_ref().and_then(EventSplitter::last_id);
+        own.or(self.metadata.resume_after)
+    }
+
     /// Returns the time left until the deadline.
     pub(crate) fn time_left(&self, now: MonoTime) -> TimeSpan {
         self.deadline.since(now)
--- a/crates/gentian-gateway/src/chain/forward_call.rs
+++ b/crates/gentian-gateway/src/chain/forward_call.rs
@@ -213,7 +213,7 @@
     let now = handles.clock.now();
     log::info!(
         "{} request={} route={} organisation={} cost={} target={} upstream={} address={} \
-         candidates={} running={} unread={} limit={} config={} waited={} left={} tried={}",
+         version={} after={} candidates={} running={} unread={} limit={} config={} waited={} left={} tried={}",
         EventCode::REQUEST_ROUTED,
         call.metadata.request_id,
         call.route.as_ref().map_or("-", |route| route.id.as_str()),
@@ -222,6 +222,8 @@
         call.metadata.target.as_ref().map_or_else(|| "-".to_owned(), ToString::to_string),
         pick.upstream,
         pick.address,
+        pick.version.as_ref().map_or_else(|| "-".to_owned(), ToString::to_string),
+        call.resume_event().map_or_else(|| "-".to_owned(), |event| event.to_string()),
         pick.candidates,
         pick.work.running,
         pick.work.pending_prefill_tokens,
--- a/crates/gentian-gateway/src/control/control_state.rs
+++ b/crates/gentian-gateway/src/control/control_state.rs
@@ -15,7 +15,7 @@
 use gentian_decide::quarantine::{CrashTracer, MessageRepeats, WorkQuarantine};
 use gentian_decide::serving::{
     CallScheduler, DrainedDomains, EraTracker, FleetHub, HubClient, OddRecords, ServingBounds,
-    UpstreamTable,
+    UpstreamTable, VersionQueries,
 };
 use gentian_process::{PeerSocket, StoredValue};
 
@@ -101,6 +101,8 @@
     pub(crate) entries: FastMap<VmId, EntryRecord>,
     /// Since when the lease has had no known holder.
     pub(crate) vacant_since: Option<MonoTime>,
+    /// Asks the hub for the versions of upstreams.
+    pub(crate) version_queries: VersionQueries,
     /// Tells the threads that read records how recent the hub's messages are.
     pub(crate) hub_updates: HubUpdates,
     /// The hub to which this entry reports, with its fencing number.
@@ -173,6 +175,7 @@
             odd_records: OddRecords::new(),
             hub: None,
             vacant_since: None,
+            version_queries: VersionQueries::new(),
             hub_updates: parts.hub_updates,
             handover: None,
             is_stopping: false,
--- a/crates/gentian-gateway/src/control/gateway_controllers.rs
+++ b/crates/gentian-gateway/src/control/gateway_controllers.rs
@@ -11,6 +11,7 @@
 use super::quarantine_controller::handle_quarantine;
 use super::upstream_controller::handle_registrations;
 use super::use_controller::{handle_uses, report_uses};
+use super::version_controller::handle_versions;
 use super::{ControlEvent, ControlState};
 
 /// Returns the controllers in the order in which they handle each event.
@@ -21,6 +22,7 @@
         .with_controller(StateController::new("members", handle_fleet_records))
         .with_controller(StateController::new("lease", maintain_lease))
         .with_controller(StateController::new("messages", handle_messages))
+        .with_controller(StateController::new("versions", handle_versions))
         .with_controller(StateController::new("uses", handle_uses))
         .with_controller(StateController::new("quarantine", handle_quarantine))
         .with_controller(StateController::new("permits", handle_permits))
--- a/crates/gentian-gateway/src/control/mod.rs
+++ b/crates/gentian-gateway/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod quarantine_controller;
 mod upstream_controller;
 mod use_controller;
+mod version_controller;
 
 pub(crate) use control_event::{CallAssignment, ControlEvent, StoreRecords};
 pub(crate) use control_state::{ControlParts, ControlState, TrafficView};
--- a/crates/gentian-gateway/src/control/upstream_controller.rs
+++ b/crates/gentian-gateway/src/control/upstream_controller.rs
@@ -75,13 +75,14 @@
 pub(super) fn log_registration(registration: &UpstreamRegistration, hub: Option<FenceNumber>) {
     let source = hub.map_or_else(|| "read".to_owned(), |fence| format!("hub fence={fence}"));
     log::info!(
-        "{} upstream={} service={} address={} domain={} state={:?} born={} cold={} revision={} \
-         source={source}",
+        "{} upstream={} service={} address={} domain={} version={} state={:?} born={} cold={} \
+         revision={} source={source}",
         EventCode::UPSTREAM_SEEN,
         registration.id,
         registration.service,
         registration.address,
         registration.domain,
+        registration.version.as_ref().map_or_else(|| "-".to_owned(), ToString::to_string),
         registration.state,
         registration.incarnation,
         registration.cold_remaining,
--- a/crates/gentian-gateway/src/request_metadata.rs
+++ b/crates/gentian-gateway/src/request_metadata.rs
@@ -19,6 +19,8 @@
     pub target: Option<TargetId>,
     /// Number of prompt tokens and maximum number of response tokens.
     pub tokens: Option<(u32, u32)>,
+    /// Event after which the caller wants a stream to resume; `None` for a new one.
+    pub resume_after: Option<u64>,
     /// Consecutive parts of the prompt, as digest and token count. Other requests may share all
     /// parts but the last, which belongs to this request only.
     pub prompt_prefix: Vec<(u64, u32)>,
