--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -218,8 +218,8 @@
 
 
 def config(routes, services, **limits):
-    limits = {"header_bytes": 16384, "body_bytes": 4194304, "header_timeout_ms": 10000,
-              "idle_timeout_ms": 20000, **limits}
+    limits = {"header_bytes": 16384, "body_bytes": 4194304, "header_timeout_ms": 3000,
+              "idle_timeout_ms": 15000, **limits}
     # Without a rate, the tenant has no limit.
     tenant = {"name": "club", "api_keys": [KEY], "unit": "token_count", "plain_tokens": 200}
     return {"version": 7, "routes": routes, "services": services, "limits": limits, "tenants": [tenant]}
