--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -23,6 +23,8 @@
 HOST = "desk.example"
 KEY = "key-of-the-club"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Longest time of a case in seconds, without the end of its processes.
+LONGEST_S = 100
 
 
 class CannotRun(Exception):
@@ -505,30 +507,33 @@
 
 def play(folder, case):
     """Runs `case(record, store, scratch, started)`; ends all that it started and exits."""
-    record = Record(folder)
-    started, store, code = [], None, NOT_RUN
-    with tempfile.TemporaryDirectory(prefix="gentianwheel-review-") as scratch:
-        try:
-            store = Store()
-            record.add(f"trouble={'yes' if TROUBLE else 'no'}")
-            code = case(record, store, scratch, started)
-        except CannotRun as error:
-            record.add(f"could not run: {error}")
-        except Exception as error:  # The case is not judged by a fault of its own.
+    started, store, record, code = [], None, None, NOT_RUN
+
+    def give_up(*_):
+        raise CannotRun("the case was ended, or took too long")
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, give_up)
+    signal.alarm(LONGEST_S)
+    try:
+        with tempfile.TemporaryDirectory(prefix="gentianwheel-review-") as scratch:
+            try:
+                record = Record(folder)
+                store = Store()
+                record.add(f"trouble={'yes' if TROUBLE else 'no'}")
+                code = case(record, store, scratch, started)
+            finally:
+                signal.alarm(0)
+                for process in started:
+                    process.stop()
+                if store:
+                    store.close()
+    except BaseException as error:  # A fault of the case itself never counts as a broken rule.
+        code = NOT_RUN
+        print(f"could not run: {type(error).__name__}: {error}", file=sys.stderr)
+        if record:
             record.add(f"could not run: {type(error).__name__}: {error}")
-            import traceback
-            traceback.print_exc()
-        finally:
-            for process in started:
-                process.stop()
-            if os.environ.get("KEEP_LOGS"):
-                for name in os.listdir(scratch):
-                    if name.endswith(".log"):
-                        with open(os.path.join(scratch, name)) as source:
-                            with open(os.path.join(os.environ["KEEP_LOGS"], name), "w") as target:
-                                target.write(source.read())
-            if store:
-                store.close()
-    record.add(f"result={['held', 'broken', 'could not run'][code]}")
+    if record:
+        record.add(f"result={['held', 'broken', 'could not run'][code]}")
     sys.stdout.flush()
     os._exit(code)
