Send the rows of a large fleet in pages, and only the work that an entry uses

Cause: with 3,000 upstreams the listings of a summary alone exceed a datagram, so no summary of a new hub was ever sent, and each entry took the hub for lost and kept to its own fraction of every limit. The work at all upstreams went to every entry, which grows with entries times upstreams.

Change: a summary has at most 400 listings and 150 rows of resident models in the order in which they changed; the entry reports again soon while rows are left, and the age of the listings counts with the last page only. With more than 256 upstreams an entry gets the work at the busiest of those that it may select.

--- a/crates/gentian-decide/src/serving/fleet_hub.rs
+++ b/crates/gentian-decide/src/serving/fleet_hub.rs
@@ -9,8 +9,9 @@
     StoreRevision, TimeSpan, UpstreamId, VmId,
 };
 
+use super::fleet_work::{FleetWork, RequestedModels};
 use super::report_interval::{entry_timeout, report_interval, work_interval};
-use super::{FleetUses, QuotaLimit, RevisedMap};
+use super::{FleetUses, QuotaLimit, RevisedMap, RowPage};
 
 /// Time constant of the arrival rates.
 const ARRIVAL_TIME_CONSTANT: TimeSpan = TimeSpan::from_secs(5);
@@ -45,6 +46,7 @@
     report: EntryReport,
     work: Vec<(UpstreamId, UpstreamWork)>,
     remote_work_sent: MonoTime,
+    requested_models: RequestedModels,
     last_report: MonoTime,
     /// Spent on this VM since the hub began to count.
     spent: FastMap<OrganisationId, u64>,
@@ -72,6 +74,7 @@
     listings_time: Option<MonoTime>,
     resident_models: RevisedMap<UpstreamId, ResidentModels>,
     revision: SequenceNumber,
+    fleet_work: FleetWork,
 }
 
 impl FleetHub {
@@ -87,6 +90,7 @@
             listings_time: None,
             resident_models: RevisedMap::new(),
             revision: SequenceNumber::new(1),
+            fleet_work: FleetWork::default(),
         }
     }
 
@@ -151,6 +155,9 @@
             self.rates.entry(key).or_default().record(count, now);
         }
         let remote_work_sent = known.map_or(MonoTime::ORIGIN, |entry| entry.remote_work_sent);
+        let mut requested_models =
+            same_process.map(|it| it.requested_models.clone()).unwrap_or_default();
+        requested_models.record_demands(&report.demands, now);
         let previous_work = same_process.map(|entry| entry.work.clone()).unwrap_or_default();
         let work = report.work.clone().unwrap_or(previous_work);
         let use_report = UseReport {
@@ -163,6 +170,7 @@
             report,
             work,
             remote_work_sent,
+            requested_models,
             last_report: now,
             spent: entry_spent,
             reported,
@@ -233,6 +241,7 @@
         fence: FenceNumber,
         now: MonoTime,
     ) -> Option<FleetSummary> {
+        self.update_work(now);
         let summary = self.build_summary(vm, fence, now)?;
         if summary.work.is_some() {
             self.entries.get_mut(vm)?.remote_work_sent = now;
@@ -246,9 +255,10 @@
             let entry_spent = entry.spent.get(organisation).copied().unwrap_or(0);
             (organisation.clone(), total.saturating_sub(entry_spent))
         });
-        let work = self.is_work_due(entry, now).then(|| self.remote_work(vm, now));
+        let work = self.is_work_due(entry, now).then(|| self.remote_work(entry, now));
         let (hub, known) = entry.report.known_revision;
         let known = if hub == self.id { known } else { SequenceNumber::default() };
+        let page = RowPage::new(&self.listings, &self.resident_models, known, self.revision);
         Some(FleetSummary {
             hub: self.id,
             fence,
@@ -257,10 +267,14 @@
                 .unwrap_or(u32::MAX),
             spent: spent.collect(),
             work,
-            listing_age: self.listings_time.map_or(UNKNOWN_AGE, |time| now.since(time)),
-            revision: self.revision,
-            listings: self.listings.changed_since(known),
-            resident_models: self.resident_models.changed_since(known),
+            // The table of an entry is as recent as the list only with the last page.
+            listing_age: self
+                .listings_time
+                .filter(|_| page.is_last)
+                .map_or(UNKNOWN_AGE, |time| now.since(time)),
+            revision: page.revision,
+            listings: page.listings,
+            resident_models: page.resident_models,
         })
     }
 
@@ -356,7 +370,11 @@
         now.since(entry.remote_work_sent) >= work_interval(self.entries.len())
     }
 
-    fn remote_work(&self, vm: &VmId, now: MonoTime) -> Vec<(UpstreamId, UpstreamWork)> {
+    fn remote_work(&self, entry: &EntryState, now: MonoTime) -> Vec<(UpstreamId, UpstreamWork)> {
+        if FleetWork::is_selective(self.listings.len()) {
+            return self.fleet_work.select(&entry.work, &entry.requested_models);
+        }
+        let vm = &entry.report.vm;
         let others = self.reachable_entries(now).filter(|other| other.report.vm != *vm);
         let mut work: FastMap<&UpstreamId, UpstreamWork> = FastMap::default();
         for (upstream, entry_work) in others.flat_map(|other| &other.work) {
@@ -368,6 +386,17 @@
         work.into_iter().map(|(upstream, work)| (upstream.clone(), work)).collect()
     }
 
+    /// Sums the work of all entries anew if the fleet is large and the sums are out of date.
+    fn update_work(&mut self, now: MonoTime) {
+        if !FleetWork::is_selective(self.listings.len()) || !self.fleet_work.is_outdated(now) {
+            return;
+        }
+        let mut fleet_work = std::mem::take(&mut self.fleet_work);
+        let work = self.reachable_entries(now).flat_map(|entry| &entry.work);
+        fleet_work.update(work, &self.listings, &self.resident_models, now);
+        self.fleet_work = fleet_work;
+    }
+
     fn reachable_entries(&self, now: MonoTime) -> impl Iterator<Item = &EntryState> {
         let limit = entry_timeout(self.entries.len());
         self.entries.values().filter(move |entry| now.since(entry.last_report) < limit)
--- a/crates/gentian-decide/src/serving/hub_client.rs
+++ b/crates/gentian-decide/src/serving/hub_client.rs
@@ -25,6 +25,8 @@
 const REPEAT_INTERVAL: TimeSpan = TimeSpan::from_millis(200);
 /// Reports without a reply in a row after which the next ones are not sent sooner.
 const MAX_REPEATS: u32 = 3;
+/// Time after which the next report is sent if the hub has further rows for this entry, for up to 25 entries.
+const NEXT_PAGE_INTERVAL: TimeSpan = TimeSpan::from_millis(20);
 /// Time per entry over which the first reports to a new hub are spread, so that none is lost in the
 /// queue of its socket.
 const FIRST_REPORT_SPREAD: TimeSpan = TimeSpan::from_micros(500);
@@ -49,6 +51,8 @@
     /// only in a list that this entry reads itself after that time.
     first_listings: Option<MonoTime>,
     has_own_list: bool,
+    /// Whether the last summary had rows but not the last ones.
+    awaits_rows: bool,
     hub: InstanceId,
     /// Fencing number of the newest hub that this entry knows.
     fence: FenceNumber,
@@ -79,6 +83,7 @@
             listings_time: MonoTime::ORIGIN,
             first_listings: None,
             has_own_list: false,
+            awaits_rows: false,
             hub: InstanceId::default(),
             fence: FenceNumber::default(),
             last_summary_sequence: SequenceNumber::default(),
@@ -106,6 +111,8 @@
         };
         let is_repeat = (1..=MAX_REPEATS).contains(&self.unanswered);
         let interval = if is_repeat { interval.min(REPEAT_INTERVAL) } else { interval };
+        let next_page = scale_interval(NEXT_PAGE_INTERVAL, self.entry_count);
+        let interval = if self.awaits_rows { interval.min(next_page) } else { interval };
         let due = self.last_report + interval;
         self.first_report_due.map_or(due, |first| first.min(due))
     }
@@ -120,6 +127,7 @@
             return None;
         }
         self.last_report = now;
+        self.awaits_rows = false;
         self.first_report_due = None;
         self.unanswered += 1;
         self.sequence = self.sequence.next();
@@ -183,6 +191,8 @@
         self.last_summary = Some(now);
         self.unanswered = 0;
         self.listings_time = now - summary.listing_age;
+        let has_rows = !summary.listings.is_empty() || !summary.resident_models.is_empty();
+        self.awaits_rows = has_rows && self.listings_time == MonoTime::ORIGIN;
         if self.listings_time > MonoTime::ORIGIN {
             self.first_listings.get_or_insert(now);
         }
--- /dev/null
+++ b/crates/gentian-wire/tests/large_fleet.rs
@@ -0,0 +1,192 @@
+//! Exchange of the hub and an entry in a fleet of 300 entries and 3,000 upstreams. Summaries that exceeded a datagram
+//! were never sent, so entries took the hub for lost.
+
+#![allow(clippy::unwrap_used)]
+
+use gentian_core::peer::{
+    EntryReport, FleetMessage, FleetSummary, ResidentModels, ServingDemand, TargetId,
+    UpstreamListing, UpstreamWork,
+};
+use gentian_core::{
+    FenceNumber, InstanceId, MonoTime, SequenceNumber, SlotCount, StoreRevision, TimeSpan,
+    UpstreamId, VmId,
+};
+use gentian_decide::serving::FleetHub;
+use gentian_wire::encode_datagram;
+
+const UPSTREAMS: usize = 3_000;
+const ENTRIES: usize = 300;
+const MODELS: usize = 330;
+/// Models for which requests came to one entry within the time for which demands count.
+const MODELS_OF_ENTRY: usize = 20;
+/// Requests of an entry in progress.
+const RUNNING: usize = 10;
+const START: MonoTime = MonoTime::from_millis(10_000);
+const REPORT_INTERVAL: TimeSpan = TimeSpan::from_millis(1_000);
+/// Link of the smallest VMs, 10 Mbit/s, in bytes a second.
+const LINK_BYTES: usize = 1_250_000;
+
+fn upstream(number: usize) -> UpstreamId {
+    format!("i-{number:08x}").parse().unwrap()
+}
+
+fn vm(number: usize) -> VmId {
+    format!("front-domain-a-{number}").parse().unwrap()
+}
+
+fn target(model: usize) -> TargetId {
+    TargetId::new(format!("daka5{model:05}").parse().unwrap())
+}
+
+fn listing(number: usize) -> UpstreamListing {
+    UpstreamListing {
+        upstream: upstream(number),
+        revision: StoreRevision::new(100_000 + number as u64),
+        incarnation: 1_790_000_000_000 + number as u64,
+        service: "huvo11a".parse().unwrap(),
+        address: format!("10.128.{}.{}:8080", number / 200, number % 200).parse().unwrap(),
+        domain: "domain-a".parse().unwrap(),
+        slots: SlotCount::new(64),
+        is_ready: true,
+        has_engine: true,
+        cold_remaining: TimeSpan::ZERO,
+    }
+}
+
+fn resident_models(number: usize) -> ResidentModels {
+    let adapter = |adapter: usize| {
+        target(number % MODELS).with_adapter(Some(format!("a{adapter}").parse().unwrap()))
+    };
+    let models = (0..3).map(|step| target((number + step * 110) % MODELS));
+    ResidentModels {
+        upstream: upstream(number),
+        incarnation: 1_790_000_000_000 + number as u64,
+        loaded: models.chain((1..=8).map(adapter)).collect(),
+        in_transition: None,
+    }
+}
+
+fn report(entry: usize, sequence: u64, known: (InstanceId, SequenceNumber)) -> EntryReport {
+    let running = |step: usize| upstream((entry * RUNNING + step * 37) % UPSTREAMS);
+    let demand = |step: usize| ServingDemand {
+        service: "huvo11a".parse().unwrap(),
+        target: target((entry * 7 + step) % MODELS),
+        arrived: sequence,
+        waiting: 0,
+        slack: TimeSpan::ZERO,
+        running: Vec::new(),
+    };
+    let work = UpstreamWork { running: 1, pending_prefill_tokens: 9_000 };
+    EntryReport {
+        vm: vm(entry),
+        instance: InstanceId::new(entry as u64 + 1),
+        sequence: SequenceNumber::new(sequence),
+        known_revision: known,
+        spent: (0..16).map(|it| (format!("hule{it:03}").parse().unwrap(), 1 << 20)).collect(),
+        work: Some((0..RUNNING).map(|step| (running(step), work)).collect()),
+        demands: (0..MODELS_OF_ENTRY).map(demand).collect(),
+    }
+}
+
+fn large_hub() -> FleetHub {
+    let mut hub = FleetHub::new(InstanceId::new(9));
+    hub.update_listings((0..UPSTREAMS).map(listing), StoreRevision::new(200_000), START);
+    hub.update_resident_models((0..UPSTREAMS).map(resident_models));
+    hub
+}
+
+fn summary(hub: &mut FleetHub, report: EntryReport, now: MonoTime) -> (FleetSummary, usize) {
+    let vm = report.vm.clone();
+    assert!(hub.handle_report(report, now));
+    let summary = hub.make_summary(&vm, FenceNumber::new(1), now).unwrap();
+    let message = FleetMessage::Summary(summary.clone());
+    let bytes = encode_datagram(&message, &"a shared secret 1".parse().unwrap());
+    (summary, bytes.expect("a summary exceeds a datagram").len())
+}
+
+#[test]
+fn a_hub_of_many_upstreams_could_not_send_its_rows() {
+    let mut hub = large_hub();
+    let (mut listings, mut rows) = (0, 0);
+    let mut known = (InstanceId::default(), SequenceNumber::default());
+    for sequence in 1..=40 {
+        let (page, _) = summary(&mut hub, report(1, sequence, known), START);
+        listings += page.listings.len();
+        rows += page.resident_models.len();
+        known = (page.hub, page.revision);
+        let is_complete = listings == UPSTREAMS && rows == UPSTREAMS;
+        let is_recent = page.listing_age < TimeSpan::from_secs(1);
+        assert_eq!(is_recent, is_complete, "the age counts with the last row only");
+        if is_complete {
+            return;
+        }
+    }
+    panic!("{listings} listings and {rows} rows after 40 pages");
+}
+
+#[test]
+fn a_row_that_changes_between_two_pages_is_sent_again() {
+    let mut hub = large_hub();
+    let (first, _) = summary(&mut hub, report(1, 1, Default::default()), START);
+    let changed = first.listings[0].clone();
+    let gone = UpstreamListing { is_ready: false, ..changed.clone() };
+    let others = (0..UPSTREAMS).map(listing).filter(|it| it.upstream != changed.upstream);
+    hub.update_listings(others.chain([gone]), StoreRevision::new(300_000), START);
+    let mut known = (first.hub, first.revision);
+    for sequence in 2..=40 {
+        let (page, _) = summary(&mut hub, report(1, sequence, known), START);
+        known = (page.hub, page.revision);
+        if page.listings.iter().any(|it| it.upstream == changed.upstream && !it.is_ready) {
+            return;
+        }
+    }
+    panic!("the entry never learned that an upstream left");
+}
+
+/// In a steady state, so that no rows are left to send.
+#[test]
+fn summaries_of_the_work_of_all_entries_filled_the_link_of_the_hub() {
+    let mut hub = large_hub();
+    let mut known = vec![(InstanceId::default(), SequenceNumber::default()); ENTRIES];
+    let mut total = 0;
+    for sequence in 1..=40 {
+        let now = START + REPORT_INTERVAL * sequence;
+        total = 0;
+        for (entry, known) in known.iter_mut().enumerate() {
+            let (page, bytes) = summary(&mut hub, report(entry, sequence, *known), now);
+            *known = (page.hub, page.revision);
+            total += bytes;
+        }
+    }
+    println!("{total} bytes a second");
+    assert!(total < LINK_BYTES / 2, "{total} bytes a second");
+}
+
+/// Those that are left out have less work than those that an entry is told of, so that it prefers them.
+#[test]
+fn an_entry_knows_the_busiest_of_the_upstreams_of_its_models() {
+    let mut hub = large_hub();
+    for entry in 0..ENTRIES {
+        summary(&mut hub, report(entry, 1, Default::default()), START);
+    }
+    let busy = EntryReport {
+        work: Some(vec![(
+            upstream(7),
+            UpstreamWork { running: 60, pending_prefill_tokens: 60_000 },
+        )]),
+        ..report(2, 2, Default::default())
+    };
+    let later = START + REPORT_INTERVAL * 2;
+    summary(&mut hub, busy, later);
+    let later = later + REPORT_INTERVAL;
+    let (page, _) = summary(&mut hub, report(1, 2, Default::default()), later);
+    let work = page.work.unwrap();
+    let is_wanted = |number: usize| {
+        let loaded = resident_models(number).loaded;
+        (0..MODELS_OF_ENTRY).any(|step| loaded.contains(&target((7 + step) % MODELS)))
+    };
+    assert!(is_wanted(7));
+    assert!(work.iter().any(|(id, it)| *id == upstream(7) && it.running >= 60), "{work:?}");
+    let is_known = |id: &UpstreamId| (0..UPSTREAMS).any(|it| upstream(it) == *id && is_wanted(it));
+    assert!(work.iter().all(|(id, _)| is_known(id)));
+}
