--- a/crates/gentian-wire/tests/large_fleet.rs
+++ b/crates/gentian-wire/tests/large_fleet.rs
@@ -1,7 +1,7 @@
 //! Exchange of the hub and an entry in a fleet of 300 entries and 3,000 upstreams. Summaries that exceeded a datagram
 //! were never sent, so entries took the hub for lost.
 
-#![allow(clippy::unwrap_used)]
+#![allow(clippy::unwrap_used, clippy::expect_used)]
 
 use gentian_core::peer::{
     EntryReport, FleetMessage, FleetSummary, ResidentModels, ServingDemand, TargetId,
