Tell the entries of a large fleet at once that the registrations were read

Cause: in a fleet of 300, summaries come once a second and the hub's listings count for 1.8 s, so most entries found them too old and read all 3,000 registrations themselves; those that had the hub's listings read them every 5.4 s as well.

Change: where the report interval has reached its bound, the hub sends a short notice after each read of the registrations, and summaries at once to entries that lack changed listings. Reads beside a hub's updates are spaced by 20 ms for each registration.

--- a/crates/gentian-core/src/peer/fleet_message.rs
+++ b/crates/gentian-core/src/peer/fleet_message.rs
@@ -72,6 +72,20 @@
     OriginQuery(OriginQuery),
     /// Reply to that.
     OriginReply(OriginReply),
+    /// The hub has read the registrations of upstreams again.
+    Listings(ListingNotice),
+}
+
+/// Tells the entries of a large fleet, between two summaries, that the hub has read the registrations of upstreams
+/// again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListingNotice {
+    /// Identifies the hub, as in its summaries.
+    pub hub: InstanceId,
+    /// Revision of the listing that changed last.
+    pub revision: SequenceNumber,
+    /// Time since the hub read them.
+    pub listing_age: TimeSpan,
 }
 
 /// Announces that a process has become the hub.
--- a/crates/gentian-core/src/peer/mod.rs
+++ b/crates/gentian-core/src/peer/mod.rs
@@ -33,8 +33,8 @@
 pub use config_reply::ConfigReply;
 pub use crash_report::{CrashReport, SuspicionGrade};
 pub use fleet_message::{
-    EntryReport, FleetMessage, FleetSummary, HubAnnouncement, HubHandover, ResidentModels,
-    ServingDemand, UpstreamListing, UpstreamWork,
+    EntryReport, FleetMessage, FleetSummary, HubAnnouncement, HubHandover, ListingNotice,
+    ResidentModels, ServingDemand, UpstreamListing, UpstreamWork,
 };
 pub use member_record::{MemberRecord, MemberRole};
 pub use operator_notice::OperatorNotice;
--- a/crates/gentian-decide/src/serving/fleet_hub.rs
+++ b/crates/gentian-decide/src/serving/fleet_hub.rs
@@ -1,8 +1,8 @@
 //! The hub: aggregates use and demand over all entries.
 
 use gentian_core::peer::{
-    EntryReport, FleetSummary, FleetUse, ResidentModels, ServingDemand, TargetId, UpstreamListing,
-    UpstreamWork, UseHistory, UseNotice, UseReport, UseTrace,
+    EntryReport, FleetSummary, FleetUse, ListingNotice, ResidentModels, ServingDemand, TargetId,
+    UpstreamListing, UpstreamWork, UseHistory, UseNotice, UseReport, UseTrace,
 };
 use gentian_core::{
     FastMap, FastSet, FenceNumber, InstanceId, MonoTime, OrganisationId, SequenceNumber, ServiceId,
@@ -10,7 +10,9 @@
 };
 
 use super::fleet_work::{FleetWork, RequestedModels};
-use super::report_interval::{entry_timeout, report_interval, work_interval};
+use super::report_interval::{
+    entry_timeout, is_report_interval_longest, report_interval, work_interval,
+};
 use super::{FleetUses, QuotaLimit, RevisedMap, RowPage};
 
 /// Time constant of the arrival rates.
@@ -72,6 +74,8 @@
     rates: FastMap<(ServiceId, TargetId), ArrivalRate>,
     listings: RevisedMap<UpstreamId, UpstreamListing>,
     listings_time: Option<MonoTime>,
+    /// Revision of the listing that changed last.
+    listings_revision: SequenceNumber,
     resident_models: RevisedMap<UpstreamId, ResidentModels>,
     revision: SequenceNumber,
     fleet_work: FleetWork,
@@ -88,6 +92,7 @@
             rates: FastMap::default(),
             listings: RevisedMap::new(),
             listings_time: None,
+            listings_revision: SequenceNumber::default(),
             resident_models: RevisedMap::new(),
             revision: SequenceNumber::new(1),
             fleet_work: FleetWork::default(),
@@ -267,10 +272,10 @@
                 .unwrap_or(u32::MAX),
             spent: spent.collect(),
             work,
-            // The table of an entry is as recent as the list only with the last page.
+            // The table of an entry is as recent as the list only with the last listing.
             listing_age: self
                 .listings_time
-                .filter(|_| page.is_last)
+                .filter(|_| page.has_last_listing)
                 .map_or(UNKNOWN_AGE, |time| now.since(time)),
             revision: page.revision,
             listings: page.listings,
@@ -300,6 +305,7 @@
         now: MonoTime,
     ) {
         self.listings_time = Some(now);
+        let before = self.revision;
         let mut removed: FastSet<UpstreamId> = self.listings.keys().cloned().collect();
         for listing in listings {
             removed.remove(&listing.upstream);
@@ -318,6 +324,28 @@
                 self.listings.set(upstream, listing, &mut self.revision);
             }
         }
+        if self.revision > before {
+            self.listings_revision = self.revision;
+        }
+    }
+
+    /// Returns the notice that the entries of a large fleet get after each read of the registrations, since they
+    /// would hear of it too late with the summaries, and all read the registrations themselves; `None` in a smaller
+    /// fleet. Listings that changed go to the entries in summaries, at once.
+    pub fn listing_notice(&self, now: MonoTime) -> Option<ListingNotice> {
+        let listing_age = now.since(self.listings_time?);
+        let notice = ListingNotice { hub: self.id, revision: self.listings_revision, listing_age };
+        is_report_interval_longest(self.entries.len()).then_some(notice)
+    }
+
+    /// Returns the VMs of the entries that have not confirmed the newest listings.
+    pub fn outdated_vms(&self, now: MonoTime) -> Vec<VmId> {
+        let is_outdated = |entry: &&EntryState| {
+            let (hub, known) = entry.report.known_revision;
+            hub != self.id || known < self.listings_revision
+        };
+        let outdated = self.reachable_entries(now).filter(is_outdated);
+        outdated.map(|entry| entry.report.vm.clone()).collect()
     }
 
     /// Drops the resident models of upstreams for which `is_known` returns `false`.
--- a/crates/gentian-decide/src/serving/hub_client.rs
+++ b/crates/gentian-decide/src/serving/hub_client.rs
@@ -1,6 +1,8 @@
 //! An entry's side of the exchange with the hub.
 
-use gentian_core::peer::{EntryReport, FleetSummary, FleetUse, UseHistory, UseNotice, UseReport};
+use gentian_core::peer::{
+    EntryReport, FleetSummary, FleetUse, ListingNotice, UseHistory, UseNotice, UseReport,
+};
 use gentian_core::{
     FastMap, FenceNumber, InstanceId, MonoTime, OrganisationId, SequenceNumber, TimeSpan, VmId,
 };
@@ -9,6 +11,7 @@
     UNREPORTED_WAIT_INTERVAL, entry_timeout, hub_timeout, near_limit_interval, report_interval,
     scale_interval, work_interval,
 };
+use super::row_page::MAX_RESIDENT_ROWS;
 use super::selection_cost::hash_of;
 use super::{CallScheduler, FleetPartition, UpstreamTable};
 
@@ -192,7 +195,8 @@
         self.unanswered = 0;
         self.listings_time = now - summary.listing_age;
         let has_rows = !summary.listings.is_empty() || !summary.resident_models.is_empty();
-        self.awaits_rows = has_rows && self.listings_time == MonoTime::ORIGIN;
+        self.awaits_rows = (has_rows && self.listings_time == MonoTime::ORIGIN)
+            || summary.resident_models.len() >= MAX_RESIDENT_ROWS;
         if self.listings_time > MonoTime::ORIGIN {
             self.first_listings.get_or_insert(now);
         }
@@ -239,6 +243,19 @@
         }
     }
 
+    /// Applies a notice that the hub has read the registrations again; `false` if this entry lacks rows that the hub
+    /// has, or the notice is of another hub.
+    pub fn handle_listing_notice(&mut self, notice: &ListingNotice, now: MonoTime) -> bool {
+        let is_current = notice.hub == self.hub
+            && self.is_connected()
+            && notice.revision <= self.revision
+            && self.listings_time > MonoTime::ORIGIN;
+        if is_current {
+            self.listings_time = self.listings_time.max(now - notice.listing_age);
+        }
+        is_current
+    }
+
     /// Builds the message that tells the hub between two reports what this entry has spent, if that
     /// is much.
     pub fn next_use_report(
--- a/crates/gentian-decide/src/serving/report_interval.rs
+++ b/crates/gentian-decide/src/serving/report_interval.rs
@@ -31,6 +31,11 @@
     scale_interval(if is_busy { BUSY_INTERVAL } else { IDLE_INTERVAL }, entries)
 }
 
+/// Returns whether the report interval of idle entries has reached its upper bound.
+pub(super) fn is_report_interval_longest(entries: usize) -> bool {
+    report_interval(entries, false) == MAX_INTERVAL
+}
+
 /// Returns the report interval while an organisation's use is near its limit.
 pub(super) fn near_limit_interval(entries: usize) -> TimeSpan {
     scale_interval(NEAR_LIMIT_INTERVAL, entries)
--- a/crates/gentian-decide/src/serving/row_page.rs
+++ b/crates/gentian-decide/src/serving/row_page.rs
@@ -11,15 +11,15 @@
 /// Most listings in one summary. With names of usual length they take a third of a datagram.
 const MAX_LISTINGS: usize = 400;
 /// Most rows of resident models in one summary. With three models and eight adapters each they take half of a datagram.
-const MAX_RESIDENT_ROWS: usize = 150;
+pub(super) const MAX_RESIDENT_ROWS: usize = 150;
 
 /// The next rows for an entry, in the order in which they changed.
 #[derive(Debug)]
 pub(super) struct RowPage {
     /// Revision of the last row.
     pub(super) revision: SequenceNumber,
-    /// Whether no rows follow.
-    pub(super) is_last: bool,
+    /// Whether no listings follow.
+    pub(super) has_last_listing: bool,
     /// Listings on the page.
     pub(super) listings: Vec<UpstreamListing>,
     /// Resident models on the page.
@@ -42,7 +42,7 @@
         let revision = end.unwrap_or(newest);
         Self {
             revision,
-            is_last: end.is_none(),
+            has_last_listing: listings.changed_within(revision, newest).is_empty(),
             listings: listings.changed_within(known, revision),
             resident_models: resident_models.changed_within(known, revision),
         }
--- a/crates/gentian-gateway/src/control/hub_controller.rs
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -1,14 +1,14 @@
 //! Controllers of the fleet's entries, of the exchange with the hub and of the hub's own work.
 
 use gentian_core::peer::{
-    EntryReport, FleetMessage, FleetSummary, HubAnnouncement, OperatorNotice, UpstreamListing,
-    UseTrace,
+    EntryReport, FleetMessage, FleetSummary, HubAnnouncement, ListingNotice, OperatorNotice,
+    UpstreamListing, UseTrace,
 };
 use gentian_core::{EventCode, FenceNumber, MonoTime, TimeSpan, VmId};
 use gentian_decide::orders::EngineCall;
 use gentian_decide::serving::UpstreamRegistration;
 
-use super::fleet_broadcast::send_to_vm;
+use super::fleet_broadcast::{broadcast_once, send_to_vm};
 use super::lease_controller::receive_handover;
 use super::quarantine_controller::send_quarantine;
 use super::upstream_controller::log_registration;
@@ -102,6 +102,7 @@
         }
         FleetMessage::Report(report) => handle_report(state, report.clone(), now),
         FleetMessage::Summary(summary) => handle_summary(state, summary.clone(), now),
+        FleetMessage::Listings(notice) => handle_listing_notice(state, notice, now),
         // The controllers of uses, of the quarantine and of permits handle the others.
         _ => {}
     }
@@ -191,6 +192,24 @@
     }
 }
 
+/// Tells the entries of a large fleet that the registrations were read, and sends the listings that changed.
+pub(super) fn send_listings(state: &mut ControlState, now: MonoTime) {
+    let Some(hub) = &state.hub else { return };
+    let Some(notice) = hub.fleet_hub.listing_notice(now) else { return };
+    for vm in hub.fleet_hub.outdated_vms(now) {
+        send_summary(state, &vm, now);
+    }
+    broadcast_once(state, &FleetMessage::Listings(notice));
+}
+
+fn handle_listing_notice(state: &mut ControlState, notice: &ListingNotice, now: MonoTime) {
+    if state.hub_client.handle_listing_notice(notice, now)
+        && let Some(time) = state.hub_client.listings_time()
+    {
+        state.table.versions.record_list_time(time);
+    }
+}
+
 fn handle_report(state: &mut ControlState, report: EntryReport, now: MonoTime) {
     let Some(hub) = &mut state.hub else { return };
     let vm = report.vm.clone();
--- a/crates/gentian-gateway/src/control/upstream_controller.rs
+++ b/crates/gentian-gateway/src/control/upstream_controller.rs
@@ -4,6 +4,7 @@
 use gentian_core::{EventCode, FastSet, FenceNumber, MonoTime, UpstreamId};
 use gentian_decide::serving::{UpstreamRegistration, UpstreamState};
 
+use super::hub_controller::send_listings;
 use super::{ControlEvent, ControlState, StoreRecords};
 
 /// Longest cause in the log line of a record that can't be read.
@@ -45,6 +46,7 @@
         hub.planner.update_engines(&state.table, now);
         let planner = &hub.planner;
         hub.fleet_hub.retain_resident_models(|id| planner.has_engine(id));
+        send_listings(state, now);
     }
     if has_upstreams && !state.view.load().has_upstreams {
         state.update_view(|view| view.has_upstreams = true);
--- a/crates/gentian-gateway/src/io/record_readers.rs
+++ b/crates/gentian-gateway/src/io/record_readers.rs
@@ -22,6 +22,9 @@
 /// Number of reads of the upstream registrations that are skipped in a row while the hub sends
 /// updates.
 const UPSTREAM_SKIPPED_READS: u64 = 8;
+/// Time between two reads for each registration while the hub sends updates. It keeps what an entry reads of a large
+/// fleet at about 20 KB a second.
+const READ_SPACING: TimeSpan = TimeSpan::from_millis(20);
 /// Number of reads of the fleet's records that are skipped in a row while the hub sends updates.
 const FLEET_SKIPPED_READS: u64 = 4;
 /// Interval between checks whether the hub still sends updates.
@@ -137,6 +140,13 @@
     }
 }
 
+impl ReadIntervals {
+    /// Returns the intervals with a smallest one while the hub sends updates.
+    fn with_spacing(self, spacing: TimeSpan) -> Self {
+        Self { with_updates: self.with_updates.max(spacing), ..self }
+    }
+}
+
 impl CallMonitor {
     const fn new(call: &'static str) -> Self {
         Self { call, is_failing: false }
@@ -273,6 +283,8 @@
                 UPSTREAM_READ_INTERVAL,
                 UPSTREAM_SKIPPED_READS,
             );
+            let count = read.as_ref().map_or(0, |(values, _)| values.len());
+            let intervals = intervals.with_spacing(READ_SPACING * count as u64);
             if let Some((values, revision)) = monitor.record_result(&reader, sent, read)
                 && monitor.is_current(revision, &mut newest)
             {
