--- a/crates/gentian-decide/src/serving/fleet_hub.rs
+++ b/crates/gentian-decide/src/serving/fleet_hub.rs
@@ -1,16 +1,19 @@
 //! The hub: aggregates use and demand over all entries.
 
 use gentian_core::peer::{
-    EntryReport, FleetSummary, FleetUse, ResidentModels, ServingDemand, TargetId, UpstreamListing,
-    UpstreamWork, UseHistory, UseNotice, UseReport, UseTrace,
+    EntryReport, FleetSummary, FleetUse, ListingNotice, ResidentModels, ServingDemand, TargetId,
+    UpstreamListing, UpstreamWork, UseHistory, UseNotice, UseReport, UseTrace,
 };
 use gentian_core::{
     FastMap, FastSet, FenceNumber, InstanceId, MonoTime, OrganisationId, SequenceNumber, ServiceId,
     StoreRevision, TimeSpan, UpstreamId, VmId,
 };
 
-use super::report_interval::{entry_timeout, report_interval, work_interval};
-use super::{FleetUses, QuotaLimit, RevisedMap};
+use super::fleet_work::{FleetWork, RequestedModels};
+use super::report_interval::{
+    entry_timeout, is_report_interval_longest, report_interval, work_interval,
+};
+use super::{FleetUses, QuotaLimit, RevisedMap, RowPage};
 
 /// Time constant of the arrival rates.
 const ARRIVAL_TIME_CONSTANT: TimeSpan = TimeSpan::from_secs(5);
@@ -45,6 +48,7 @@
     report: EntryReport,
     work: Vec<(UpstreamId, UpstreamWork)>,
     remote_work_sent: MonoTime,
+    requested_models: RequestedModels,
     last_report: MonoTime,
     /// Spent on this VM since the hub began to count.
     spent: FastMap<OrganisationId, u64>,
@@ -70,8 +74,11 @@
     rates: FastMap<(ServiceId, TargetId), ArrivalRate>,
     listings: RevisedMap<UpstreamId, UpstreamListing>,
     listings_time: Option<MonoTime>,
+    /// Revision of the listing that changed last.
+    listings_revision: SequenceNumber,
     resident_models: RevisedMap<UpstreamId, ResidentModels>,
     revision: SequenceNumber,
+    fleet_work: FleetWork,
 }
 
 impl FleetHub {
@@ -85,8 +92,10 @@
             rates: FastMap::default(),
             listings: RevisedMap::new(),
             listings_time: None,
+            listings_revision: SequenceNumber::default(),
             resident_models: RevisedMap::new(),
             revision: SequenceNumber::new(1),
+            fleet_work: FleetWork::default(),
         }
     }
 
@@ -151,6 +160,9 @@
             self.rates.entry(key).or_default().record(count, now);
         }
         let remote_work_sent = known.map_or(MonoTime::ORIGIN, |entry| entry.remote_work_sent);
+        let mut requested_models =
+            same_process.map(|it| it.requested_models.clone()).unwrap_or_default();
+        requested_models.record_demands(&report.demands, now);
         let previous_work = same_process.map(|entry| entry.work.clone()).unwrap_or_default();
         let work = report.work.clone().unwrap_or(previous_work);
         let use_report = UseReport {
@@ -163,6 +175,7 @@
             report,
             work,
             remote_work_sent,
+            requested_models,
             last_report: now,
             spent: entry_spent,
             reported,
@@ -233,6 +246,7 @@
         fence: FenceNumber,
         now: MonoTime,
     ) -> Option<FleetSummary> {
+        self.update_work(now);
         let summary = self.build_summary(vm, fence, now)?;
         if summary.work.is_some() {
             self.entries.get_mut(vm)?.remote_work_sent = now;
@@ -246,9 +260,10 @@
             let entry_spent = entry.spent.get(organisation).copied().unwrap_or(0);
             (organisation.clone(), total.saturating_sub(entry_spent))
         });
-        let work = self.is_work_due(entry, now).then(|| self.remote_work(vm, now));
+        let work = self.is_work_due(entry, now).then(|| self.remote_work(entry, now));
         let (hub, known) = entry.report.known_revision;
         let known = if hub == self.id { known } else { SequenceNumber::default() };
+        let page = RowPage::new(&self.listings, &self.resident_models, known, self.revision);
         Some(FleetSummary {
             hub: self.id,
             fence,
@@ -257,10 +272,14 @@
                 .unwrap_or(u32::MAX),
             spent: spent.collect(),
             work,
-            listing_age: self.listings_time.map_or(UNKNOWN_AGE, |time| now.since(time)),
-            revision: self.revision,
-            listings: self.listings.changed_since(known),
-            resident_models: self.resident_models.changed_since(known),
+            // The table of an entry is as recent as the list only with the last listing.
+            listing_age: self
+                .listings_time
+                .filter(|_| page.has_last_listing)
+                .map_or(UNKNOWN_AGE, |time| now.since(time)),
+            revision: page.revision,
+            listings: page.listings,
+            resident_models: page.resident_models,
         })
     }
 
@@ -286,6 +305,7 @@
         now: MonoTime,
     ) {
         self.listings_time = Some(now);
+        let before = self.revision;
         let mut removed: FastSet<UpstreamId> = self.listings.keys().cloned().collect();
         for listing in listings {
             removed.remove(&listing.upstream);
@@ -304,6 +324,28 @@
                 self.listings.set(upstream, listing, &mut self.revision);
             }
         }
+        if self.revision > before {
+            self.listings_revision = self.revision;
+        }
+    }
+
+    /// Returns the notice that the entries of a large fleet get after each read of the registrations, since they
+    /// would hear of it too late with the summaries, and all read the registrations themselves; `None` in a smaller
+    /// fleet. Listings that changed go to the entries in summaries, at once.
+    pub fn listing_notice(&self, now: MonoTime) -> Option<ListingNotice> {
+        let listing_age = now.since(self.listings_time?);
+        let notice = ListingNotice { hub: self.id, revision: self.listings_revision, listing_age };
+        is_report_interval_longest(self.entries.len()).then_some(notice)
+    }
+
+    /// Returns the VMs of the entries that have not confirmed the newest listings.
+    pub fn outdated_vms(&self, now: MonoTime) -> Vec<VmId> {
+        let is_outdated = |entry: &&EntryState| {
+            let (hub, known) = entry.report.known_revision;
+            hub != self.id || known < self.listings_revision
+        };
+        let outdated = self.reachable_entries(now).filter(is_outdated);
+        outdated.map(|entry| entry.report.vm.clone()).collect()
     }
 
     /// Drops the resident models of upstreams for which `is_known` returns `false`.
@@ -356,7 +398,11 @@
         now.since(entry.remote_work_sent) >= work_interval(self.entries.len())
     }
 
-    fn remote_work(&self, vm: &VmId, now: MonoTime) -> Vec<(UpstreamId, UpstreamWork)> {
+    fn remote_work(&self, entry: &EntryState, now: MonoTime) -> Vec<(UpstreamId, UpstreamWork)> {
+        if FleetWork::is_selective(self.listings.len()) {
+            return self.fleet_work.select(&entry.work, &entry.requested_models);
+        }
+        let vm = &entry.report.vm;
         let others = self.reachable_entries(now).filter(|other| other.report.vm != *vm);
         let mut work: FastMap<&UpstreamId, UpstreamWork> = FastMap::default();
         for (upstream, entry_work) in others.flat_map(|other| &other.work) {
@@ -368,6 +414,17 @@
         work.into_iter().map(|(upstream, work)| (upstream.clone(), work)).collect()
     }
 
+    /// Sums the work of all entries anew if the fleet is large and the sums are out of date.
+    fn update_work(&mut self, now: MonoTime) {
+        if !FleetWork::is_selective(self.listings.len()) || !self.fleet_work.is_outdated(now) {
+            return;
+        }
+        let mut fleet_work = std::mem::take(&mut self.fleet_work);
+        let work = self.reachable_entries(now).flat_map(|entry| &entry.work);
+        fleet_work.update(work, &self.listings, &self.resident_models, now);
+        self.fleet_work = fleet_work;
+    }
+
     fn reachable_entries(&self, now: MonoTime) -> impl Iterator<Item = &EntryState> {
         let limit = entry_timeout(self.entries.len());
         self.entries.values().filter(move |entry| now.since(entry.last_report) < limit)
