Duties: report usage of each window

Deployments with a table [cloud] must report once a window how many requests of each organisation began to run; nothing did so. Entries count requests when their first bytes arrive, by windows of the fleet's time of day (median of the entries' clocks), and send totals to the hub until it confirms. The hub fixes the sums of a window in a record usage/WINDOW under its holder's fence and sends exactly what is stored. Without the table nothing is counted or sent.

--- a/crates/gentian-core/src/event_code.rs
+++ b/crates/gentian-core/src/event_code.rs
@@ -103,4 +103,10 @@
     1604 STORE_RESTORED "store-restored": "The key-value service names another era: it was restored from a copy and may have lost records. The line gives both eras."; "None; operators' records that were lost must be written again."
     1605 READ_IGNORED "read-ignored": "A read of the key-value service was ignored, since it is older than an earlier one."; "None unless it lasts; then check the key-value service."
     1606 RECORD_IGNORED "record-ignored": "A record in the key-value service can't be read and is ignored, as if it weren't there; the line is written once for each change of the record, or for each read if the service itself sent what can't be read."; "Find out who wrote the record; remove or correct it."
+    1701 USAGE_FIXED "usage-fixed": "The hub stored how many requests of each organisation began to run in a window; the line gives the window, the sum and the number of organisations."; "None."
+    1702 USAGE_REPORTED "usage-reported": "The platform confirmed the report of a window; the line says how long after the end of the window."; "None."
+    1703 USAGE_MISSED "usage-missed": "The counts of one or more windows were not fixed in time, or their report was not confirmed in time; the line gives the windows and the cause."; "Look for GW1601 (key-value service) and GW1705 (platform) at the hub."
+    1704 DUTY_REFUSED "duty-refused": "The platform has seen a higher fencing number for a duty, so this process makes no more calls with its own."; "None if another process holds the hub's lease."
+    1705 DUTY_FAILED "duty-failed": "A call to the platform's API had no response or another one than success, and is repeated; the line gives the reply."; "Check the platform's API."
+    1706 USAGE_ADOPTED "usage-adopted": "A new hub read the stored reports of its predecessors; the line gives how many of them it sends again."; "None."
 }
--- a/crates/gentian-core/src/ids.rs
+++ b/crates/gentian-core/src/ids.rs
@@ -81,6 +81,12 @@
     ShardNumber,
     "shard number"
 );
+number_newtype!(
+    /// Number of a window in which usage is counted: its start, counted in windows since the start
+    /// of 1970.
+    WindowNumber,
+    "window number"
+);
 
 hex_newtype!(
     /// Identifies one incarnation of an upstream, from a start to the next; it changes whenever the
--- a/crates/gentian-core/src/lib.rs
+++ b/crates/gentian-core/src/lib.rs
@@ -15,6 +15,7 @@
 mod store_revision;
 mod time_span;
 mod token_amounts;
+mod wall_time;
 mod work_id;
 
 pub use byte_size::ByteSize;
@@ -23,7 +24,7 @@
 pub use ids::{
     AdapterId, BootId, ConfigVersion, DomainId, FenceNumber, InstanceId, KeyDigest, KeyId, ModelId,
     OrderId, OrganisationId, PublicationId, RequestId, RouteId, SequenceNumber, ServiceId,
-    ShardNumber, StoreEra, StreamId, UpstreamId, VmId,
+    ShardNumber, StoreEra, StreamId, UpstreamId, VmId, WindowNumber,
 };
 pub use lease_id::LeaseId;
 pub use mono_time::MonoTime;
@@ -33,4 +34,5 @@
 pub use store_revision::StoreRevision;
 pub use time_span::TimeSpan;
 pub use token_amounts::{SlotCount, TokenCount, TokenRate};
+pub use wall_time::{ClockOffset, WallTime};
 pub use work_id::WorkId;
--- a/crates/gentian-core/src/peer/fleet_message.rs
+++ b/crates/gentian-core/src/peer/fleet_message.rs
@@ -7,8 +7,8 @@
 use super::{
     ClaimNotice, CrashReport, FleetUse, LimitNotice, OperatorNotice, OriginNotice, OriginQuery,
     OriginReply, PermitReply, PermitRequest, QuarantineNotice, RankedPermits, ServedNotice,
-    SuspectQuery, SuspectReport, TargetId, TrialNotice, UseHistory, UseNotice, UseReport,
-    VersionQuery, VersionReply,
+    SuspectQuery, SuspectReport, TargetId, TrialNotice, UsageMessage, UsageReply, UseHistory,
+    UseNotice, UseReport, VersionQuery, VersionReply,
 };
 use crate::{
     DomainId, FenceNumber, InstanceId, ModelId, OrganisationId, SequenceNumber, ServiceId,
@@ -72,6 +72,10 @@
     OriginQuery(OriginQuery),
     /// Reply to that.
     OriginReply(OriginReply),
+    /// How many requests began to run through an entry.
+    Usage(UsageMessage),
+    /// Reply of the hub to that.
+    UsageReply(UsageReply),
 }
 
 /// Announces that a process has become the hub.
--- a/crates/gentian-core/src/peer/mod.rs
+++ b/crates/gentian-core/src/peer/mod.rs
@@ -25,6 +25,7 @@
 mod suspect_report;
 mod target_id;
 mod upstream_view;
+mod usage_message;
 mod use_message;
 mod version_message;
 mod work_notice;
@@ -56,6 +57,7 @@
 pub use suspect_report::SuspectReport;
 pub use target_id::TargetId;
 pub use upstream_view::{ObjectPhase, ObjectView, UpstreamView};
+pub use usage_message::{UsageMessage, UsageRecord, UsageReply, WindowCounts};
 pub use use_message::{FleetUse, OrganisationUse, UseHistory, UseNotice, UseReport, UseTrace};
 pub use version_message::{VersionQuery, VersionReply};
 pub use work_notice::{ClaimNotice, QuarantineNotice, ServedNotice, SuspectQuery, TrialNotice};
--- a/crates/gentian-decide/src/lib.rs
+++ b/crates/gentian-decide/src/lib.rs
@@ -4,6 +4,7 @@
 //! that need the current time take it as an argument.
 
 pub mod control;
+pub mod duties;
 pub mod entry;
 pub mod limits;
 pub mod orders;
--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -6,7 +6,7 @@
     BodyFraming, BodyProgress, BodyReader, BufferedStream, EventSplitter, ResponseHead,
 };
 
-use super::call_context::SavedResponse;
+use super::call_context::{SavedResponse, record_run};
 use super::relay::{begin_stream, end_stream, send_events, send_response};
 use super::response_reader::{ReadError, read_body, read_head, wait_for_bytes};
 use super::upstream_probe::is_refusing;
@@ -173,6 +173,10 @@
         return result;
     }
     let UpstreamResponse { head, metadata, time_to_head, .. } = response;
+    // A stream begins to run with its first event, so its route counts none that has no event.
+    if !is_stream && metadata.has_upstream_stamp && !metadata.is_not_executed {
+        record_run(handles, call);
+    }
     let body = match read_body(handles, call, &mut stream, &head) {
         Ok(read) => read,
         Err(error) => return error.into(),
@@ -226,10 +230,14 @@
     }
     let mut reader = BodyReader::new(framing);
     let mut reservation = handles.buffers.reserve();
+    let mut has_begun = false;
     loop {
         let mut bytes = Vec::new();
         let step = reader.read_buffered(stream, &mut bytes);
         if !bytes.is_empty() {
+            if !std::mem::replace(&mut has_begun, true) {
+                record_run(handles, call);
+            }
             call.progress = AttemptProgress::BodyReceived;
         }
         match send_events(handles, call, &bytes) {
--- a/crates/gentian-gateway/src/chain/call_context.rs
+++ b/crates/gentian-gateway/src/chain/call_context.rs
@@ -38,6 +38,8 @@
     pub(crate) connections: ConnectionPool,
     /// Memory for bodies of responses that are not streamed.
     pub(crate) buffers: BufferBudget,
+    /// Whether requests that begin to run are counted for the report of usage.
+    pub(crate) counts_runs: bool,
     /// Metrics.
     pub(crate) metrics: GatewayMetrics,
     /// Clock of the process.
@@ -53,6 +55,15 @@
     }
 }
 
+/// Counts a request that has begun to run at an upstream, if it belongs to an organisation. One that
+/// runs at two upstreams counts twice.
+pub(super) fn record_run(handles: &CallHandles, call: &CallContext) {
+    if let Some(organisation) = call.organisation.as_ref().filter(|_| handles.counts_runs) {
+        let (id, began) = (organisation.spec.id.clone(), handles.clock.now());
+        handles.send_event(ControlEvent::RunBegan(id, began));
+    }
+}
+
 /// A failed upstream's response, which is kept while the request is retried.
 #[derive(Debug)]
 pub(crate) struct SavedResponse {
--- a/crates/gentian-gateway/src/control/control_event.rs
+++ b/crates/gentian-gateway/src/control/control_event.rs
@@ -2,7 +2,8 @@
 
 use flume::Sender;
 use gentian_core::peer::FleetMessage;
-use gentian_core::{MonoTime, RequestId, RequestRate, StoreRevision, UpstreamId};
+use gentian_core::{MonoTime, OrganisationId, RequestId, RequestRate, StoreRevision, UpstreamId};
+use gentian_decide::duties::{DutyReply, UsageCall, UsageStoreReply};
 use gentian_decide::orders::{EngineOrder, EngineStateReport, LeaseReply, OrderReply};
 use gentian_decide::request::Refusal;
 use gentian_decide::serving::{AttemptEnd, ServingCall, UpstreamNotice, UpstreamPick};
@@ -62,6 +63,8 @@
         /// What else the response says about its upstream.
         notices: Vec<UpstreamNotice>,
     },
+    /// A request of an organisation began to run at an upstream at this time.
+    RunBegan(OrganisationId, MonoTime),
     /// An attempt of a request ended.
     EndAttempt(AttemptEnd),
     /// A traffic thread no longer waits for an assignment.
@@ -76,6 +79,10 @@
     OrderEnded(EngineOrder, OrderReply),
     /// Report of an engine; `None` if the call failed.
     EngineReport(UpstreamId, Option<EngineStateReport>),
+    /// A call of the key-value service for the report of usage ended.
+    UsageStored(UsageStoreReply),
+    /// The call that reported usage to the platform ended with this reply.
+    UsageReported(UsageCall, DutyReply),
     /// A stop signal arrived; open requests are still served.
     StopRequested,
     /// No event arrived before the next due time or within the longest wait.
--- a/crates/gentian-gateway/src/control/control_state.rs
+++ b/crates/gentian-gateway/src/control/control_state.rs
@@ -8,7 +8,7 @@
 use gentian_core::peer::HubHandover;
 use gentian_core::{
     EventCode, FastMap, FastSet, FenceNumber, InstanceId, MonoTime, RequestId, StoreEra,
-    StoreRevision, VmId, WorkId,
+    StoreRevision, VmId, WallTime, WorkId,
 };
 use gentian_decide::limits::PermitLedger;
 use gentian_decide::orders::{FleetPlanner, HolderLease, LeaseTask};
@@ -20,8 +20,8 @@
 use gentian_decide::streams::{OriginTracer, StreamOrigins};
 use gentian_process::{PeerSocket, StoredValue};
 
-use super::CallAssignment;
 use super::take_up_controller::WaitingTakeUp;
+use super::{CallAssignment, DutyState};
 use crate::PlatformCodec;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::io::{EngineCalls, EntryRecord, HubUpdates, RecordWrite};
@@ -68,6 +68,7 @@
     pub(crate) record_writes: Sender<RecordWrite>,
     pub(crate) engine_calls: EngineCalls,
     pub(crate) hub_updates: HubUpdates,
+    pub(crate) duties: Option<DutyState>,
     pub(crate) metrics: GatewayMetrics,
 }
 
@@ -149,6 +150,10 @@
     pub(crate) lease_tasks: Sender<LeaseTask>,
     /// Calls engines on other threads.
     pub(crate) engine_calls: EngineCalls,
+    /// Duties of one VM at a time, if the deployment has any.
+    pub(crate) duties: Option<DutyState>,
+    /// Time of day by this VM's clock when the event was taken up.
+    pub(crate) wall_time: WallTime,
     /// Metrics.
     pub(crate) metrics: GatewayMetrics,
 }
@@ -212,6 +217,8 @@
             socket: parts.socket,
             lease_tasks: parts.lease_tasks,
             engine_calls: parts.engine_calls,
+            duties: parts.duties,
+            wall_time: WallTime::default(),
             metrics: parts.metrics,
         }
     }
--- a/crates/gentian-gateway/src/control/control_thread.rs
+++ b/crates/gentian-gateway/src/control/control_thread.rs
@@ -32,6 +32,7 @@
             Ok(event) => event,
             Err(RecvTimeoutError::Timeout) => ControlEvent::Tick,
         };
+        state.wall_time = clock.wall_time();
         controllers.step(&mut state, &event, clock.now());
     }
 }
--- /dev/null
+++ b/crates/gentian-gateway/src/control/duty_controller.rs
@@ -0,0 +1,211 @@
+//! Controllers of the duties of one VM at a time: counts of every entry, and the reports of the hub.
+
+use gentian_core::peer::{FleetMessage, UsageMessage};
+use gentian_core::{EventCode, InstanceId, MonoTime, StoreEra, TimeSpan, VmId};
+use gentian_decide::duties::{
+    DutyContext, DutyTask, UsageCounter, UsageDuty, UsageEvent, UsageLedger, UsageRules,
+};
+
+use super::fleet_broadcast::send_to_vm;
+use super::{ControlEvent, ControlState};
+use crate::io::DutyQueues;
+
+/// Interval between two looks at what is due, since the hub goes through all entries each time.
+const ROUND_INTERVAL: TimeSpan = TimeSpan::from_millis(20);
+
+/// State of the duties of a process.
+#[derive(Debug)]
+pub(crate) struct DutyState {
+    rules: UsageRules,
+    /// Counts of this entry.
+    counter: UsageCounter,
+    /// Sums of all entries, while this process is the hub.
+    ledger: Option<UsageLedger>,
+    /// Decides on the calls of the hub.
+    duty: UsageDuty,
+    queues: DutyQueues,
+    /// Era of the key-value service, and when this process first read it.
+    era: (StoreEra, MonoTime),
+    /// When the duties were last looked at.
+    last_round: MonoTime,
+}
+
+impl DutyState {
+    /// Creates the state of a process that starts at `now`.
+    pub(crate) fn new(
+        rules: UsageRules,
+        vm: VmId,
+        instance: InstanceId,
+        queues: DutyQueues,
+        now: MonoTime,
+    ) -> Self {
+        Self {
+            rules,
+            counter: UsageCounter::new(rules, vm, instance),
+            ledger: None,
+            duty: UsageDuty::new(rules),
+            queues,
+            era: (StoreEra::default(), now),
+            last_round: MonoTime::ORIGIN,
+        }
+    }
+}
+
+/// Counts requests, and handles messages and replies that are about duties.
+pub(super) fn handle_duties(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
+    let own_offset = state.wall_time.offset_from(now);
+    let entry_count = state.entries.len();
+    let Some(duties) = &mut state.duties else { return };
+    match event {
+        ControlEvent::RunBegan(organisation, began) => {
+            duties.counter.record_run(organisation, *began, own_offset);
+        }
+        ControlEvent::Peer(FleetMessage::Usage(message)) => handle_usage(state, message, now),
+        ControlEvent::Peer(FleetMessage::UsageReply(reply)) => {
+            duties.counter.handle_reply(reply, now);
+        }
+        ControlEvent::UsageStored(reply) => {
+            duties.duty.handle_store_reply(reply.clone(), duties.ledger.as_mut(), now);
+        }
+        ControlEvent::UsageReported(call, reply) => {
+            let ledger = duties.ledger.as_ref();
+            duties.duty.handle_call_reply(call, *reply, ledger, entry_count, now);
+        }
+        _ => {}
+    }
+}
+
+/// Sends the counts of this entry that are due, and makes the calls of the hub that are due.
+pub(super) fn run_duties(state: &mut ControlState, _event: &ControlEvent, now: MonoTime) {
+    let Some(duties) = &mut state.duties else { return };
+    if now.since(duties.last_round) < ROUND_INTERVAL {
+        return;
+    }
+    duties.last_round = now;
+    follow_hub(state, now);
+    send_counts(state, now);
+    run_usage(state, now);
+}
+
+/// Follows changes of the hub, of the entries and of the era of the key-value service.
+fn follow_hub(state: &mut ControlState, now: MonoTime) {
+    let Some(duties) = &mut state.duties else { return };
+    let era = state.eras.era();
+    if era > duties.era.0 {
+        // A restoration may be as old as this process if it never read an earlier era.
+        let is_first = duties.era.0 == StoreEra::default();
+        duties.era = (era, if is_first { duties.era.1 } else { now });
+    }
+    duties.counter.update_entry_count(state.entries.len());
+    if let Some((_, fence)) = &state.known_hub {
+        duties.counter.record_hub(*fence, now);
+    }
+    let fence = state.hub.as_ref().map(|hub| hub.fence);
+    if duties.ledger.as_ref().map(UsageLedger::fence) != fence {
+        let inherited = duties.counter.fleet_offset();
+        duties.ledger = fence.map(|fence| UsageLedger::new(duties.rules, fence, inherited, now));
+    }
+    if let Some(ledger) = &mut duties.ledger {
+        ledger.retain_entries(|vm| state.entries.contains_key(vm));
+    }
+}
+
+fn send_counts(state: &mut ControlState, now: MonoTime) {
+    let Some((vm, _)) = state.known_hub.clone() else { return };
+    let Some(duties) = &mut state.duties else { return };
+    let Some(message) = duties.counter.next_message(state.wall_time, now) else { return };
+    if vm == state.vm {
+        handle_usage(state, &message, now);
+    } else {
+        send_to_vm(state, &FleetMessage::Usage(message), &vm);
+    }
+}
+
+/// Adds the counts of an entry and replies to it.
+fn handle_usage(state: &mut ControlState, message: &UsageMessage, now: MonoTime) {
+    let entry_count = state.entries.len();
+    let Some(duties) = &mut state.duties else { return };
+    let Some(ledger) = &mut duties.ledger else { return };
+    let Some(reply) = ledger.handle_message(message, entry_count, now) else { return };
+    if message.vm == state.vm {
+        duties.counter.handle_reply(&reply, now);
+    } else {
+        send_to_vm(state, &FleetMessage::UsageReply(reply), &message.vm);
+    }
+}
+
+fn run_usage(state: &mut ControlState, now: MonoTime) {
+    let acting_fence = state.lease.acting_fence(now).filter(|_| !state.is_stopping);
+    let Some(duties) = &mut state.duties else { return };
+    if let Some(ledger) = &mut duties.ledger {
+        let vms: Vec<VmId> = state.entries.keys().cloned().collect();
+        let context = DutyContext {
+            acting_fence,
+            vms: &vms,
+            era_since: duties.era.1,
+            has_predecessor: state.has_predecessor,
+        };
+        for task in duties.duty.next_tasks(ledger, &context, now) {
+            let is_sent = match task {
+                DutyTask::Store(task) => duties.queues.store_tasks.send(task).is_ok(),
+                DutyTask::Report(call) => duties.queues.calls.send(call).is_ok(),
+            };
+            if !is_sent {
+                log::error!("a thread for duties ended before the control thread");
+            }
+        }
+    }
+    for event in duties.duty.take_events() {
+        if let UsageEvent::Refused(fence) = event {
+            state.lease.retire(fence);
+        }
+        log_event(&event);
+        if let Some(result) = window_result(&event) {
+            state.metrics.usage_windows.with_label_values(&[result]).inc();
+        }
+    }
+}
+
+/// Returns the result of a window by which the metrics count it.
+fn window_result(event: &UsageEvent) -> Option<&'static str> {
+    match event {
+        UsageEvent::Fixed(_) => Some("fixed"),
+        UsageEvent::Reported(..) => Some("reported"),
+        UsageEvent::Missed(..) | UsageEvent::LeftOut(..) => Some("missed"),
+        UsageEvent::Unconfirmed(_) => Some("unconfirmed"),
+        UsageEvent::Adopted(_) | UsageEvent::Refused(_) | UsageEvent::Failed(..) => None,
+    }
+}
+
+fn log_event(event: &UsageEvent) {
+    match event {
+        UsageEvent::Fixed(counts) => {
+            let sum: u64 = counts.counts.iter().map(|(_, count)| count).sum();
+            let organisations = counts.counts.len();
+            log::info!(
+                "{} window={} requests={sum} organisations={organisations}",
+                EventCode::USAGE_FIXED,
+                counts.window
+            );
+        }
+        UsageEvent::Reported(window, elapsed) => {
+            log::info!("{} window={window} after={elapsed}", EventCode::USAGE_REPORTED);
+        }
+        UsageEvent::Unconfirmed(window) => {
+            log::warn!("{} window={window} cause=unconfirmed", EventCode::USAGE_MISSED);
+        }
+        UsageEvent::Missed(first, end) => {
+            log::warn!("{} windows={first}..{end} cause=not-fixed", EventCode::USAGE_MISSED);
+        }
+        UsageEvent::LeftOut(first, end) => {
+            log::warn!("{} windows={first}..{end} cause=restored", EventCode::USAGE_MISSED);
+        }
+        UsageEvent::Adopted(open) => log::info!("{} open={open}", EventCode::USAGE_ADOPTED),
+        UsageEvent::Refused(fence) => {
+            log::warn!("{} duty=usage fence={fence}", EventCode::DUTY_REFUSED);
+        }
+        UsageEvent::Failed(window, reply) => {
+            log::warn!("{} duty=usage window={window} reply={reply}", EventCode::DUTY_FAILED);
+        }
+    }
+}
--- a/crates/gentian-gateway/src/control/gateway_controllers.rs
+++ b/crates/gentian-gateway/src/control/gateway_controllers.rs
@@ -4,6 +4,7 @@
 
 use super::call_controller::{handle_calls, start_calls};
 use super::config_controller::handle_operator_records;
+use super::duty_controller::{handle_duties, run_duties};
 use super::fleet_broadcast::repeat_messages;
 use super::hub_controller::{handle_fleet_records, handle_messages, report_to_hub, run_hub};
 use super::lease_controller::maintain_lease;
@@ -26,6 +27,7 @@
         .with_controller(StateController::new("versions", handle_versions))
         .with_controller(StateController::new("uses", handle_uses))
         .with_controller(StateController::new("quarantine", handle_quarantine))
+        .with_controller(StateController::new("duty-messages", handle_duties))
         .with_controller(StateController::new("permits", handle_permits))
         .with_controller(StateController::new("origins", handle_origins))
         .with_controller(StateController::new("calls", handle_calls))
@@ -34,6 +36,7 @@
         .with_controller(StateController::new("permit-requests", request_permits))
         .with_controller(StateController::new("repeats", repeat_messages))
         .with_controller(StateController::new("hub", run_hub))
+        .with_controller(StateController::new("duties", run_duties))
         .with_controller(StateController::new("use-reports", report_uses))
         .with_controller(StateController::new("asks", report_to_hub))
 }
--- a/crates/gentian-gateway/src/control/hub_controller.rs
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -49,6 +49,7 @@
             }
             Some(
                 FleetRecord::PastHolder
+                | FleetRecord::Usage
                 | FleetRecord::QuarantinedWork(_)
                 | FleetRecord::CrashTrace(Some(_))
                 | FleetRecord::OriginTrace(Some(_)),
--- a/crates/gentian-gateway/src/gateway_metrics.rs
+++ b/crates/gentian-gateway/src/gateway_metrics.rs
@@ -19,6 +19,10 @@
     pub(crate) orders: IntCounterVec,
     /// Number of calls to the key-value service by kind and result.
     pub(crate) store_calls: IntCounterVec,
+    /// Number of calls to the platform's API by duty and reply.
+    pub(crate) duty_calls: IntCounterVec,
+    /// Number of windows of usage by result.
+    pub(crate) usage_windows: IntCounterVec,
     /// Time in seconds from the arrival of a request until its response can be sent: to the head of
     /// a streamed response, to the end of a whole one.
     pub(crate) first_byte_seconds: Histogram,
@@ -66,6 +70,16 @@
                 "Calls of the key-value service by kind and result.",
                 &["call", "result"],
             )?,
+            duty_calls: counter(
+                "gentian_gateway_duty_calls_total",
+                "Calls of the platform's API by duty and answer.",
+                &["duty", "reply"],
+            )?,
+            usage_windows: counter(
+                "gentian_gateway_usage_windows_total",
+                "Windows of usage by result: fixed, reported, missed, unconfirmed.",
+                &["result"],
+            )?,
             first_byte_seconds: Histogram::with_opts(
                 first_byte_options.buckets(FIRST_BYTE_BUCKETS_SECONDS.to_vec()),
             )?,
@@ -94,6 +108,8 @@
         metrics.registry.register(Box::new(metrics.attempts.clone()))?;
         metrics.registry.register(Box::new(metrics.orders.clone()))?;
         metrics.registry.register(Box::new(metrics.store_calls.clone()))?;
+        metrics.registry.register(Box::new(metrics.duty_calls.clone()))?;
+        metrics.registry.register(Box::new(metrics.usage_windows.clone()))?;
         metrics.registry.register(Box::new(metrics.first_byte_seconds.clone()))?;
         metrics.registry.register(Box::new(metrics.upstream_crashes.clone()))?;
         metrics.registry.register(Box::new(metrics.quarantined_parts.clone()))?;
--- a/crates/gentian-gateway/src/gateway_process.rs
+++ b/crates/gentian-gateway/src/gateway_process.rs
@@ -14,12 +14,15 @@
 use gentian_process::{KeyValueService, LeaseCalls, PeerSocket, StopSignal};
 
 use crate::chain::{CallHandles, build_chain};
-use crate::control::{ControlEvent, ControlParts, ControlState, TrafficView, run_control};
+use crate::control::{
+    ControlEvent, ControlParts, ControlState, DutyState, TrafficView, run_control,
+};
 use crate::front::{SessionContext, serve_caller, serve_readiness};
 use crate::gateway_metrics::GatewayMetrics;
 use crate::io::{
-    EngineCalls, EntryRecord, HubUpdates, LeaseWorker, RecordReader, start_fleet_reader,
-    start_lease_worker, start_operator_watch, start_record_writer, start_upstream_reader,
+    DutyWorker, EngineCalls, EntryRecord, HubUpdates, LeaseWorker, RecordReader,
+    start_duty_workers, start_fleet_reader, start_lease_worker, start_operator_watch,
+    start_record_writer, start_upstream_reader,
 };
 use crate::{GatewaySettings, PlatformCodec};
 
@@ -86,6 +89,23 @@
         clock,
         calls_metrics,
     );
+    let mut threads: Vec<JoinHandle<()>> = Vec::new();
+    let mut duties = None;
+    if let Some(duty_settings) = settings.duties {
+        let (queues, workers) = start_duty_workers(DutyWorker {
+            codec: Arc::clone(&codec),
+            service: Arc::clone(&service),
+            address: duty_settings.address,
+            holder: settings.vm.clone(),
+            connections: connections.clone(),
+            events: control.clone(),
+            clock,
+            metrics: metrics.clone(),
+        })?;
+        threads.extend(workers);
+        let vm = settings.vm.clone();
+        duties = Some(DutyState::new(duty_settings.usage, vm, instance, queues, clock.now()));
+    }
     let state = ControlState::new(ControlParts {
         codec: Arc::clone(&codec),
         vm: settings.vm.clone(),
@@ -99,9 +119,9 @@
         record_writes,
         engine_calls,
         hub_updates: hub_updates.clone(),
+        duties,
         metrics: metrics.clone(),
     });
-    let mut threads: Vec<JoinHandle<()>> = Vec::new();
     let builder = std::thread::Builder::new().name("control".into());
     threads.push(builder.spawn(move || run_control(state, events, clock))?);
     let peer_events = control.clone();
@@ -150,6 +170,7 @@
         codec,
         connections,
         buffers: BufferBudget::new(MAX_BUFFERED_BYTES),
+        counts_runs: settings.duties.is_some(),
         metrics,
         clock,
     };
--- a/crates/gentian-gateway/src/gateway_settings.rs
+++ b/crates/gentian-gateway/src/gateway_settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use gentian_core::{DomainId, VmId};
+use gentian_decide::duties::UsageRules;
 use gentian_decide::serving::ServingBounds;
 use gentian_wire::ClusterKey;
 
@@ -31,4 +32,15 @@
     pub is_first_start: bool,
     /// Bounds that the gateway must keep.
     pub bounds: ServingBounds,
+    /// Duties of one VM at a time, if the deployment has any.
+    pub duties: Option<DutySettings>,
+}
+
+/// Duties that the fleet has towards the platform's API.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DutySettings {
+    /// Address of the API.
+    pub address: SocketAddr,
+    /// When usage is reported.
+    pub usage: UsageRules,
 }
--- a/crates/gentian-gateway/src/io/fleet_records.rs
+++ b/crates/gentian-gateway/src/io/fleet_records.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 
-use gentian_core::peer::{OriginTrace, SuspectReport, UseTrace};
+use gentian_core::peer::{OriginTrace, SuspectReport, UsageRecord, UseTrace};
 use gentian_core::{FenceNumber, LeaseId, StoreRevision, TimeSpan, VmId, WorkId};
+use gentian_decide::duties::UsageWrite;
 use gentian_decide::orders::HolderRecord;
 use gentian_process::{KeyValueError, KeyValueService, StoredValue, ValueChange, WriteCondition};
 use gentian_wire::{decode_record, encode_record};
@@ -19,6 +20,7 @@
 const USE_TRACE_KEY: &str = "use-trace";
 const CRASH_TRACE_KEY: &str = "crash-trace";
 const ORIGIN_TRACE_KEY: &str = "stream-origins";
+const USAGE_PREFIX: &str = "usage/";
 
 /// Record in which an entry makes itself known to the others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -49,6 +51,8 @@
     CrashTrace(Option<Vec<SuspectReport>>),
     /// Which versions served and began the latest streams, as last stored; `None` if it can't be read.
     OriginTrace(Option<OriginTrace>),
+    /// Counts of a window, which only the hub reads, by itself.
+    Usage,
 }
 
 /// Decodes a record under `prefix`; returns `None` if it is malformed or of an unknown kind.
@@ -61,6 +65,7 @@
         USE_TRACE_KEY => Some(FleetRecord::UseTrace(decode_record(bytes).ok())),
         ORIGIN_TRACE_KEY => Some(FleetRecord::OriginTrace(decode_record(bytes).ok())),
         CRASH_TRACE_KEY => Some(FleetRecord::CrashTrace(decode_record(bytes).ok())),
+        _ if name.starts_with(USAGE_PREFIX) => Some(FleetRecord::Usage),
         _ if name.starts_with(ENTRY_PREFIX) => decode_record(bytes).ok().map(FleetRecord::Entry),
         _ => {
             let work = name.strip_prefix(QUARANTINE_PREFIX)?.parse();
@@ -144,6 +149,49 @@
     Ok(())
 }
 
+/// Fixes the counts of a window; returns `None` if they are fixed already or another process holds
+/// the lease.
+///
+/// # Errors
+///
+/// Returns an error if the call to the service fails; the record may be written even so, or later.
+pub(super) fn write_usage(
+    service: &KeyValueService,
+    prefix: &str,
+    write: &UsageWrite,
+) -> Result<Option<StoreRevision>, KeyValueError> {
+    let key = |window| format!("{prefix}{USAGE_PREFIX}{window}");
+    let window = key(write.record.counts.window);
+    let conditions = [
+        WriteCondition { key: window.clone(), revision: StoreRevision::default() },
+        WriteCondition {
+            key: format!("{prefix}{HOLDER_KEY}"),
+            revision: StoreRevision::of_fence(write.fence),
+        },
+    ];
+    let removed = write.removed.iter().map(|window| ValueChange::Delete { key: key(*window) });
+    let mut changes = vec![ValueChange::put(window, encode(&write.record)?)];
+    changes.extend(removed);
+    service.write(&conditions, &changes)
+}
+
+/// Reads the fixed counts of all windows that are stored. Records that can't be read are skipped.
+///
+/// # Errors
+///
+/// Returns an error if the call to the service fails.
+pub(super) fn read_usages(
+    service: &KeyValueService,
+    prefix: &str,
+) -> Result<Vec<UsageRecord>, KeyValueError> {
+    let (values, _) = service.read_prefix(&format!("{prefix}{USAGE_PREFIX}"))?;
+    let decode = |value: &StoredValue| {
+        let record = decode_record(value.value.as_ref()?);
+        record.inspect_err(|error| log::warn!("record {} ignored: {error}", value.key)).ok()
+    };
+    Ok(values.iter().filter_map(decode).collect())
+}
+
 /// Writes the record of an entry and returns its revision.
 ///
 /// # Errors
--- a/crates/gentian-gateway/src/io/mod.rs
+++ b/crates/gentian-gateway/src/io/mod.rs
@@ -1,5 +1,6 @@
 //! Threads that make blocking calls for the control thread.
 
+mod duty_worker;
 mod engine_calls;
 mod fleet_records;
 mod hub_updates;
@@ -7,6 +8,7 @@
 mod record_readers;
 mod record_writer;
 
+pub(crate) use duty_worker::{DutyQueues, DutyWorker, start_duty_workers};
 pub(crate) use engine_calls::EngineCalls;
 pub(crate) use fleet_records::{EntryRecord, FleetRecord, decode_fleet_record, write_entry};
 pub(crate) use hub_updates::HubUpdates;
--- a/crates/gentian-gateway/src/lib.rs
+++ b/crates/gentian-gateway/src/lib.rs
@@ -16,6 +16,6 @@
 mod request_metadata;
 
 pub use gateway_process::run_gateway;
-pub use gateway_settings::GatewaySettings;
+pub use gateway_settings::{DutySettings, GatewaySettings};
 pub use platform_codec::{PlatformCodec, RecordLayout};
 pub use request_metadata::{ForwardMetadata, RequestMetadata, ResponseMetadata};
--- a/crates/gentian-gateway/src/platform_codec.rs
+++ b/crates/gentian-gateway/src/platform_codec.rs
@@ -1,7 +1,10 @@
 //! Encoding and decoding of a platform's messages, as closures.
 
+use std::net::SocketAddr;
+
 use gentian_config::serving::ServingConfig;
-use gentian_core::DomainId;
+use gentian_core::{DomainId, VmId};
+use gentian_decide::duties::{DutyReply, UsageCall};
 use gentian_decide::orders::{EngineOrder, EngineStateReport, OrderReply};
 use gentian_decide::serving::UpstreamRegistration;
 use gentian_http::forward::{RequestHead, ResponseHead};
@@ -12,6 +15,8 @@
 type EncodeHeadFn<T> = Box<dyn Fn(&RequestHead, &T) -> RequestHead + Send + Sync>;
 type DecodeReportFn = Box<dyn Fn(&[u8]) -> eyre::Result<EngineStateReport> + Send + Sync>;
 type EncodeOrderFn = Box<dyn Fn(&EngineOrder, &str) -> (RequestHead, Vec<u8>) + Send + Sync>;
+type EncodeUsageFn =
+    Box<dyn Fn(&UsageCall, &VmId, SocketAddr) -> (RequestHead, Vec<u8>) + Send + Sync>;
 type DecodeRecordFn<T> = Box<dyn Fn(&str, &[u8]) -> eyre::Result<T> + Send + Sync>;
 
 /// Keys and key prefixes of records in the key-value service.
@@ -52,4 +57,9 @@
     pub encode_order: EncodeOrderFn,
     /// Decodes the response status of an order.
     pub decode_order_reply: Box<dyn Fn(u16) -> OrderReply + Send + Sync>,
+    /// Encodes a report of usage as a head and a body, given the VM of the holder and the address of
+    /// the platform's API.
+    pub encode_usage: EncodeUsageFn,
+    /// Decodes the response status of a call of a duty.
+    pub decode_duty_reply: Box<dyn Fn(u16) -> DutyReply + Send + Sync>,
 }
--- a/crates/gentian-http/src/process_clock.rs
+++ b/crates/gentian-http/src/process_clock.rs
@@ -1,6 +1,6 @@
 //! The clock of a process.
 
-use gentian_core::{MonoTime, TimeSpan};
+use gentian_core::{MonoTime, TimeSpan, WallTime};
 use rustix::time::{ClockId, clock_gettime};
 
 /// Time at which the clock starts; far above zero, so that spans can be subtracted right after the
@@ -24,6 +24,14 @@
     pub fn now(&self) -> MonoTime {
         START + time_since_boot().saturating_sub(self.started)
     }
+
+    /// Returns the time of day by the VM's clock, which may step.
+    pub fn wall_time(&self) -> WallTime {
+        let time = clock_gettime(ClockId::Realtime);
+        let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+        let nanos = u64::try_from(time.tv_nsec).unwrap_or(0);
+        WallTime::from_micros(seconds.saturating_mul(1_000_000).saturating_add(nanos / 1_000))
+    }
 }
 
 impl Default for ProcessClock {
