Duties: failures of the holder, of the store, of the platform, of clocks and of links

What the hub counted itself was lost with it: a sixth of a window in a fleet of 6. Two other entries now keep a copy of these counts, in fleets of up to 40 entries, and tell the successor. And after a restoration of the store a successor fixed windows again that had been reported, if its process had been there since the first start: whether the store was restored is now known by the eras that the process has seen, the one of its own lease included.

--- a/crates/gentian-core/src/peer/fleet_message.rs
+++ b/crates/gentian-core/src/peer/fleet_message.rs
@@ -7,8 +7,8 @@
 use super::{
     ClaimNotice, CrashReport, FleetUse, LimitNotice, OperatorNotice, OriginNotice, OriginQuery,
     OriginReply, PermitReply, PermitRequest, QuarantineNotice, RankedPermits, ServedNotice,
-    SuspectQuery, SuspectReport, TargetId, TrialNotice, UsageMessage, UsageReply, UseHistory,
-    UseNotice, UseReport, VersionQuery, VersionReply,
+    SuspectQuery, SuspectReport, TargetId, TrialNotice, UsageCopy, UsageMessage, UsageReply,
+    UseHistory, UseNotice, UseReport, VersionQuery, VersionReply,
 };
 use crate::{
     DomainId, FenceNumber, InstanceId, ModelId, OrganisationId, SequenceNumber, ServiceId,
@@ -76,6 +76,8 @@
     Usage(UsageMessage),
     /// Reply of the hub to that.
     UsageReply(UsageReply),
+    /// What a hub counted itself.
+    UsageCopy(UsageCopy),
 }
 
 /// Announces that a process has become the hub.
--- a/crates/gentian-core/src/peer/mod.rs
+++ b/crates/gentian-core/src/peer/mod.rs
@@ -57,7 +57,7 @@
 pub use suspect_report::SuspectReport;
 pub use target_id::TargetId;
 pub use upstream_view::{ObjectPhase, ObjectView, UpstreamView};
-pub use usage_message::{UsageMessage, UsageRecord, UsageReply, WindowCounts};
+pub use usage_message::{UsageCopy, UsageMessage, UsageRecord, UsageReply, WindowCounts};
 pub use use_message::{FleetUse, OrganisationUse, UseHistory, UseNotice, UseReport, UseTrace};
 pub use version_message::{VersionQuery, VersionReply};
 pub use work_notice::{ClaimNotice, QuarantineNotice, ServedNotice, SuspectQuery, TrialNotice};
--- a/crates/gentian-core/src/peer/usage_message.rs
+++ b/crates/gentian-core/src/peer/usage_message.rs
@@ -55,6 +55,15 @@
     pub fixed_before: WindowNumber,
 }
 
+/// What the hub counted itself, as other entries keep it and tell its successor.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageCopy {
+    /// Instance id of the hub's process.
+    pub instance: InstanceId,
+    /// Totals by window.
+    pub windows: Vec<WindowCounts>,
+}
+
 /// Stored counts of one window, which are reported exactly so.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageRecord {
--- a/crates/gentian-decide/src/duties/mod.rs
+++ b/crates/gentian-decide/src/duties/mod.rs
@@ -4,6 +4,7 @@
 //! ends with one report for the whole fleet, also while hubs, links and the key-value service fail.
 
 mod fleet_clock;
+mod usage_backup;
 mod usage_counter;
 mod usage_duty;
 mod usage_ledger;
@@ -11,6 +12,7 @@
 mod usage_rules;
 
 pub use fleet_clock::FleetClock;
+pub use usage_backup::UsageBackup;
 pub use usage_counter::UsageCounter;
 pub use usage_duty::{DutyContext, UsageDuty, UsageEvent};
 pub use usage_ledger::UsageLedger;
--- a/crates/gentian-decide/src/duties/usage_counter.rs
+++ b/crates/gentian-decide/src/duties/usage_counter.rs
@@ -108,10 +108,11 @@
         self.drop_old(time);
     }
 
-    /// Records that a process with a higher fencing number is the hub. It knows none of the counts.
-    pub fn record_hub(&mut self, fence: FenceNumber, now: MonoTime) {
+    /// Records that a process with a higher fencing number is the hub, which knows none of the counts;
+    /// returns `false` if the number is known.
+    pub fn record_hub(&mut self, fence: FenceNumber, now: MonoTime) -> bool {
         if fence <= self.fence {
-            return;
+            return false;
         }
         self.fence = fence;
         self.confirmed_complete = None;
@@ -124,6 +125,7 @@
         let spread = FIRST_MESSAGE_SPREAD * self.entry_count as u64;
         let position = self.instance.get() % spread.as_micros().max(1);
         self.next_message = now + TimeSpan::from_micros(position);
+        true
     }
 
     /// Returns a message to the hub if one is due.
@@ -182,6 +184,11 @@
         }
     }
 
+    /// Returns the first window that is not fixed, as far as this entry knows.
+    pub fn fixed_before(&self) -> WindowNumber {
+        self.fixed_before
+    }
+
     /// Returns the offset of the fleet's time of day, if a hub has told it.
     pub fn fleet_offset(&self) -> Option<ClockOffset> {
         self.fleet_offset
--- a/crates/gentian-decide/src/duties/usage_duty.rs
+++ b/crates/gentian-decide/src/duties/usage_duty.rs
@@ -36,12 +36,10 @@
     pub acting_fence: Option<FenceNumber>,
     /// VMs of the entries' records.
     pub vms: &'a [VmId],
-    /// When this process first read the key-value service in its present era: that of the
-    /// restoration, or the start of the process. Windows that ended before may have been fixed and
-    /// lost.
-    pub era_since: MonoTime,
-    /// Whether other processes may have held the duty before.
-    pub has_predecessor: bool,
+    /// When this process noticed that the key-value service had been restored, or its start if the
+    /// restoration may be older. Windows that ended before may have been fixed and lost. `None` if
+    /// the service wasn't restored since the first process of the system started.
+    pub restored: Option<MonoTime>,
 }
 
 /// Something worth a log event.
@@ -304,15 +302,12 @@
         context: &DutyContext<'_>,
     ) -> Option<WindowNumber> {
         let era = StoreRevision::of_fence(ledger.fence()).era();
-        // Records of earlier eras are missing only if this is not the first one, and windows are fixed
-        // in ascending order, so that one of this era shows that no later one was fixed before.
-        let is_lossless =
-            era == StoreEra::default() || !context.has_predecessor || self.newest_era == Some(era);
-        if is_lossless {
-            return Some(first);
-        }
+        // Windows are fixed in ascending order, so that a record of this era shows that no later window
+        // was fixed before.
+        let restored = context.restored.filter(|_| self.newest_era != Some(era));
+        let Some(restored) = restored else { return Some(first) };
         let offset = ledger.offset(context.vms.len())?;
-        let safe = self.rules.window_at(offset.wall_time(context.era_since));
+        let safe = self.rules.window_at(offset.wall_time(restored));
         if safe > first {
             self.events.push(UsageEvent::LeftOut(first, safe));
             self.next_window = Some(safe);
--- a/crates/gentian-decide/src/duties/usage_ledger.rs
+++ b/crates/gentian-decide/src/duties/usage_ledger.rs
@@ -5,10 +5,10 @@
 
 use std::collections::BTreeMap;
 
-use gentian_core::peer::{UsageMessage, UsageReply, WindowCounts};
+use gentian_core::peer::{UsageCopy, UsageMessage, UsageReply, WindowCounts};
 use gentian_core::{
     ClockOffset, FastMap, FenceNumber, InstanceId, MonoTime, OrganisationId, SequenceNumber,
-    TimeSpan, VmId, WindowNumber,
+    TimeSpan, VmId, WallTime, WindowNumber,
 };
 
 use super::usage_rules::MAX_KEPT_WINDOWS;
@@ -25,6 +25,12 @@
 /// Largest number of organisations whose counts are kept.
 const MAX_ORGANISATIONS: usize = 16_384;
 
+/// Largest fleet in which the hub's own counts are copied. In a larger one they are under a fortieth of
+/// all, and would be many bytes.
+const MAX_COPIED_FLEET: usize = 40;
+/// Number of entries that keep a copy of the hub's own counts.
+const MAX_BACKUPS: usize = 2;
+
 /// What the hub knows of one entry's messages.
 #[derive(Clone, Copy, Debug)]
 struct EntryRow {
@@ -113,15 +119,7 @@
         }
         self.clock.record(&message.vm, message.wall_time, now);
         let wall_time = self.clock.offset(entry_count)?.wall_time(now);
-        let current = self.rules.window_at(wall_time).get();
-        let newest = WindowNumber::new(current.saturating_add(MAX_FUTURE_WINDOWS));
-        let oldest = self.rules.oldest_kept(wall_time).max(self.fixed_before);
-        self.windows = self.windows.split_off(&oldest);
-        for counts in &message.windows {
-            if (oldest..=newest).contains(&counts.window) {
-                self.add_counts(message.instance, counts);
-            }
-        }
+        self.add_windows(message.instance, &message.windows, wall_time);
         let row = EntryRow {
             instance: message.instance,
             sequence: message.sequence,
@@ -185,6 +183,39 @@
         self.entries.retain(|vm, _| is_registered(vm));
     }
 
+    /// Adds what an earlier hub counted itself.
+    pub fn handle_copy(&mut self, copy: &UsageCopy, entry_count: usize, now: MonoTime) {
+        if let Some(offset) = self.clock.offset(entry_count) {
+            self.add_windows(copy.instance, &copy.windows, offset.wall_time(now));
+        }
+    }
+
+    /// Returns the entries that keep a copy of the counts of the hub on `own`.
+    pub fn backup_vms(&self, own: &VmId, now: MonoTime) -> Vec<VmId> {
+        if self.entries.len() > MAX_COPIED_FLEET {
+            return Vec::new();
+        }
+        let silence = self.rules.window() + SILENCE_MARGIN;
+        let is_usable = |vm: &VmId, row: &EntryRow| vm != own && now.since(row.received) < silence;
+        let usable = self.entries.iter().filter(|(vm, row)| is_usable(vm, row));
+        let mut vms: Vec<VmId> = usable.map(|(vm, _)| vm.clone()).collect();
+        vms.sort();
+        vms.truncate(MAX_BACKUPS);
+        vms
+    }
+
+    fn add_windows(&mut self, instance: InstanceId, windows: &[WindowCounts], time: WallTime) {
+        let current = self.rules.window_at(time).get();
+        let newest = WindowNumber::new(current.saturating_add(MAX_FUTURE_WINDOWS));
+        let oldest = self.rules.oldest_kept(time).max(self.fixed_before);
+        self.windows = self.windows.split_off(&oldest);
+        for counts in windows {
+            if (oldest..=newest).contains(&counts.window) {
+                self.add_counts(instance, counts);
+            }
+        }
+    }
+
     fn add_counts(&mut self, instance: InstanceId, counts: &WindowCounts) {
         let window = self.windows.entry(counts.window).or_default();
         let totals = window.entry(instance).or_default();
--- a/crates/gentian-decide/tests/duty_model/entry_node.rs
+++ b/crates/gentian-decide/tests/duty_model/entry_node.rs
@@ -1,11 +1,12 @@
 //! One process of the model: what the gateway's controllers do for the lease and the duties.
 
-use gentian_core::peer::{HubAnnouncement, UsageMessage, UsageReply};
+use gentian_core::peer::{HubAnnouncement, UsageCopy, UsageMessage, UsageReply};
 use gentian_core::{
     ClockOffset, FenceNumber, InstanceId, MonoTime, OrganisationId, StoreEra, TimeSpan, VmId,
 };
 use gentian_decide::duties::{
-    DutyContext, DutyTask, UsageCounter, UsageDuty, UsageEvent, UsageLedger, UsageRules,
+    DutyContext, DutyTask, UsageBackup, UsageCounter, UsageDuty, UsageEvent, UsageLedger,
+    UsageRules,
 };
 use gentian_decide::orders::{HolderLease, LeaseReply, LeaseTask};
 
@@ -16,6 +17,7 @@
     Duty(DutyTask),
     Count(VmId, UsageMessage),
     Reply(VmId, UsageReply),
+    Copy(VmId, UsageCopy),
     Announce(HubAnnouncement),
     HandOver(FenceNumber),
 }
@@ -36,7 +38,10 @@
     vacant: bool,
     is_stopping: bool,
     has_predecessor: bool,
-    era: (StoreEra, MonoTime),
+    backup: UsageBackup,
+    era: StoreEra,
+    restored: Option<MonoTime>,
+    started: MonoTime,
     vms: Vec<VmId>,
     pub(crate) events: Vec<UsageEvent>,
 }
@@ -72,7 +77,10 @@
             vacant: false,
             is_stopping: false,
             has_predecessor,
-            era: (StoreEra::default(), time - base),
+            backup: UsageBackup::new(),
+            era: StoreEra::default(),
+            restored: None,
+            started: time - base,
             vms: vms.to_vec(),
             events: Vec::new(),
         }
@@ -125,7 +133,28 @@
         self.lease.handle_holder_change(fence);
         self.known_hub = Some((vm, fence));
         self.vacant = false;
-        self.counter.record_hub(fence, self.clock(time));
+        let now = self.clock(time);
+        if self.counter.record_hub(fence, now) {
+            self.backup.record_hub(now);
+        }
+    }
+
+    fn record_era(&mut self, era: StoreEra, now: MonoTime) {
+        if era > self.era {
+            self.restored = match self.era == StoreEra::default() {
+                true => self.has_predecessor.then_some(self.started),
+                false => Some(now),
+            };
+            self.era = era;
+        }
+    }
+
+    pub(crate) fn handle_copy(&mut self, copy: &UsageCopy, time: MonoTime) {
+        let now = self.clock(time);
+        match &mut self.ledger {
+            Some(ledger) => ledger.handle_copy(copy, self.vms.len(), now),
+            None => self.backup.store(copy),
+        }
     }
 
     /// Handles a read of the records.
@@ -135,10 +164,7 @@
         era: StoreEra,
         time: MonoTime,
     ) {
-        if era > self.era.0 {
-            let is_first = self.era.0 == StoreEra::default();
-            self.era = (era, if is_first { self.era.1 } else { self.clock(time) });
-        }
+        self.record_era(era, self.clock(time));
         self.vacant = holder.is_none();
         if let Some((vm, fence)) = holder {
             self.update_hub(vm, fence, time);
@@ -160,10 +186,13 @@
         }
         let fence = self.lease.fence().unwrap();
         let now = self.clock(time);
+        self.record_era(gentian_core::StoreRevision::of_fence(fence).era(), now);
         let inherited = self.counter.fleet_offset();
         self.ledger = Some(UsageLedger::new(self.rules, fence, inherited, now));
         self.known_hub = Some((self.vm.clone(), fence));
-        self.counter.record_hub(fence, now);
+        if self.counter.record_hub(fence, now) {
+            self.backup.record_hub(now);
+        }
         vec![NodeAction::Announce(HubAnnouncement { vm: self.vm.clone(), fence })]
     }
 
@@ -201,22 +230,33 @@
             actions.extend(self.lease.next_task(self.vacant, now).map(NodeAction::Lease));
         }
         let wall_time = self.own_offset().wall_time(now);
+        self.backup.drop_before(self.counter.fixed_before());
+        if let Some((hub, _)) = self.known_hub.clone() {
+            for copy in self.backup.next_copies(now) {
+                match hub == self.vm {
+                    true => self.handle_copy(&copy, time),
+                    false => actions.push(NodeAction::Copy(hub.clone(), copy)),
+                }
+            }
+        }
         if let Some((hub, _)) = self.known_hub.clone()
             && let Some(message) = self.counter.next_message(wall_time, now)
         {
             match hub == self.vm {
-                true => drop(self.handle_usage(&message, time)),
+                true => {
+                    self.handle_usage(&message, time);
+                    let copy = UsageCopy { instance: message.instance, windows: message.windows };
+                    let ledger = self.ledger.as_ref();
+                    let vms = ledger.map(|it| it.backup_vms(&self.vm, now)).unwrap_or_default();
+                    let copies = vms.into_iter().map(|vm| NodeAction::Copy(vm, copy.clone()));
+                    actions.extend(copies);
+                }
                 false => actions.push(NodeAction::Count(hub, message)),
             }
         }
         let acting_fence = self.lease.acting_fence(now).filter(|_| !self.is_stopping);
         if let Some(ledger) = &mut self.ledger {
-            let context = DutyContext {
-                acting_fence,
-                vms: &self.vms,
-                era_since: self.era.1,
-                has_predecessor: self.has_predecessor,
-            };
+            let context = DutyContext { acting_fence, vms: &self.vms, restored: self.restored };
             let tasks = self.duty.next_tasks(ledger, &context, now);
             actions.extend(tasks.into_iter().map(NodeAction::Duty));
         }
--- a/crates/gentian-decide/tests/duty_model/mod.rs
+++ b/crates/gentian-decide/tests/duty_model/mod.rs
@@ -10,7 +10,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use gentian_core::peer::{HubAnnouncement, UsageMessage, UsageReply};
+use gentian_core::peer::{HubAnnouncement, UsageCopy, UsageMessage, UsageReply};
 use gentian_core::{
     FastMap, FenceNumber, MonoTime, OrganisationId, StoreEra, TimeSpan, VmId, WindowNumber,
 };
@@ -40,6 +40,7 @@
     Records(Option<(VmId, FenceNumber)>, StoreEra),
     Usage(UsageMessage),
     Reply(UsageReply),
+    Copy(UsageCopy),
     Announce(HubAnnouncement),
     HandOver(FenceNumber),
     Stored(UsageStoreReply),
@@ -274,6 +275,7 @@
                     self.arrive(number, delay, Arrival::Sending(call));
                 }
                 NodeAction::Count(vm, message) => self.send(number, &vm, Arrival::Usage(message)),
+                NodeAction::Copy(vm, copy) => self.send(number, &vm, Arrival::Copy(copy)),
                 NodeAction::Reply(vm, reply) => self.send(number, &vm, Arrival::Reply(reply)),
                 NodeAction::Announce(announcement) => {
                     for vm in self.vms.clone().iter().filter(|vm| **vm != announcement.vm) {
@@ -407,6 +409,10 @@
                 node.handle_reply(&reply, time);
                 Vec::new()
             }
+            Arrival::Copy(copy) => {
+                node.handle_copy(&copy, time);
+                Vec::new()
+            }
             Arrival::Announce(announcement) => {
                 node.update_hub(announcement.vm, announcement.fence, time);
                 Vec::new()
--- a/crates/gentian-gateway/src/control/duty_controller.rs
+++ b/crates/gentian-gateway/src/control/duty_controller.rs
@@ -1,9 +1,10 @@
 //! Controllers of the duties of one VM at a time: counts of every entry, and the reports of the hub.
 
-use gentian_core::peer::{FleetMessage, UsageMessage};
-use gentian_core::{EventCode, InstanceId, MonoTime, StoreEra, TimeSpan, VmId};
+use gentian_core::peer::{FleetMessage, UsageCopy, UsageMessage};
+use gentian_core::{EventCode, InstanceId, MonoTime, StoreEra, StoreRevision, TimeSpan, VmId};
 use gentian_decide::duties::{
-    DutyContext, DutyTask, UsageCounter, UsageDuty, UsageEvent, UsageLedger, UsageRules,
+    DutyContext, DutyTask, UsageBackup, UsageCounter, UsageDuty, UsageEvent, UsageLedger,
+    UsageRules,
 };
 
 use super::fleet_broadcast::send_to_vm;
@@ -24,8 +25,14 @@
     /// Decides on the calls of the hub.
     duty: UsageDuty,
     queues: DutyQueues,
-    /// Era of the key-value service, and when this process first read it.
-    era: (StoreEra, MonoTime),
+    /// Counts of hubs, for their successors.
+    backup: UsageBackup,
+    /// Era of the key-value service.
+    era: StoreEra,
+    /// When this process noticed that the key-value service had been restored, or its start if that
+    /// may have been before.
+    restored: Option<MonoTime>,
+    started: MonoTime,
     /// When the duties were last looked at.
     last_round: MonoTime,
 }
@@ -45,7 +52,10 @@
             ledger: None,
             duty: UsageDuty::new(rules),
             queues,
-            era: (StoreEra::default(), now),
+            backup: UsageBackup::new(),
+            era: StoreEra::default(),
+            restored: None,
+            started: now,
             last_round: MonoTime::ORIGIN,
         }
     }
@@ -64,6 +74,7 @@
         ControlEvent::Peer(FleetMessage::UsageReply(reply)) => {
             duties.counter.handle_reply(reply, now);
         }
+        ControlEvent::Peer(FleetMessage::UsageCopy(copy)) => handle_copy(state, copy, now),
         ControlEvent::UsageStored(reply) => {
             duties.duty.handle_store_reply(reply.clone(), duties.ledger.as_mut(), now);
         }
@@ -90,17 +101,24 @@
 /// Follows changes of the hub, of the entries and of the era of the key-value service.
 fn follow_hub(state: &mut ControlState, now: MonoTime) {
     let Some(duties) = &mut state.duties else { return };
-    let era = state.eras.era();
-    if era > duties.era.0 {
-        // A restoration may be as old as this process if it never read an earlier era.
-        let is_first = duties.era.0 == StoreEra::default();
-        duties.era = (era, if is_first { duties.era.1 } else { now });
+    let fence = state.hub.as_ref().map(|hub| hub.fence);
+    // The lease may be of an era of which no record was read yet.
+    let lease_era = fence.map_or(StoreEra::default(), |it| StoreRevision::of_fence(it).era());
+    let era = state.eras.era().max(lease_era);
+    if era > duties.era {
+        duties.restored = match duties.era == StoreEra::default() {
+            true => state.has_predecessor.then_some(duties.started),
+            false => Some(now),
+        };
+        duties.era = era;
     }
     duties.counter.update_entry_count(state.entries.len());
-    if let Some((_, fence)) = &state.known_hub {
-        duties.counter.record_hub(*fence, now);
+    duties.backup.drop_before(duties.counter.fixed_before());
+    if let Some((_, fence)) = &state.known_hub
+        && duties.counter.record_hub(*fence, now)
+    {
+        duties.backup.record_hub(now);
     }
-    let fence = state.hub.as_ref().map(|hub| hub.fence);
     if duties.ledger.as_ref().map(UsageLedger::fence) != fence {
         let inherited = duties.counter.fleet_offset();
         duties.ledger = fence.map(|fence| UsageLedger::new(duties.rules, fence, inherited, now));
@@ -113,14 +131,42 @@
 fn send_counts(state: &mut ControlState, now: MonoTime) {
     let Some((vm, _)) = state.known_hub.clone() else { return };
     let Some(duties) = &mut state.duties else { return };
-    let Some(message) = duties.counter.next_message(state.wall_time, now) else { return };
+    let copies = duties.backup.next_copies(now);
+    let message = duties.counter.next_message(state.wall_time, now);
+    for copy in copies {
+        match vm == state.vm {
+            true => handle_copy(state, &copy, now),
+            false => send_to_vm(state, &FleetMessage::UsageCopy(copy), &vm),
+        }
+    }
+    let Some(message) = message else { return };
     if vm == state.vm {
         handle_usage(state, &message, now);
+        send_copies(state, message, now);
     } else {
         send_to_vm(state, &FleetMessage::Usage(message), &vm);
     }
 }
 
+/// Sends what the hub counted itself to the entries that keep a copy.
+fn send_copies(state: &ControlState, message: UsageMessage, now: MonoTime) {
+    let ledger = state.duties.as_ref().and_then(|duties| duties.ledger.as_ref());
+    let vms = ledger.map(|ledger| ledger.backup_vms(&state.vm, now)).unwrap_or_default();
+    let copy = UsageCopy { instance: message.instance, windows: message.windows };
+    let copy = FleetMessage::UsageCopy(copy);
+    vms.iter().for_each(|vm| send_to_vm(state, &copy, vm));
+}
+
+/// Stores what a hub counted itself, and adds it if this process is the hub.
+fn handle_copy(state: &mut ControlState, copy: &UsageCopy, now: MonoTime) {
+    let entry_count = state.entries.len();
+    let Some(duties) = &mut state.duties else { return };
+    match &mut duties.ledger {
+        Some(ledger) => ledger.handle_copy(copy, entry_count, now),
+        None => duties.backup.store(copy),
+    }
+}
+
 /// Adds the counts of an entry and replies to it.
 fn handle_usage(state: &mut ControlState, message: &UsageMessage, now: MonoTime) {
     let entry_count = state.entries.len();
@@ -139,12 +185,7 @@
     let Some(duties) = &mut state.duties else { return };
     if let Some(ledger) = &mut duties.ledger {
         let vms: Vec<VmId> = state.entries.keys().cloned().collect();
-        let context = DutyContext {
-            acting_fence,
-            vms: &vms,
-            era_since: duties.era.1,
-            has_predecessor: state.has_predecessor,
-        };
+        let context = DutyContext { acting_fence, vms: &vms, restored: duties.restored };
         for task in duties.duty.next_tasks(ledger, &context, now) {
             let is_sent = match task {
                 DutyTask::Store(task) => duties.queues.store_tasks.send(task).is_ok(),
