--- a/crates/gentian-core/src/peer/fleet_message.rs
+++ b/crates/gentian-core/src/peer/fleet_message.rs
@@ -7,8 +7,8 @@
 use super::{
     ClaimNotice, CrashReport, FleetUse, LimitNotice, OperatorNotice, OriginNotice, OriginQuery,
     OriginReply, PermitReply, PermitRequest, QuarantineNotice, RankedPermits, ServedNotice,
-    SuspectQuery, SuspectReport, TargetId, TrialNotice, UseHistory, UseNotice, UseReport,
-    VersionQuery, VersionReply,
+    SuspectQuery, SuspectReport, TargetId, TrialNotice, UsageCopy, UsageMessage, UsageReply,
+    UseHistory, UseNotice, UseReport, VersionQuery, VersionReply,
 };
 use crate::{
     DomainId, FenceNumber, InstanceId, ModelId, OrganisationId, SequenceNumber, ServiceId,
@@ -74,6 +74,12 @@
     OriginReply(OriginReply),
     /// The hub has read the registrations of upstreams again.
     Listings(ListingNotice),
+    /// How many requests began to run through an entry.
+    Usage(UsageMessage),
+    /// Reply of the hub to that.
+    UsageReply(UsageReply),
+    /// What a hub counted itself.
+    UsageCopy(UsageCopy),
 }
 
 /// Tells the entries of a large fleet, between two summaries, that the hub has read the registrations of upstreams
