Check the start of an upstream right before a stream goes on there

Cause: an upstream that crashes and is back at once under its id and address as another version is listed as the earlier one for about a second, longer while the store is silent. Streams that went on there joined two versions, at entries that had seen no broken connection.

Change: before a take-up, the entry reads the upstream's report on the connection that then carries the request. It is sent only if the report names the start that is listed. The soak has a plan for it, and its replicas can keep their names.

--- a/crates/gentian-decide/src/serving/upstream_pick.rs
+++ b/crates/gentian-decide/src/serving/upstream_pick.rs
@@ -5,6 +5,8 @@
 use gentian_core::peer::UpstreamWork;
 use gentian_core::{MonoTime, RequestRate, SoftwareVersion, TimeSpan, UpstreamId};
 
+use crate::streams::KnownStart;
+
 /// Age up to which a selection is used. What allows it (a permit, a place at a cold upstream, that the
 /// upstream isn't leaving) may have ended if the process was suspended since.
 const MAX_AGE: TimeSpan = TimeSpan::from_secs(1);
@@ -18,6 +20,8 @@
     pub address: SocketAddr,
     /// Version of its software, if it is known.
     pub version: Option<SoftwareVersion>,
+    /// What was known of its start.
+    pub start: KnownStart,
     /// Work of all entries there when it was selected.
     pub work: UpstreamWork,
     /// Number of available upstreams that have the target loaded.
--- a/crates/gentian-decide/src/serving/upstream_row.rs
+++ b/crates/gentian-decide/src/serving/upstream_row.rs
@@ -5,6 +5,7 @@
 
 use super::{AttemptOutcome, ColdLimiter, EngineModels, UpstreamRegistration, UpstreamState};
 use crate::limits::RequestShare;
+use crate::streams::KnownStart;
 
 /// Time for which an upstream is skipped after a failed connection.
 const UNREACHABLE_COOLDOWN: TimeSpan = TimeSpan::from_millis(1_000);
@@ -42,6 +43,8 @@
     broken: MonoTime,
     failure_rate: f64,
     failure_updated: MonoTime,
+    /// Start that a report has named, other than that of the registration.
+    reported_start: Option<u64>,
 }
 
 impl UpstreamRow {
@@ -64,6 +67,7 @@
             broken: MonoTime::ORIGIN,
             failure_rate: 0.0,
             failure_updated: now,
+            reported_start: None,
         }
     }
 
@@ -109,6 +113,24 @@
         self.unreachable >= time || (is_mixed && self.broken >= time)
     }
 
+    /// Returns what is known of the start of the upstream.
+    pub fn start(&self) -> KnownStart {
+        KnownStart { listed: self.registration.incarnation, reported: self.reported_start }
+    }
+
+    /// Returns whether a report has shown that the upstream has started again since it was registered, so
+    /// that its version isn't known.
+    pub fn has_restarted(&self) -> bool {
+        self.reported_start.is_some()
+    }
+
+    /// Records the start that a report names, if it isn't that of the registration; returns whether it is
+    /// new.
+    pub fn record_start(&mut self, start: u64) -> bool {
+        let is_listed = KnownStart::new(self.registration.incarnation).is_listed(start);
+        !is_listed && self.reported_start.replace(start) != Some(start)
+    }
+
     /// Returns whether the upstream is known to have had the version of another registration.
     pub fn has_version_of(&self, other: &UpstreamRegistration) -> bool {
         let version = &self.registration.version;
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -19,6 +19,7 @@
     UpstreamRow, UpstreamState, VersionTracker,
 };
 use crate::limits::{PermitClient, PermitState};
+use crate::streams::KnownStart;
 
 /// Fraction of the target latency that a request may wait for the prefill of earlier prompts.
 const PREFILL_WAIT_FRACTION: f64 = 0.7;
@@ -261,6 +262,14 @@
         }
     }
 
+    /// Records the start that a report of an upstream names, which was selected as this incarnation; returns
+    /// whether that is news.
+    pub fn record_reported_start(&mut self, id: &UpstreamId, incarnation: u64, start: u64) -> bool {
+        let row = self.rows.get_mut(id);
+        let row = row.filter(|row| row.registration.incarnation == incarnation);
+        row.is_some_and(|row| row.record_start(start))
+    }
+
     /// Returns the version of this incarnation of an upstream, if it is known.
     pub fn version(&self, id: &UpstreamId, incarnation: u64) -> Option<&SoftwareVersion> {
         let registration = &self.rows.get(id)?.registration;
@@ -310,7 +319,8 @@
         }
         let is_mixed = self.versions.history.is_mixed(&call.service, now);
         let is_certain = |row: &&UpstreamRow| {
-            call.origin.is_none() || !row.may_have_restarted(self.versions.list_time(), is_mixed)
+            let may_have_restarted = row.may_have_restarted(self.versions.list_time(), is_mixed);
+            call.origin.is_none() || !(row.has_restarted() || may_have_restarted)
         };
         let rows = rows.into_iter().filter(is_certain);
         let available: Vec<&UpstreamRow> = rows.filter(|row| self.is_available(row, now)).collect();
@@ -351,10 +361,12 @@
                     let work = row.map(UpstreamRow::work).unwrap_or_default();
                     let limit = row.and_then(|row| row.limit);
                     let version = row.and_then(|row| row.registration.version.clone());
+                    let start = row.map_or(KnownStart::new(0), UpstreamRow::start);
                     return PickOutcome::Send(UpstreamPick {
                         upstream: id,
                         address,
                         version,
+                        start,
                         work,
                         candidates,
                         limit,
--- /dev/null
+++ b/crates/gentian-decide/src/streams/known_start.rs
@@ -0,0 +1,63 @@
+//! Whether an upstream still is the start of it that an entry knows. Handles upstreams that end while
+//! streams run there and are back at once under their name and address, perhaps as another version.
+
+/// Largest difference in milliseconds between the start that a registration names and the one that a
+/// report of the same process names: a process may register a moment after it has started.
+const START_TOLERANCE_MS: u64 = 500;
+
+/// What an upstream replied that was asked for its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportedStart {
+    /// It named its start, in Unix milliseconds of its own clock.
+    At(u64),
+    /// It replied, but named none.
+    Unnamed,
+    /// It accepts no connections, or another upstream replied at its address.
+    Ended,
+    /// It gave no whole reply in time.
+    NoReply,
+}
+
+/// Whether a request for the rest of a stream may be sent to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TakeUpCheck {
+    /// The upstream has the listed version.
+    Send,
+    /// It has started again, at this time of its own clock, and its version isn't known.
+    Restarted(u64),
+    /// It can't be known whether it has started again.
+    Unknown,
+}
+
+/// The starts of an upstream that an entry knew when it selected it, in Unix milliseconds of the
+/// upstream's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KnownStart {
+    /// Start that the registration names, to which its version belongs.
+    pub listed: u64,
+    /// Another start that a report has named since.
+    pub reported: Option<u64>,
+}
+
+impl KnownStart {
+    /// Creates the start of an upstream of which no report is known.
+    pub fn new(listed: u64) -> Self {
+        Self { listed, reported: None }
+    }
+
+    /// Returns whether a report that names `start` is of the process that is listed.
+    pub fn is_listed(self, start: u64) -> bool {
+        self.listed.abs_diff(start) <= START_TOLERANCE_MS
+    }
+
+    /// Decides whether a request for the rest of a stream may be sent. An upstream whose reports name no
+    /// start can't be checked.
+    pub fn check_take_up(self, reply: ReportedStart) -> TakeUpCheck {
+        match reply {
+            ReportedStart::At(start) if self.is_listed(start) => TakeUpCheck::Send,
+            ReportedStart::At(start) => TakeUpCheck::Restarted(start),
+            ReportedStart::Unnamed => TakeUpCheck::Send,
+            ReportedStart::Ended | ReportedStart::NoReply => TakeUpCheck::Unknown,
+        }
+    }
+}
--- a/crates/gentian-decide/src/streams/mod.rs
+++ b/crates/gentian-decide/src/streams/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions on streams that callers take up: which upstreams may go on with them.
 
+mod known_start;
 mod open_query;
 mod origin_log;
 mod origin_tracer;
@@ -7,6 +8,7 @@
 mod take_up;
 mod take_up_claim;
 
+pub use known_start::{KnownStart, ReportedStart, TakeUpCheck};
 use open_query::OpenQuery;
 use origin_log::OriginLog;
 pub use origin_tracer::OriginTracer;
--- a/crates/gentian-decide/tests/stream_origins.rs
+++ b/crates/gentian-decide/tests/stream_origins.rs
@@ -14,7 +14,9 @@
     AttemptOutcome, PickOutcome, ServingBounds, ServingCall, UpstreamRegistration, UpstreamState,
     UpstreamTable, VersionHistory,
 };
-use gentian_decide::streams::{OriginTracer, StreamOrigins, TakeUp, TakeUpClaim};
+use gentian_decide::streams::{
+    KnownStart, OriginTracer, ReportedStart, StreamOrigins, TakeUp, TakeUpCheck, TakeUpClaim,
+};
 use rstest::rstest;
 
 const STREAM: StreamId = StreamId::new(7);
@@ -399,6 +401,44 @@
     assert_eq!(entry.picked(Some("v1"), listed), Some("a1".to_owned()));
 }
 
+/// Upstreams crashed and were back at once as another version, and entries that listed the earlier one
+/// sent them the rests of streams.
+#[rstest]
+#[case::same_start(ReportedStart::At(10_000), TakeUpCheck::Send)]
+#[case::registered_after_its_start(ReportedStart::At(9_800), TakeUpCheck::Send)]
+#[case::back_as_another_start(ReportedStart::At(14_000), TakeUpCheck::Restarted(14_000))]
+#[case::clock_set_back(ReportedStart::At(2_000), TakeUpCheck::Restarted(2_000))]
+#[case::huge(ReportedStart::At(u64::MAX), TakeUpCheck::Restarted(u64::MAX))]
+#[case::ended(ReportedStart::Ended, TakeUpCheck::Unknown)]
+#[case::silent(ReportedStart::NoReply, TakeUpCheck::Unknown)]
+#[case::names_no_start(ReportedStart::Unnamed, TakeUpCheck::Send)]
+fn the_rest_of_a_stream_is_sent_to_the_listed_start_only(
+    #[case] reply: ReportedStart,
+    #[case] expected: TakeUpCheck,
+) {
+    assert_eq!(KnownStart::new(10_000).check_take_up(reply), expected);
+}
+
+/// The report of an upstream shows that it has started again: until it is listed anew, each further
+/// take-up would try it in vain or join two versions. New streams still begin there.
+#[test]
+fn no_stream_goes_on_at_an_upstream_whose_report_names_another_start() {
+    let mut entry = Entry::new("vm-0");
+    entry.list(&[("a1", "v1")], start());
+    let (id, returned): (UpstreamId, u64) = ("a1".parse().unwrap(), 90_000);
+    assert!(entry.table.record_reported_start(&id, 1, returned));
+    assert!(!entry.table.record_reported_start(&id, 1, returned));
+    assert_eq!(entry.picked(Some("v1"), start()), None);
+    assert_eq!(entry.picked(None, start()), Some("a1".to_owned()));
+    // A list that is read while the registration is late doesn't change that.
+    let later = start() + TimeSpan::from_millis(600);
+    entry.list(&[("a1", "v1")], later);
+    assert_eq!(entry.picked(Some("v1"), later), None);
+    let listed = registration("a1", "v1", returned);
+    entry.table.update_registrations(vec![listed], StoreRevision::default(), later);
+    assert_eq!(entry.picked(Some("v1"), later), Some("a1".to_owned()));
+}
+
 /// What is stored changes only if there is something to store.
 #[test]
 fn an_unchanged_trace_is_not_stored_again() {
--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -9,6 +9,7 @@
 use super::call_context::SavedResponse;
 use super::relay::{begin_stream, end_stream, send_events, send_response};
 use super::response_reader::{ReadError, read_body, read_head, wait_for_bytes};
+use super::start_probe::{StartError, connect_checked};
 use super::upstream_probe::is_refusing;
 use super::{CallContext, CallHandles};
 use crate::control::ControlEvent;
@@ -30,6 +31,8 @@
     TimedOut,
     /// The selection of the upstream was too old to be used; nothing was sent.
     OutOfDate,
+    /// The upstream has started again, and it isn't known as which version; nothing was sent.
+    Restarted,
     /// The upstream did not execute the request.
     NotExecuted(AttemptOutcome, String),
     /// The upstream may have executed the request but gave no response that could be relayed.
@@ -43,7 +46,9 @@
             Self::Responded(outcome) | Self::NotExecuted(outcome, _) | Self::Failed(outcome, _) => {
                 *outcome
             }
-            Self::CallerGone | Self::TimedOut | Self::OutOfDate => AttemptOutcome::Abandoned,
+            Self::CallerGone | Self::TimedOut | Self::OutOfDate | Self::Restarted => {
+                AttemptOutcome::Abandoned
+            }
         }
     }
 }
@@ -67,12 +72,17 @@
     let now = handles.clock.now();
     call.progress = AttemptProgress::Unsent;
     let limit = CONNECT_TIMEOUT.min(call.time_left(now));
-    let mut stream = match handles.connections.acquire(pick.address, limit) {
-        Ok(stream) => stream,
-        Err(error) => {
-            let cause = format!("no connection: {error}");
-            return AttemptResult::NotExecuted(AttemptOutcome::Unreachable, cause);
-        }
+    let unreachable = |cause| AttemptResult::NotExecuted(AttemptOutcome::Unreachable, cause);
+    let mut stream = match is_take_up(call, pick) {
+        true => match connect_checked(handles, pick, limit) {
+            Ok(stream) => stream,
+            Err(StartError::Restarted) => return AttemptResult::Restarted,
+            Err(StartError::Unknown(cause)) => return unreachable(cause),
+        },
+        false => match handles.connections.acquire(pick.address, limit) {
+            Ok(stream) => stream,
+            Err(error) => return unreachable(format!("no connection: {error}")),
+        },
     };
     // The caller may have left by now: reading the request, waiting for an upstream and earlier
     // attempts may have taken long.
@@ -110,6 +120,11 @@
     handle_response(handles, call, pick, stream, response)
 }
 
+/// Returns whether the request goes on with a stream that only upstreams of one version may go on with.
+fn is_take_up(call: &CallContext, pick: &UpstreamPick) -> bool {
+    call.is_resuming() && pick.version.is_some()
+}
+
 /// Returns what a response says about its upstream.
 fn read_notices(metadata: &ResponseMetadata) -> Vec<UpstreamNotice> {
     let leaving = metadata.is_leaving.then_some(UpstreamNotice::Leaving);
--- a/crates/gentian-gateway/src/chain/call_context.rs
+++ b/crates/gentian-gateway/src/chain/call_context.rs
@@ -196,7 +196,7 @@
     }
 
     /// Returns whether the caller has some events of the stream, or may have.
-    fn is_resuming(&self) -> bool {
+    pub(crate) fn is_resuming(&self) -> bool {
         let is_resumable = self.route.as_ref().is_some_and(|route| route.kind.is_resumable());
         is_resumable && (self.event_splitter.is_some() || self.metadata.resume_after.is_some())
     }
--- a/crates/gentian-gateway/src/chain/forward_call.rs
+++ b/crates/gentian-gateway/src/chain/forward_call.rs
@@ -54,6 +54,7 @@
                 return finish_unserved(handles, call, refusal.with_unknown_run());
             }
             AttemptResult::OutOfDate => log_retry(call, &pick, "the selection is out of date"),
+            AttemptResult::Restarted => log_retry(call, &pick, "the upstream has started again"),
             AttemptResult::NotExecuted(_, cause) => {
                 call.tried.push(pick.upstream.clone());
                 if !may_retry(call, handles.clock.now()) {
--- a/crates/gentian-gateway/src/chain/mod.rs
+++ b/crates/gentian-gateway/src/chain/mod.rs
@@ -7,6 +7,7 @@
 mod gateway_chain;
 mod relay;
 mod response_reader;
+mod start_probe;
 mod upstream_probe;
 
 pub(crate) use call_context::{CallContext, CallHandles};
--- a/crates/gentian-gateway/src/control/control_event.rs
+++ b/crates/gentian-gateway/src/control/control_event.rs
@@ -62,6 +62,15 @@
         /// What else the response says about its upstream.
         notices: Vec<UpstreamNotice>,
     },
+    /// The report of an upstream names another start than its registration.
+    StartReported {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Start of which it was listed when it was selected.
+        incarnation: u64,
+        /// Start that the report names.
+        start: u64,
+    },
     /// An attempt of a request ended.
     EndAttempt(AttemptEnd),
     /// A traffic thread no longer waits for an assignment.
--- a/crates/gentian-gateway/src/control/gateway_controllers.rs
+++ b/crates/gentian-gateway/src/control/gateway_controllers.rs
@@ -10,7 +10,7 @@
 use super::permit_controller::{handle_permits, request_permits};
 use super::quarantine_controller::handle_quarantine;
 use super::take_up_controller::{decide_take_ups, handle_origins};
-use super::upstream_controller::handle_registrations;
+use super::upstream_controller::{handle_registrations, handle_reported_starts};
 use super::use_controller::{handle_uses, report_uses};
 use super::version_controller::handle_versions;
 use super::{ControlEvent, ControlState};
@@ -20,6 +20,7 @@
     ControllerSet::new()
         .with_controller(StateController::new("configuration", handle_operator_records))
         .with_controller(StateController::new("upstreams", handle_registrations))
+        .with_controller(StateController::new("starts", handle_reported_starts))
         .with_controller(StateController::new("members", handle_fleet_records))
         .with_controller(StateController::new("lease", maintain_lease))
         .with_controller(StateController::new("messages", handle_messages))
--- a/crates/gentian-gateway/src/control/upstream_controller.rs
+++ b/crates/gentian-gateway/src/control/upstream_controller.rs
@@ -51,6 +51,19 @@
     }
 }
 
+/// Records the starts that reports name other than registrations.
+pub(super) fn handle_reported_starts(
+    state: &mut ControlState,
+    event: &ControlEvent,
+    _now: MonoTime,
+) {
+    let ControlEvent::StartReported { upstream, incarnation, start } = event else { return };
+    if state.table.record_reported_start(upstream, *incarnation, *start) {
+        let code = EventCode::UPSTREAM_RETURNED;
+        log::info!("{code} upstream={upstream} listed={incarnation} reported={start}");
+    }
+}
+
 /// Returns the cause for a log line; a parser may quote much of an odd record.
 fn short_cause(error: &eyre::Report) -> String {
     format!("{error:#}").chars().take(MAX_CAUSE_CHARS).collect()
--- a/crates/gentian-gateway/src/platform_codec.rs
+++ b/crates/gentian-gateway/src/platform_codec.rs
@@ -1,9 +1,12 @@
 //! Encoding and decoding of a platform's messages, as closures.
 
+use std::net::SocketAddr;
+
 use gentian_config::serving::ServingConfig;
-use gentian_core::DomainId;
+use gentian_core::{DomainId, UpstreamId};
 use gentian_decide::orders::{EngineOrder, EngineStateReport, OrderReply};
 use gentian_decide::serving::UpstreamRegistration;
+use gentian_decide::streams::ReportedStart;
 use gentian_http::forward::{RequestHead, ResponseHead};
 
 use crate::{ForwardMetadata, RequestMetadata, ResponseMetadata};
@@ -48,6 +51,10 @@
     pub decode_response: Box<dyn Fn(&ResponseHead) -> ResponseMetadata + Send + Sync>,
     /// Decodes the state report of an engine.
     pub decode_report: DecodeReportFn,
+    /// Encodes the head of a call that asks an upstream for its start.
+    pub encode_start_call: Box<dyn Fn(&UpstreamId, SocketAddr) -> RequestHead + Send + Sync>,
+    /// Decodes the response to it.
+    pub decode_start: Box<dyn Fn(&ResponseHead, &[u8]) -> ReportedStart + Send + Sync>,
     /// Encodes an order as a head and a body, given the VM of the lease holder that sends it.
     pub encode_order: EncodeOrderFn,
     /// Decodes the response status of an order.
--- a/crates/gentian-http/src/forward/buffered_stream.rs
+++ b/crates/gentian-http/src/forward/buffered_stream.rs
@@ -89,7 +89,7 @@
     }
 
     /// Marks the connection as one on which responses to earlier requests have arrived.
-    pub(super) fn mark_reused(&mut self) {
+    pub fn mark_reused(&mut self) {
         self.is_reused = true;
     }
 
--- a/crates/gentian-soak/src/fault_plan.rs
+++ b/crates/gentian-soak/src/fault_plan.rs
@@ -25,10 +25,13 @@
     PausedEntries,
     /// Half of the engines are replaced by ones of the next version, then single engines end.
     CrashedEngines,
+    /// Engines end together and are back at once under their names and addresses as the next version,
+    /// while entries still list the earlier one.
+    ReturnedEngines,
 }
 
 impl FaultPlan {
-    const ALL: [Self; 7] = [
+    const ALL: [Self; 8] = [
         Self::Random,
         Self::SilentStore,
         Self::RestoredStore,
@@ -36,6 +39,7 @@
         Self::ReplacedEngines,
         Self::PausedEntries,
         Self::CrashedEngines,
+        Self::ReturnedEngines,
     ];
 }
 
@@ -49,6 +53,7 @@
             Self::ReplacedEngines => "replaced-engines",
             Self::PausedEntries => "paused-entries",
             Self::CrashedEngines => "crashed-engines",
+            Self::ReturnedEngines => "returned-engines",
         })
     }
 }
@@ -59,7 +64,7 @@
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let found = Self::ALL.into_iter().find(|plan| plan.to_string() == text);
         let expected = "one of random, silent-store, restored-store, stopped-entries, replaced-engines, \
-             paused-entries, crashed-engines";
+             paused-entries, crashed-engines, returned-engines";
         found.ok_or_else(|| ParseError::new("fault plan", text, expected))
     }
 }
--- a/crates/gentian-soak/src/soak_fault.rs
+++ b/crates/gentian-soak/src/soak_fault.rs
@@ -76,6 +76,8 @@
     StopReplica(usize),
     /// A replica receives SIGTERM, leaves after a while and is restarted with the next version.
     ReplaceReplica(usize),
+    /// A replica is killed and restarted at once under its name with the next version.
+    ReturnReplica(usize),
     /// The store is down for the second time span and comes back as it was the first one before.
     RestoreStore(Duration, Duration),
     /// The link to the store has a fault.
@@ -115,6 +117,7 @@
         FaultPlan::ReplacedEngines => draw_replacements(seed, span, entries, replicas),
         FaultPlan::PausedEntries => draw_pauses(seed, span, entries, replicas),
         FaultPlan::CrashedEngines => draw_engine_crashes(seed, span, replicas),
+        FaultPlan::ReturnedEngines => draw_returns(seed, span, entries, replicas),
     }
 }
 
@@ -270,6 +273,30 @@
     faults
 }
 
+/// Generates crashes of all engines or half of them, which are back at once as the next version. The
+/// store is silent meanwhile, so that entries list the earlier one for longer; at times an entry ends
+/// as well, so that callers take up their streams elsewhere.
+fn draw_returns(seed: u64, span: Duration, entries: usize, replicas: usize) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let engines = replicas - PLAIN_REPLICAS;
+    let (mut faults, mut at) = (Vec::new(), Duration::ZERO);
+    while at < span {
+        let mut millis = |range| Duration::from_millis(random.random_range(range));
+        let (pause, silence) = (millis(3_500..5_000), millis(800..1_600));
+        let mut series = vec![(pause, SoakFault::HarmStoreLink(LinkMode::Mute, silence))];
+        let first = if random.random_range(0..2) == 0 { 0 } else { engines / 2 };
+        let returned = (first..engines).map(SoakFault::ReturnReplica);
+        series.extend(returned.map(|fault| (Duration::ZERO, fault)));
+        if random.random_range(0..2) == 0 {
+            let entry = random.random_range(0..entries);
+            series.push((Duration::from_millis(100), SoakFault::KillEntry(entry)));
+        }
+        at += series.iter().map(|(pause, _)| *pause).sum::<Duration>();
+        faults.extend(series.into_iter().map(|(pause, fault)| PlannedFault { pause, fault }));
+    }
+    faults
+}
+
 /// Generates random faults. Some follow each other closely, and they may overlap.
 fn draw_random_faults(
     seed: u64,
--- a/crates/gentian-soak/src/soak_run.rs
+++ b/crates/gentian-soak/src/soak_run.rs
@@ -26,7 +26,7 @@
 use crate::soak_fault::{PLAIN_REPLICAS, PlannedFault, SoakFault, draw_faults};
 use crate::stop_check::StopLog;
 use crate::version_log::VersionLog;
-use crate::{SoakReport, SoakSettings};
+use crate::{FaultPlan, SoakReport, SoakSettings};
 
 /// The first `ENGINES` replicas are model engines, the others plain services.
 const ENGINES: usize = 4;
@@ -276,7 +276,8 @@
                 self.version_log.record_end(replica, now);
                 self.processes.signal(&format!("replica-{replica}"), Signal::TERM);
             }
-            SoakFault::ReplaceReplica(replica) => self.replace_replica(replica, now),
+            SoakFault::ReplaceReplica(replica) => self.replace_replica(replica, Signal::TERM),
+            SoakFault::ReturnReplica(replica) => self.replace_replica(replica, Signal::KILL),
             SoakFault::RestoreStore(age, down) => self.restore_store(age, down),
             SoakFault::HarmStoreLink(mode, span) => {
                 self.contact_log.record(None, now, span);
@@ -378,15 +379,15 @@
         }
     }
 
-    /// Has a replica leave and start again with the next version.
-    fn replace_replica(&mut self, replica: usize, now: Instant) {
+    /// Has a replica leave, or end, and start again with the next version.
+    fn replace_replica(&mut self, replica: usize, signal: Signal) {
         let name = format!("replica-{replica}");
         self.replica_versions[replica] += 1;
         let version = self.replica_versions[replica];
         let command = replica_command(&self.settings, self.layout, replica, version);
-        self.version_log.record_end(replica, now);
+        self.version_log.record_end(replica, Instant::now());
         self.processes.replace_command(&name, command);
-        self.processes.signal(&name, Signal::TERM);
+        self.processes.signal(&name, signal);
     }
 
     /// Records which versions the engines have that start now.
@@ -496,6 +497,9 @@
     }
     command.extend(settings.slots.into_iter().flat_map(|slots| option("slots", slots.to_string())));
     command.extend(option("crash-path", CRASH_PATH.to_owned()));
+    if settings.fault_plan == FaultPlan::ReturnedEngines {
+        command.extend(option("id", format!("i-{replica}")));
+    }
     if is_engine {
         command.extend(option("memory", "150000".to_owned()));
         command.extend(option("holds", holds));
--- a/crates/gentian-soak/tests/replaced_engines.rs
+++ b/crates/gentian-soak/tests/replaced_engines.rs
@@ -54,3 +54,19 @@
             .with_event_time(TimeSpan::from_millis(80)),
     );
 }
+
+/// Engines crash and are back at once under their names as another version; entries whose list showed
+/// the earlier one went on with streams there.
+#[rstest]
+#[case(331)]
+#[case(332)]
+fn streams_went_on_at_engines_that_came_back_as_another_version(#[case] seed: u64) {
+    run_clean(
+        &settings(seed)
+            .with_seconds(14)
+            .with_fault_plan(FaultPlan::ReturnedEngines)
+            .with_size(3, 16)
+            .with_models(2)
+            .with_event_time(TimeSpan::from_millis(80)),
+    );
+}
--- a/crates/gentian-standin/src/commands/fleet_replica.rs
+++ b/crates/gentian-standin/src/commands/fleet_replica.rs
@@ -53,7 +53,7 @@
     let incarnation = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis();
     let address = settings.address;
     let replica = Arc::new(Replica {
-        id: format!("i-{:08x}", rand::random::<u32>()),
+        id: settings.id.clone().unwrap_or_else(|| format!("i-{:08x}", rand::random::<u32>())),
         incarnation: u64::try_from(incarnation)?,
         state: Mutex::new(ReplicaState::new(&settings)),
         journal: Mutex::new(journal),
--- a/crates/gentian-standin/src/fleet/replica_settings.rs
+++ b/crates/gentian-standin/src/fleet/replica_settings.rs
@@ -10,6 +10,9 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "fleet-replica")]
 pub(crate) struct ReplicaSettings {
+    /// name under which it is registered, by default another one at each start
+    #[argh(option)]
+    pub(crate) id: Option<String>,
     /// address for requests and orders
     #[argh(option)]
     pub(crate) address: SocketAddr,
