Take a response without a length for whole only if its upstream has not ended

Cause: a response without length or chunks ends with its connection, as does one whose upstream ends. The only check was a connection made after the end, which an upstream that is back by then accepts.

Change: after the end the entry reads the upstream's report. The response is whole if the report names the listed start, or one that a report named before the request was sent. Otherwise it is broken off towards the caller or goes on elsewhere (GW1118). An upstream whose reports name no start is checked as before.

--- a/crates/gentian-core/src/event_code.rs
+++ b/crates/gentian-core/src/event_code.rs
@@ -68,6 +68,7 @@
     1112 QUARANTINE_TRIED "quarantine-tried": "A quarantined request, or one with a quarantined part, is let through to find out whether it still ends upstreams."; "None."
     1113 STREAM_TAKEN_UP "stream-taken-up": "A caller asks for the rest of a stream, or a stream goes on within its response; the line says which version began it, or that nobody knows."; "None unless unknown is frequent; then check whether entries reach each other and the key-value service."
     1117 UPSTREAM_RETURNED "upstream-returned": "The report of an upstream names another start than its registration; no stream goes on there until it is listed anew."; "None unless it lasts; then check whether the upstream renews its registration."
+    1118 END_UNCERTAIN "end-uncertain": "A response ended with its connection, and the report of its upstream doesn't show that the upstream has not ended; it isn't taken for whole."; "Check the named upstream if this repeats."
     1201 CONFIG_IN_FORCE "config-in-force": "A configuration version took effect in this process."; "None."
     1202 CONFIG_STALE "config-stale": "Neither the key-value service nor a peer confirms the configuration."; "Check the key-value service and the network of this VM."
     1203 CONFIG_PUBLISHED "config-published": "An operator published a configuration."; "None."
--- a/crates/gentian-decide/src/streams/known_start.rs
+++ b/crates/gentian-decide/src/streams/known_start.rs
@@ -1,5 +1,8 @@
 //! Whether an upstream still is the start of it that an entry knows. Handles upstreams that end while
-//! streams run there and are back at once under their name and address, perhaps as another version.
+//! streams run there and are back at once under their name and address, perhaps as another version:
+//! streams that go on there, and responses that end with their connections.
+
+use std::fmt;
 
 /// Largest difference in milliseconds between the start that a registration names and the one that a
 /// report of the same process names: a process may register a moment after it has started.
@@ -39,6 +42,17 @@
     pub reported: Option<u64>,
 }
 
+impl fmt::Display for ReportedStart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::At(start) => write!(f, "{start}"),
+            Self::Unnamed => f.write_str("unnamed"),
+            Self::Ended => f.write_str("ended"),
+            Self::NoReply => f.write_str("no-reply"),
+        }
+    }
+}
+
 impl KnownStart {
     /// Creates the start of an upstream of which no report is known.
     pub fn new(listed: u64) -> Self {
@@ -50,6 +64,17 @@
         self.listed.abs_diff(start) <= START_TOLERANCE_MS
     }
 
+    /// Returns whether a response that ended with its connection is whole, by the reply after its end: the
+    /// process that replies is one that was known before the request was sent, so that it was the one that
+    /// responded and hasn't ended meanwhile. An upstream whose reports name no start can't be checked.
+    pub fn shows_end(self, reply: ReportedStart) -> bool {
+        match reply {
+            ReportedStart::At(start) => self.is_listed(start) || self.reported == Some(start),
+            ReportedStart::Unnamed => true,
+            ReportedStart::Ended | ReportedStart::NoReply => false,
+        }
+    }
+
     /// Decides whether a request for the rest of a stream may be sent. An upstream whose reports name no
     /// start can't be checked.
     pub fn check_take_up(self, reply: ReportedStart) -> TakeUpCheck {
--- a/crates/gentian-decide/tests/stream_origins.rs
+++ b/crates/gentian-decide/tests/stream_origins.rs
@@ -419,6 +419,23 @@
     assert_eq!(KnownStart::new(10_000).check_take_up(reply), expected);
 }
 
+/// An entry that had stood still took the end of an upstream that was back for the end of its response.
+/// A start that was reported before the request was sent is known as well: the registration is late.
+#[rstest]
+#[case::same_start(ReportedStart::At(10_000), true)]
+#[case::reported_before(ReportedStart::At(14_000), true)]
+#[case::back_as_another_start(ReportedStart::At(19_000), false)]
+#[case::ended(ReportedStart::Ended, false)]
+#[case::silent(ReportedStart::NoReply, false)]
+#[case::names_no_start(ReportedStart::Unnamed, true)]
+fn a_response_is_whole_if_its_upstream_has_not_ended(
+    #[case] reply: ReportedStart,
+    #[case] expected: bool,
+) {
+    let known = KnownStart { listed: 10_000, reported: Some(14_000) };
+    assert_eq!(known.shows_end(reply), expected);
+}
+
 /// The report of an upstream shows that it has started again: until it is listed anew, each further
 /// take-up would try it in vain or join two versions. New streams still begin there.
 #[test]
--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -9,8 +9,7 @@
 use super::call_context::SavedResponse;
 use super::relay::{begin_stream, end_stream, send_events, send_response};
 use super::response_reader::{ReadError, read_body, read_head, wait_for_bytes};
-use super::start_probe::{StartError, connect_checked};
-use super::upstream_probe::is_refusing;
+use super::start_probe::{StartError, connect_checked, has_ended_whole};
 use super::{CallContext, CallHandles};
 use crate::control::ControlEvent;
 use crate::{ForwardMetadata, ResponseMetadata};
@@ -192,7 +191,7 @@
         Ok(read) => read,
         Err(error) => return error.into(),
     };
-    if ends_with_connection(&head) && is_refusing(handles, pick) {
+    if ends_with_connection(&head) && !has_ended_whole(handles, call, pick) {
         return ReadError::Broken("the upstream ended".to_owned()).into();
     }
     // A faulty upstream may write a refusal once more with the next request on the connection.
@@ -289,7 +288,7 @@
     let is_inside_event = splitter.is_some_and(EventSplitter::has_partial);
     let is_resumed = splitter.is_some_and(|splitter| splitter.last_id().is_some());
     let is_empty = call.progress < AttemptProgress::BodyReceived && !is_resumed;
-    !(is_inside_event || is_empty || is_refusing(handles, pick))
+    !(is_inside_event || is_empty) && has_ended_whole(handles, call, pick)
 }
 
 fn ends_with_connection(head: &ResponseHead) -> bool {
--- a/crates/gentian-gateway/src/chain/start_probe.rs
+++ b/crates/gentian-gateway/src/chain/start_probe.rs
@@ -3,16 +3,18 @@
 
 use std::io::{self, ErrorKind};
 
-use gentian_core::TimeSpan;
+use gentian_core::{EventCode, TimeSpan};
 use gentian_decide::serving::UpstreamPick;
 use gentian_decide::streams::{ReportedStart, TakeUpCheck};
 use gentian_http::forward::{
     BodyFraming, BodyProgress, BodyReader, BufferedStream, HeadParser, ResponseHead,
 };
 
-use super::CallHandles;
+use super::{CallContext, CallHandles};
 use crate::control::ControlEvent;
 
+/// Longest wait for a connection after the end of a response.
+const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_millis(300);
 /// Longest wait for a report. An upstream gives it at once, and a caller waits meanwhile.
 const REPORT_TIMEOUT: TimeSpan = TimeSpan::from_millis(600);
 /// Size limit in bytes of a report, as for those that the hub reads.
@@ -42,7 +44,9 @@
         Ok(read) => read,
         Err(error) => return Err(StartError::Unknown(format!("no report: {error}"))),
     };
-    match pick.start.check_take_up(reply) {
+    let check = pick.start.check_take_up(reply);
+    count_check(handles, "take-up", check == TakeUpCheck::Send);
+    match check {
         TakeUpCheck::Send if keeps_connection => {
             // A faulty upstream may write the report once more.
             stream.mark_reused();
@@ -60,6 +64,44 @@
     }
 }
 
+/// Returns whether a response that has ended with its connection is whole. The end of the upstream ends
+/// the connection too, and the upstream may be back by now.
+pub(super) fn has_ended_whole(
+    handles: &CallHandles,
+    call: &CallContext,
+    pick: &UpstreamPick,
+) -> bool {
+    let connected = BufferedStream::connect(pick.address, CONNECT_TIMEOUT, handles.clock);
+    let read = connected.and_then(|mut stream| read_start(handles, pick, &mut stream));
+    let reply = match read {
+        Ok((reply, _)) => reply,
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => ReportedStart::Ended,
+        Err(_) => ReportedStart::NoReply,
+    };
+    if let ReportedStart::At(start) = reply
+        && !pick.start.is_listed(start)
+    {
+        report_start(handles, pick, start);
+    }
+    let is_whole = pick.start.shows_end(reply);
+    count_check(handles, "end", is_whole);
+    if !is_whole {
+        log::info!(
+            "{} request={} upstream={} listed={} reported={reply}",
+            EventCode::END_UNCERTAIN,
+            call.metadata.request_id,
+            pick.upstream,
+            pick.start.listed
+        );
+    }
+    is_whole
+}
+
+fn count_check(handles: &CallHandles, moment: &str, is_confirmed: bool) {
+    let result = if is_confirmed { "confirmed" } else { "refused" };
+    handles.metrics.start_checks.with_label_values(&[moment, result]).inc();
+}
+
 fn report_start(handles: &CallHandles, pick: &UpstreamPick, start: u64) {
     handles.send_event(ControlEvent::StartReported {
         upstream: pick.upstream.clone(),
--- a/crates/gentian-gateway/src/gateway_metrics.rs
+++ b/crates/gentian-gateway/src/gateway_metrics.rs
@@ -15,6 +15,8 @@
     pub(crate) requests: IntCounterVec,
     /// Number of attempts by outcome.
     pub(crate) attempts: IntCounterVec,
+    /// Number of checks of the start of an upstream by moment and result.
+    pub(crate) start_checks: IntCounterVec,
     /// Number of orders to engines by action and reply.
     pub(crate) orders: IntCounterVec,
     /// Number of calls to the key-value service by kind and result.
@@ -56,6 +58,11 @@
                 "Attempts by how they ended.",
                 &["end"],
             )?,
+            start_checks: counter(
+                "gentian_gateway_start_checks_total",
+                "Reports of upstreams read to know whether they have started again, by moment and result.",
+                &["moment", "result"],
+            )?,
             orders: counter(
                 "gentian_gateway_orders_total",
                 "Orders to engines by action and answer.",
@@ -92,6 +99,7 @@
         };
         metrics.registry.register(Box::new(metrics.requests.clone()))?;
         metrics.registry.register(Box::new(metrics.attempts.clone()))?;
+        metrics.registry.register(Box::new(metrics.start_checks.clone()))?;
         metrics.registry.register(Box::new(metrics.orders.clone()))?;
         metrics.registry.register(Box::new(metrics.store_calls.clone()))?;
         metrics.registry.register(Box::new(metrics.first_byte_seconds.clone()))?;
--- a/crates/gentian-gateway/src/platform_codec.rs
+++ b/crates/gentian-gateway/src/platform_codec.rs
@@ -14,6 +14,8 @@
 type DecodeKeyFn<T> = Box<dyn Fn(&str) -> Option<T> + Send + Sync>;
 type EncodeHeadFn<T> = Box<dyn Fn(&RequestHead, &T) -> RequestHead + Send + Sync>;
 type DecodeReportFn = Box<dyn Fn(&[u8]) -> eyre::Result<EngineStateReport> + Send + Sync>;
+type EncodeStartCallFn = Box<dyn Fn(&UpstreamId, SocketAddr) -> RequestHead + Send + Sync>;
+type DecodeStartFn = Box<dyn Fn(&ResponseHead, &[u8]) -> ReportedStart + Send + Sync>;
 type EncodeOrderFn = Box<dyn Fn(&EngineOrder, &str) -> (RequestHead, Vec<u8>) + Send + Sync>;
 type DecodeRecordFn<T> = Box<dyn Fn(&str, &[u8]) -> eyre::Result<T> + Send + Sync>;
 
@@ -52,9 +54,9 @@
     /// Decodes the state report of an engine.
     pub decode_report: DecodeReportFn,
     /// Encodes the head of a call that asks an upstream for its start.
-    pub encode_start_call: Box<dyn Fn(&UpstreamId, SocketAddr) -> RequestHead + Send + Sync>,
+    pub encode_start_call: EncodeStartCallFn,
     /// Decodes the response to it.
-    pub decode_start: Box<dyn Fn(&ResponseHead, &[u8]) -> ReportedStart + Send + Sync>,
+    pub decode_start: DecodeStartFn,
     /// Encodes an order as a head and a body, given the VM of the lease holder that sends it.
     pub encode_order: EncodeOrderFn,
     /// Decodes the response status of an order.
--- a/crates/gentian-soak/src/fault_plan.rs
+++ b/crates/gentian-soak/src/fault_plan.rs
@@ -28,10 +28,20 @@
     /// Engines end together and are back at once under their names and addresses as the next version,
     /// while entries still list the earlier one.
     ReturnedEngines,
+    /// Responses of engines end with their connections. Engines end and are back while an entry stands
+    /// still.
+    UnframedStreams,
 }
 
 impl FaultPlan {
-    const ALL: [Self; 8] = [
+    /// Returns whether replicas keep their names when they start again.
+    pub(crate) fn keeps_names(self) -> bool {
+        matches!(self, Self::ReturnedEngines | Self::UnframedStreams)
+    }
+}
+
+impl FaultPlan {
+    const ALL: [Self; 9] = [
         Self::Random,
         Self::SilentStore,
         Self::RestoredStore,
@@ -40,6 +50,7 @@
         Self::PausedEntries,
         Self::CrashedEngines,
         Self::ReturnedEngines,
+        Self::UnframedStreams,
     ];
 }
 
@@ -54,6 +65,7 @@
             Self::PausedEntries => "paused-entries",
             Self::CrashedEngines => "crashed-engines",
             Self::ReturnedEngines => "returned-engines",
+            Self::UnframedStreams => "unframed-streams",
         })
     }
 }
@@ -64,7 +76,7 @@
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let found = Self::ALL.into_iter().find(|plan| plan.to_string() == text);
         let expected = "one of random, silent-store, restored-store, stopped-entries, replaced-engines, \
-             paused-entries, crashed-engines, returned-engines";
+             paused-entries, crashed-engines, returned-engines, unframed-streams";
         found.ok_or_else(|| ParseError::new("fault plan", text, expected))
     }
 }
--- a/crates/gentian-soak/src/main.rs
+++ b/crates/gentian-soak/src/main.rs
@@ -19,7 +19,7 @@
     #[argh(option, default = "12")]
     seconds: u64,
     /// faults: random (default), silent-store, restored-store, stopped-entries, replaced-engines,
-    /// paused-entries, crashed-engines or returned-engines
+    /// paused-entries, crashed-engines, returned-engines or unframed-streams
     #[argh(option, default = "FaultPlan::default()")]
     plan: FaultPlan,
     /// entries (default 3)
--- a/crates/gentian-soak/src/soak_fault.rs
+++ b/crates/gentian-soak/src/soak_fault.rs
@@ -118,6 +118,7 @@
         FaultPlan::PausedEntries => draw_pauses(seed, span, entries, replicas),
         FaultPlan::CrashedEngines => draw_engine_crashes(seed, span, replicas),
         FaultPlan::ReturnedEngines => draw_returns(seed, span, entries, replicas),
+        FaultPlan::UnframedStreams => draw_unframed_ends(seed, span, entries, replicas),
     }
 }
 
@@ -297,6 +298,35 @@
     faults
 }
 
+/// Generates ends of engines while an entry stands still, which are back before it goes on.
+fn draw_unframed_ends(
+    seed: u64,
+    span: Duration,
+    entries: usize,
+    replicas: usize,
+) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let engines = replicas - PLAIN_REPLICAS;
+    let (mut faults, mut at) = (Vec::new(), Duration::ZERO);
+    while at < span {
+        let mut millis = |range| Duration::from_millis(random.random_range(range));
+        let (pause, standstill) = (millis(2_500..3_500), millis(700..1_200));
+        let waited = millis(50..250);
+        let entry = random.random_range(0..entries);
+        let ended = random.random_range(0..engines);
+        faults.extend([
+            PlannedFault { pause, fault: SoakFault::PauseEntry(entry, standstill) },
+            PlannedFault { pause: waited, fault: SoakFault::KillReplica(ended) },
+            PlannedFault {
+                pause: Duration::ZERO,
+                fault: SoakFault::KillReplica((ended + 1) % engines),
+            },
+        ]);
+        at += pause + waited;
+    }
+    faults
+}
+
 /// Generates random faults. Some follow each other closely, and they may overlap.
 fn draw_random_faults(
     seed: u64,
--- a/crates/gentian-soak/src/soak_run.rs
+++ b/crates/gentian-soak/src/soak_run.rs
@@ -497,7 +497,7 @@
     }
     command.extend(settings.slots.into_iter().flat_map(|slots| option("slots", slots.to_string())));
     command.extend(option("crash-path", CRASH_PATH.to_owned()));
-    if settings.fault_plan == FaultPlan::ReturnedEngines {
+    if settings.fault_plan.keeps_names() {
         command.extend(option("id", format!("i-{replica}")));
     }
     if is_engine {
@@ -508,6 +508,9 @@
             settings.event_time.into_iter().flat_map(|time| option("event-time", time.to_string())),
         );
         command.extend(option("crash-part", CRASH_PART.to_owned()));
+        if settings.fault_plan == FaultPlan::UnframedStreams {
+            command.push("--unframed".to_owned());
+        }
     }
     command
 }
--- a/crates/gentian-soak/tests/faulty_answers.rs
+++ b/crates/gentian-soak/tests/faulty_answers.rs
@@ -7,6 +7,8 @@
 use std::sync::{Mutex, PoisonError};
 
 use clean_run::{run_clean, settings};
+use gentian_core::TimeSpan;
+use gentian_soak::FaultPlan;
 use rstest::rstest;
 
 #[test]
@@ -20,6 +22,22 @@
     run_clean(&settings(182).with_size(2, 4).with_answer_fault("unframed-cut"));
 }
 
+/// The upstream of a stream that ends with its connection had ended, and was back when the entry, which
+/// had stood still, read the end.
+#[rstest]
+#[case(341)]
+#[case(342)]
+fn a_stream_whose_upstream_was_back_counted_as_whole(#[case] seed: u64) {
+    run_clean(
+        &settings(seed)
+            .with_seconds(12)
+            .with_fault_plan(FaultPlan::UnframedStreams)
+            .with_size(3, 16)
+            .with_models(2)
+            .with_event_time(TimeSpan::from_millis(80)),
+    );
+}
+
 /// Many callers at once, since what an entry reads of each answer must fit into its memory.
 #[rstest]
 #[case::head("endless-head", 183)]
--- a/crates/gentian-standin/src/commands/fleet_replica.rs
+++ b/crates/gentian-standin/src/commands/fleet_replica.rs
@@ -257,8 +257,12 @@
             .with_notices(ResponseHead::new(200))
             .with_header("Content-Type", "text/event-stream")
             .with_header("X-Gentianwheel-Request-Id", id)
-            .with_header("X-Gentianwheel-Server-Stamp", self.id.clone())
-            .with_header("Transfer-Encoding", "chunked");
+            .with_header("X-Gentianwheel-Server-Stamp", self.id.clone());
+        let is_chunked = !self.settings.unframed;
+        let head = match is_chunked {
+            true => head.with_header("Transfer-Encoding", "chunked"),
+            false => head.with_header("Connection", "close"),
+        };
         if !self.write(stream, &head.to_bytes()) {
             return false;
         }
@@ -270,11 +274,12 @@
                 self.write(stream, encode_chunk(&text[..text.len() / 2]).as_bytes());
                 return false;
             }
-            if !self.write(stream, encode_chunk(&text).as_bytes()) {
+            let text = if is_chunked { encode_chunk(&text) } else { text };
+            if !self.write(stream, text.as_bytes()) {
                 return false;
             }
         }
-        self.write(stream, b"0\r\n\r\n")
+        is_chunked && self.write(stream, b"0\r\n\r\n")
     }
 
     fn is_misdirected(&self, request: &ReplicaRequest) -> bool {
--- a/crates/gentian-standin/src/fleet/replica_settings.rs
+++ b/crates/gentian-standin/src/fleet/replica_settings.rs
@@ -55,6 +55,9 @@
     /// time between two events, and time of a plain response
     #[argh(option, default = "TimeSpan::from_millis(15)")]
     pub(crate) event_time: TimeSpan,
+    /// whether responses have neither a length nor chunks, and end with their connections
+    #[argh(switch)]
+    pub(crate) unframed: bool,
     /// requests a second that responses name as the limit for all callers together
     #[argh(option)]
     pub(crate) request_limit: Option<RequestRate>,
