Log why a stream can't be taken up

Cause: GW1113 said "unknown" without a cause, and the refusals of take-ups whose upstreams were full, down or without the model read like those of other requests, so that a run can't be sorted by them.

Change: GW1113 and the refusal name the cause (uncertain, unnamed, nobody-knows, no-reply, no-records). Refusals after a wait name the version, a target that isn't loaded is told from a version that has left, and upstreams that may have started again from ones that take no work. The tests of unknown streams check the cause as well.

--- a/crates/gentian-decide/src/serving/call_refusal.rs
+++ b/crates/gentian-decide/src/serving/call_refusal.rs
@@ -16,12 +16,14 @@
             "the upstreams bear no more now"
         }
         PickOutcome::VersionGone => "no upstream of the version that began the stream serves it",
+        PickOutcome::Uncertain => "the upstreams may have started again",
         PickOutcome::HeldBack => "upstreams ended under this request, and its copies wait in turn",
         PickOutcome::Send(_) | PickOutcome::Paused(_) | PickOutcome::NoUpstream => {
             "no upstream takes work"
         }
     };
-    refuse(call, &format!("{message}{}", for_target(call)), OVERLOAD_RETRY_AFTER)
+    let message = format!("{message}{}{}", for_target(call), for_rest(call));
+    refuse(call, &message, OVERLOAD_RETRY_AFTER)
 }
 
 /// Refuses a request that upstreams with limits could only take too late; `before` other requests of
@@ -68,3 +70,10 @@
 fn for_target(call: &ServingCall) -> String {
     call.target.as_ref().map_or_else(String::new, |target| format!(" for {target}"))
 }
+
+/// Returns that only upstreams of one version are asked for, as the end of a message.
+fn for_rest(call: &ServingCall) -> String {
+    call.origin
+        .as_ref()
+        .map_or_else(String::new, |it| format!(", for the rest of a stream of {it}"))
+}
--- a/crates/gentian-decide/src/serving/call_scheduler.rs
+++ b/crates/gentian-decide/src/serving/call_scheduler.rs
@@ -154,7 +154,12 @@
                 }
                 ref outcome if is_hopeless(&call, outcome, now) => {
                     self.refund_unexecuted(&call, now);
-                    let message = "no upstream of the version that began the stream serves it";
+                    let message = match outcome {
+                        PickOutcome::NotLoaded => {
+                            "no upstream of the version that began the stream has loaded it"
+                        }
+                        _ => "no upstream of the version that began the stream serves it",
+                    };
                     let refusal = refuse_take_up(&call, message);
                     decisions.push(ScheduleDecision::Refuse(call.id, refusal));
                 }
@@ -173,7 +178,10 @@
                 outcome => {
                     self.waits_for_capacity |= !matches!(
                         outcome,
-                        PickOutcome::NotLoaded | PickOutcome::NoUpstream | PickOutcome::Paused(_)
+                        PickOutcome::NotLoaded
+                            | PickOutcome::NoUpstream
+                            | PickOutcome::Uncertain
+                            | PickOutcome::Paused(_)
                     );
                     self.waiting.push(call);
                 }
--- a/crates/gentian-decide/src/serving/pick_outcome.rs
+++ b/crates/gentian-decide/src/serving/pick_outcome.rs
@@ -13,6 +13,8 @@
     HeldBack,
     /// No available upstream has the version that began the stream.
     VersionGone,
+    /// Upstreams of the version that began the stream are registered, but they may have started again.
+    Uncertain,
     /// No available upstream has the target loaded.
     NotLoaded,
     /// The upstreams that have it loaded accept no more requests from this entry now.
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -323,7 +323,12 @@
             call.origin.is_none() || !(row.has_restarted() || may_have_restarted)
         };
         let rows = rows.into_iter().filter(is_certain);
-        let available: Vec<&UpstreamRow> = rows.filter(|row| self.is_available(row, now)).collect();
+        let certain: Vec<&UpstreamRow> = rows.collect();
+        if call.origin.is_some() && certain.is_empty() {
+            return PickOutcome::Uncertain;
+        }
+        let available: Vec<&UpstreamRow> =
+            certain.into_iter().filter(|row| self.is_available(row, now)).collect();
         if available.is_empty() {
             return PickOutcome::NoUpstream;
         }
--- a/crates/gentian-decide/src/streams/mod.rs
+++ b/crates/gentian-decide/src/streams/mod.rs
@@ -7,6 +7,7 @@
 mod stream_origins;
 mod take_up;
 mod take_up_claim;
+mod unknown_cause;
 
 pub use known_start::{KnownStart, ReportedStart, TakeUpCheck};
 use open_query::OpenQuery;
@@ -15,3 +16,4 @@
 pub use stream_origins::StreamOrigins;
 pub use take_up::TakeUp;
 pub use take_up_claim::TakeUpClaim;
+pub use unknown_cause::UnknownCause;
--- a/crates/gentian-decide/src/streams/stream_origins.rs
+++ b/crates/gentian-decide/src/streams/stream_origins.rs
@@ -8,7 +8,7 @@
 use gentian_core::{FastMap, MonoTime, ServiceId, StreamId, TimeSpan, UpstreamId, VmId};
 use rustc_hash::FxBuildHasher;
 
-use super::{OpenQuery, OriginLog, TakeUp, TakeUpClaim};
+use super::{OpenQuery, OriginLog, TakeUp, TakeUpClaim, UnknownCause};
 use crate::serving::VersionHistory;
 
 /// Other entries beside the writer of the trace that know which version began a stream.
@@ -173,7 +173,7 @@
         let Some(stream) = claim.stream else {
             // There is nothing to ask others for.
             let take_up = match versions.is_mixed(&claim.service, now) || has_waited(claim, now) {
-                true => TakeUp::Unknown,
+                true => TakeUp::Unknown(UnknownCause::Unnamed),
                 false => TakeUp::Pending,
             };
             return (take_up, Vec::new());
@@ -190,7 +190,7 @@
     ) -> Option<TakeUp> {
         match claim.stream.and_then(|stream| self.log.find(stream)) {
             Some(StreamOrigin::Version(version)) => Some(TakeUp::Of(version.clone())),
-            Some(StreamOrigin::Uncertain(_)) => Some(TakeUp::Unknown),
+            Some(StreamOrigin::Uncertain(_)) => Some(TakeUp::Unknown(UnknownCause::Uncertain)),
             None if !claim.is_list_current => None,
             None if !versions.has_named(&claim.service) => Some(TakeUp::Any),
             None => {
@@ -212,8 +212,10 @@
         if !self.queries.contains_key(&stream) && !self.entries.is_empty() {
             self.queries.insert(stream, OpenQuery::new(self.keepers(stream), now));
         }
+        let is_mixed = versions.is_mixed(&claim.service, now);
         let pending = match has_waited(claim, now) {
-            true => TakeUp::Unknown,
+            true if is_mixed => TakeUp::Unknown(UnknownCause::NoReply),
+            true => TakeUp::Unknown(UnknownCause::NoRecords),
             false => TakeUp::Pending,
         };
         let Some(query) = self.queries.get_mut(&stream) else { return (pending, Vec::new()) };
@@ -224,10 +226,14 @@
             return (TakeUp::Of(version), Vec::new());
         }
         let is_over = query.missing.is_empty() || now.since(query.begun) >= QUERY_TIME;
-        if is_over && versions.is_mixed(&claim.service, now) {
-            return (TakeUp::Unknown, Vec::new());
+        if is_over && is_mixed {
+            let cause = match query.missing.is_empty() {
+                true => UnknownCause::NobodyKnows,
+                false => UnknownCause::NoReply,
+            };
+            return (TakeUp::Unknown(cause), Vec::new());
         }
-        if pending == TakeUp::Unknown || now.since(query.sent) < QUERY_INTERVAL {
+        if pending != TakeUp::Pending || now.since(query.sent) < QUERY_INTERVAL {
             return (pending, Vec::new());
         }
         query.sent = now;
--- a/crates/gentian-decide/src/streams/take_up.rs
+++ b/crates/gentian-decide/src/streams/take_up.rs
@@ -2,6 +2,8 @@
 
 use gentian_core::peer::ServiceVersion;
 
+use super::UnknownCause;
+
 /// Which upstreams may go on with a stream that its caller takes up.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TakeUp {
@@ -12,5 +14,5 @@
     /// It is not known yet; other entries have been asked, or records are being read.
     Pending,
     /// It can't be known which version began the stream.
-    Unknown,
+    Unknown(UnknownCause),
 }
--- a/crates/gentian-decide/tests/stream_origins.rs
+++ b/crates/gentian-decide/tests/stream_origins.rs
@@ -16,6 +16,7 @@
 };
 use gentian_decide::streams::{
     KnownStart, OriginTracer, ReportedStart, StreamOrigins, TakeUp, TakeUpCheck, TakeUpClaim,
+    UnknownCause,
 };
 use rstest::rstest;
 
@@ -279,7 +280,7 @@
     let thawed = start() + TimeSpan::from_secs(6);
     assert_eq!(entry.check_at(thawed, thawed), TakeUp::Pending);
     entry.list(&[("a1", "v1"), ("b1", "v2")], thawed + TimeSpan::from_millis(100));
-    assert_eq!(entry.check_at(thawed, thawed + LONG_WAIT), TakeUp::Unknown);
+    assert_eq!(entry.check_at(thawed, thawed + LONG_WAIT), TakeUp::Unknown(UnknownCause::NoReply));
 }
 
 /// The further version had come and gone while the entry stood still.
@@ -291,7 +292,7 @@
     entry.list(&[("a1", "v1")], thawed);
     assert_eq!(entry.check_at(thawed, thawed), TakeUp::Pending);
     entry.table.versions.restore(&[service_version("v1"), service_version("v2")], thawed);
-    assert_eq!(entry.check_at(thawed, thawed + LONG_WAIT), TakeUp::Unknown);
+    assert_eq!(entry.check_at(thawed, thawed + LONG_WAIT), TakeUp::Unknown(UnknownCause::NoReply));
 }
 
 /// The entry of the take-up has just started, and nobody is left who knows.
@@ -300,7 +301,10 @@
     let mut entry = Entry::new("vm-2").with_start(start());
     entry.list(&[("b1", "v2")], start());
     assert_eq!(entry.check_at(start(), start()), TakeUp::Pending);
-    assert_eq!(entry.check_at(start(), start() + LONG_WAIT), TakeUp::Unknown);
+    assert_eq!(
+        entry.check_at(start(), start() + LONG_WAIT),
+        TakeUp::Unknown(UnknownCause::NoRecords)
+    );
 }
 
 /// All entries were killed and started anew.
@@ -327,7 +331,7 @@
     entry.table.versions.restore(&trace.versions, start() + SETTLED);
     entry.list(&[("b1", "v2")], start() + SETTLED);
     let now = start() + SETTLED;
-    assert_eq!(entry.check_at(now, now + LONG_WAIT), TakeUp::Unknown);
+    assert_eq!(entry.check_at(now, now + LONG_WAIT), TakeUp::Unknown(UnknownCause::NoReply));
 }
 
 /// With one version, a take-up needs nobody else, also right after a start.
@@ -384,7 +388,7 @@
     for (upstream, since) in entry.table.versions.drain_restarts() {
         entry.origins.record_restart(&upstream, since);
     }
-    assert_eq!(entry.check_at(now, now), TakeUp::Unknown);
+    assert_eq!(entry.check_at(now, now), TakeUp::Unknown(UnknownCause::Uncertain));
 }
 
 /// Until it is listed again, an upstream that was down isn't taken for what it was.
--- a/crates/gentian-gateway/src/control/take_up_controller.rs
+++ b/crates/gentian-gateway/src/control/take_up_controller.rs
@@ -99,9 +99,10 @@
             refuse(&call, reply, "the route leads to another service now");
         }
         TakeUp::Pending => state.take_ups.push(WaitingTakeUp { call, reply: reply.clone() }),
-        TakeUp::Unknown => {
-            log_take_up(state, &call, "unknown", now);
-            refuse(&call, reply, "it isn't known which version began the stream");
+        TakeUp::Unknown(cause) => {
+            log_take_up(state, &call, &format!("unknown, {cause}"), now);
+            let message = format!("it isn't known which version began the stream ({cause})");
+            refuse(&call, reply, &message);
         }
     }
 }
