Ask all entries for a stream before its version counts as unknown

Cause: while several versions serve, an entry asked the three entries that are told of a stream, and refused the stream as soon as they had replied that they don't know it. The entry that began it was not asked, and tells nobody until it has seen the further version itself; a notice may be lost as well.

Change: if those that are told don't know, all others are asked once. A stream of which nobody knew is asked for anew with the next claim.

--- a/crates/gentian-decide/src/streams/open_query.rs
+++ b/crates/gentian-decide/src/streams/open_query.rs
@@ -7,6 +7,10 @@
 pub(super) struct OpenQuery {
     /// When it was first sent.
     pub(super) begun: MonoTime,
+    /// When the entries were first asked that are asked now.
+    pub(super) round_begun: MonoTime,
+    /// Whether all entries are asked, rather than those that are told of the stream.
+    pub(super) is_wide: bool,
     /// When it was last sent.
     pub(super) sent: MonoTime,
     /// Entries that have not replied.
@@ -18,7 +22,22 @@
 impl OpenQuery {
     /// Creates the query to these entries.
     pub(super) fn new(entries: Vec<VmId>, now: MonoTime) -> Self {
-        Self { begun: now, sent: MonoTime::ORIGIN, missing: entries, only_versions: Vec::new() }
+        Self {
+            begun: now,
+            round_begun: now,
+            is_wide: false,
+            sent: MonoTime::ORIGIN,
+            missing: entries,
+            only_versions: Vec::new(),
+        }
+    }
+
+    /// Goes on with these entries, beside those that have not replied.
+    pub(super) fn widen(&mut self, entries: Vec<VmId>, now: MonoTime) {
+        self.missing.extend(entries);
+        self.is_wide = true;
+        self.round_begun = now;
+        self.sent = MonoTime::ORIGIN;
     }
 
     /// Returns the version that all entries have replied to be the only one.
--- a/crates/gentian-decide/src/streams/stream_origins.rs
+++ b/crates/gentian-decide/src/streams/stream_origins.rs
@@ -8,7 +8,7 @@
 use gentian_core::{FastMap, MonoTime, ServiceId, StreamId, TimeSpan, UpstreamId, VmId};
 use rustc_hash::FxBuildHasher;
 
-use super::{OpenQuery, OriginLog, TakeUp, TakeUpClaim, UnknownCause};
+use super::{OpenQuery, OriginLog, QueryBudget, TakeUp, TakeUpClaim, UnknownCause};
 use crate::serving::VersionHistory;
 
 /// Other entries beside the writer of the trace that know which version began a stream.
@@ -29,7 +29,7 @@
 /// A caller whose connection broke asks any entry for the rest of its stream, and only an upstream of the
 /// version that began it may go on. While a service has one version, that is the one. Once it has several,
 /// each entry tells the hub and two others, chosen by the stream, which version began each of its
-/// streams, and asks them about one that it doesn't know. The hub stores the latest, in case all entries
+/// streams, and asks them about one that it doesn't know, then all others. The hub stores the latest, in case all entries
 /// end; the first entry by name does so while there is no hub.
 #[derive(Debug)]
 pub struct StreamOrigins {
@@ -40,7 +40,9 @@
     first_entry: Option<VmId>,
     entries: Vec<VmId>,
     log: OriginLog,
+    /// Queries begun within twice `RECORD_WAIT`, one for each stream that is being taken up.
     queries: FastMap<StreamId, OpenQuery>,
+    wide_budget: QueryBudget,
     is_log_changed: bool,
 }
 
@@ -54,6 +56,7 @@
             entries: Vec::new(),
             log: OriginLog::new(),
             queries: FastMap::default(),
+            wide_budget: QueryBudget::new(),
             is_log_changed: false,
         }
     }
@@ -209,8 +212,9 @@
         now: MonoTime,
     ) -> (TakeUp, Vec<(VmId, OriginQuery)>) {
         self.queries.retain(|_, query| now.since(query.begun) < RECORD_WAIT * 2);
+        let keepers = self.keepers(stream);
         if !self.queries.contains_key(&stream) && !self.entries.is_empty() {
-            self.queries.insert(stream, OpenQuery::new(self.keepers(stream), now));
+            self.queries.insert(stream, OpenQuery::new(keepers.clone(), now));
         }
         let is_mixed = versions.is_mixed(&claim.service, now);
         let pending = match has_waited(claim, now) {
@@ -225,15 +229,29 @@
             let version = ServiceVersion { service: claim.service.clone(), software };
             return (TakeUp::Of(version), Vec::new());
         }
-        let is_over = query.missing.is_empty() || now.since(query.begun) >= QUERY_TIME;
+        let is_over = query.missing.is_empty() || now.since(query.round_begun) >= QUERY_TIME;
+        if is_over && is_mixed && !query.is_wide && pending == TakeUp::Pending {
+            // The entry that began the stream may not have told those that it tells of its streams: it
+            // has not seen a further version yet, or the notice was lost.
+            let is_other = |vm: &&VmId| **vm != self.vm && !keepers.contains(vm);
+            let others: Vec<VmId> = self.entries.iter().filter(is_other).cloned().collect();
+            if !others.is_empty() && self.wide_budget.acquire(others.len(), now) {
+                query.widen(others, now);
+            }
+        }
+        let is_over = query.missing.is_empty() || now.since(query.round_begun) >= QUERY_TIME;
         if is_over && is_mixed {
             let cause = match query.missing.is_empty() {
                 true => UnknownCause::NobodyKnows,
                 false => UnknownCause::NoReply,
             };
+            // A later claim is asked for anew.
+            self.queries.remove(&stream);
             return (TakeUp::Unknown(cause), Vec::new());
         }
-        if pending != TakeUp::Pending || now.since(query.sent) < QUERY_INTERVAL {
+        // All others are asked once.
+        let interval = if query.is_wide { QUERY_TIME } else { QUERY_INTERVAL };
+        if pending != TakeUp::Pending || now.since(query.sent) < interval {
             return (pending, Vec::new());
         }
         query.sent = now;
--- a/crates/gentian-decide/tests/stream_origins.rs
+++ b/crates/gentian-decide/tests/stream_origins.rs
@@ -111,6 +111,13 @@
         Self { table, origins }
     }
 
+    /// Returns the entry as one of a fleet of this size.
+    fn with_fleet(mut self, size: usize) -> Self {
+        let entries = (0..size).map(|number| format!("vm-{number}").parse().unwrap());
+        self.origins.update_entries(entries.collect());
+        self
+    }
+
     /// Returns the entry as of its start, with others before it.
     fn with_start(self, now: MonoTime) -> Self {
         Self { table: self.table.with_start(now), ..self }
@@ -241,6 +248,70 @@
     assert_eq!(take_up, TakeUp::Of(service_version("v2")));
 }
 
+/// An entry with an older list began the stream, and has told nobody: it doesn't know of the further
+/// version yet. The entries that are told of a stream don't know it, and it was refused.
+#[test]
+fn a_stream_is_asked_for_at_all_entries_before_it_is_unknown() {
+    let size = 12;
+    let mut fleet: Vec<Entry> =
+        (0..size).map(|it| Entry::new(&format!("vm-{it}")).with_fleet(size)).collect();
+    let mut asker = fleet.pop().unwrap();
+    asker.list(&[("a1", "v1"), ("b1", "v2")], start());
+    let (take_up, queries) = asker.check_with(start(), start());
+    assert_eq!(take_up, TakeUp::Pending);
+    for entry in &mut fleet {
+        entry.list(&[("a1", "v1")], start());
+    }
+    let asked: Vec<VmId> = queries.iter().map(|(vm, _)| vm.clone()).collect();
+    let beginner = fleet.iter_mut().find(|entry| !asked.contains(&entry.vm())).unwrap();
+    assert!(beginner.begin(STREAM, "a1", "v1", start()).is_empty());
+    let mut rounds = 0;
+    let mut queries = queries;
+    while !queries.is_empty() {
+        rounds += 1;
+        for (vm, query) in queries {
+            let other = fleet.iter().find(|entry| entry.vm() == vm).unwrap();
+            let history = &other.table.versions.history;
+            let reply = other.origins.handle_query(&query, history, start());
+            asker.origins.handle_reply(&reply, start());
+        }
+        let (take_up, next) = asker.check_with(start(), start());
+        queries = next;
+        if queries.is_empty() {
+            assert_eq!(take_up, TakeUp::Of(service_version("v1")));
+        }
+    }
+    assert_eq!(rounds, 2);
+}
+
+/// Entries that don't reply end the wait, and many streams at once don't flood a large fleet.
+#[test]
+fn queries_to_all_entries_are_bounded() {
+    let size = 300;
+    let mut asker = Entry::new("vm-1").with_fleet(size);
+    asker.list(&[("a1", "v1"), ("b1", "v2")], start());
+    let mut sent = 0;
+    let mut open: Vec<u64> = (0..100).collect();
+    for now in (0..=500).step_by(20).map(|ms| start() + TimeSpan::from_millis(ms)) {
+        let versions = &asker.table.versions.history;
+        open.retain(|number| {
+            let claim = TakeUpClaim {
+                stream: Some(StreamId::new(*number)),
+                service: service(),
+                received: start(),
+                is_list_current: true,
+            };
+            let (take_up, queries) = asker.origins.check(&claim, versions, now);
+            sent += queries.len();
+            take_up == TakeUp::Pending
+        });
+    }
+    assert!(open.is_empty(), "{open:?} wait");
+    // Each is asked for at three entries four times; the rest is less than two whole fleets.
+    assert!(sent < 100 * 3 * 4 + 2 * size, "{sent} queries");
+    assert!(sent > 100 * 3 * 4 + size / 2, "{sent} queries");
+}
+
 /// The entry that began the stream has ended; the others were told.
 #[test]
 fn a_stream_is_taken_up_after_its_entry_has_ended() {
