Count the wait of a stream that goes on from when it broke off

Cause: a queued request is refused after half of the time between its arrival and its deadline, and one for a version whose target isn't loaded after two seconds. Both counted from the arrival of the request, so that a stream that had run for half of its time was given up at once if the upstreams of its version were full, down or without the model for a moment.

Change: for a stream that goes on, both count from when the request was queued for another upstream. Other requests wait as before.

--- a/crates/gentian-decide/src/serving/call_scheduler.rs
+++ b/crates/gentian-decide/src/serving/call_scheduler.rs
@@ -22,12 +22,12 @@
 use crate::request::Refusal;
 
 /// Requests that no upstream can take are refused after this fraction of the time between their
-/// arrival and their deadline, so that callers have time to retry.
+/// arrival, or the break of the stream with which they go on, and their deadline, so that callers have time to retry.
 const MAX_QUEUE_FRACTION: f64 = 0.5;
 /// Interval at which requests that wait for capacity are rechecked: engines prefill pending prompts
 /// and thus gain capacity without an event at this entry.
 const FULL_RECHECK_INTERVAL: TimeSpan = TimeSpan::from_millis(40);
-/// Time from the arrival of a request within which upstreams of the version that began its stream may
+/// Time from when a request was queued within which upstreams of the version that began its stream may
 /// get its target. Loads take no account of versions.
 const VERSION_LOAD_WAIT: TimeSpan = TimeSpan::from_secs(2);
 /// Decision on a queued request.
@@ -299,7 +299,7 @@
         let recheck = self.waits_for_capacity.then(|| now + FULL_RECHECK_INTERVAL);
         let pause_end = self.pause_end.filter(|_| self.is_waiting());
         let resuming = self.waiting.iter().filter(|call| call.origin.is_some());
-        let load_ends = resuming.map(|call| call.received + VERSION_LOAD_WAIT);
+        let load_ends = resuming.map(|call| call.wait_start() + VERSION_LOAD_WAIT);
         let load_end = load_ends.filter(|end| *end > now).min();
         let dues = [recheck, pause_end, load_end].into_iter().flatten();
         self.waiting.iter().map(queue_deadline).chain(dues).min()
@@ -385,7 +385,7 @@
     match outcome {
         PickOutcome::VersionGone => true,
         PickOutcome::NotLoaded => {
-            call.origin.is_some() && now.since(call.received) >= VERSION_LOAD_WAIT
+            call.origin.is_some() && now.since(call.wait_start()) >= VERSION_LOAD_WAIT
         }
         _ => false,
     }
@@ -393,5 +393,6 @@
 
 /// Returns when a queued request is refused at the latest.
 pub(super) fn queue_deadline(call: &ServingCall) -> MonoTime {
-    call.received + call.deadline.since(call.received) * MAX_QUEUE_FRACTION
+    let start = call.wait_start();
+    start + call.deadline.since(start) * MAX_QUEUE_FRACTION
 }
--- a/crates/gentian-decide/src/serving/serving_call.rs
+++ b/crates/gentian-decide/src/serving/serving_call.rs
@@ -42,6 +42,9 @@
     pub origin: Option<ServiceVersion>,
     /// When the request arrived.
     pub received: MonoTime,
+    /// When it was last queued for an upstream: for a stream that goes on within its response, when that
+    /// broke off.
+    pub queued: MonoTime,
     /// Time by which the response must be complete.
     pub deadline: MonoTime,
     /// Upstreams to which the request was already sent.
@@ -59,6 +62,12 @@
         organisation.and_then(|organisation| organisation.priority).unwrap_or(self.route.priority)
     }
 
+    /// Returns from when on its wait for an upstream counts. A stream that goes on may have been received
+    /// long before.
+    pub fn wait_start(&self) -> MonoTime {
+        if self.origin.is_some() { self.queued } else { self.received }
+    }
+
     /// Returns whether the upstream may go on with the stream, as far as its version is concerned.
     pub fn may_go_on_at(&self, row: &UpstreamRow) -> bool {
         let version = row.registration.version.as_ref();
--- a/crates/gentian-decide/src/streams/take_up_claim.rs
+++ b/crates/gentian-decide/src/streams/take_up_claim.rs
@@ -9,7 +9,7 @@
     pub stream: Option<StreamId>,
     /// Service to which the request would go.
     pub service: ServiceId,
-    /// When the request arrived.
+    /// When the request was queued: it arrived, or its stream broke off.
     pub received: MonoTime,
     /// Whether the list of upstreams is recent enough to show every version at which streams may have
     /// begun.
--- a/crates/gentian-decide/tests/engine_fleet/mod.rs
+++ b/crates/gentian-decide/tests/engine_fleet/mod.rs
@@ -360,6 +360,7 @@
                 is_resuming: false,
                 origin: None,
                 received: self.now,
+                queued: self.now,
                 deadline: self.now + kind.deadline,
                 tried: Vec::new(),
                 possible_executions: 0,
--- a/crates/gentian-decide/tests/stream_origins.rs
+++ b/crates/gentian-decide/tests/stream_origins.rs
@@ -10,9 +10,10 @@
     MonoTime, RequestId, ServiceId, SoftwareVersion, StoreRevision, StreamId, TimeSpan, TokenCount,
     UpstreamId, VmId,
 };
+use gentian_decide::quarantine::WorkQuarantine;
 use gentian_decide::serving::{
-    AttemptOutcome, PickOutcome, ServingBounds, ServingCall, UpstreamRegistration, UpstreamState,
-    UpstreamTable, VersionHistory,
+    AttemptOutcome, CallScheduler, PickOutcome, ScheduleDecision, ServingBounds, ServingCall,
+    UpstreamRegistration, UpstreamState, UpstreamTable, VersionHistory,
 };
 use gentian_decide::streams::{
     KnownStart, OriginTracer, ReportedStart, StreamOrigins, TakeUp, TakeUpCheck, TakeUpClaim,
@@ -92,6 +93,31 @@
     }
 }
 
+/// A request that was received and queued at these times.
+fn serving_call(origin: Option<&str>, received: MonoTime, queued: MonoTime) -> ServingCall {
+    ServingCall {
+        id: RequestId::new(1),
+        route: Arc::new(route()),
+        service: service(),
+        organisation: None,
+        target: None,
+        cost: TokenCount::new(1),
+        prompt_tokens: 0,
+        shared_prefix: None,
+        shared_parts: Vec::new(),
+        request: None,
+        stream: Some(STREAM),
+        is_resuming: origin.is_some(),
+        origin: origin.map(service_version),
+        received,
+        queued,
+        deadline: received + route().timeout,
+        tried: Vec::new(),
+        possible_executions: 0,
+        is_charged: false,
+    }
+}
+
 /// An entry with its list of upstreams.
 struct Entry {
     table: UpstreamTable,
@@ -181,27 +207,7 @@
     }
 
     fn pick(&mut self, origin: Option<&str>, now: MonoTime) -> PickOutcome {
-        let call = ServingCall {
-            id: RequestId::new(1),
-            route: Arc::new(route()),
-            service: service(),
-            organisation: None,
-            target: None,
-            cost: TokenCount::new(1),
-            prompt_tokens: 0,
-            shared_prefix: None,
-            shared_parts: Vec::new(),
-            request: None,
-            stream: Some(STREAM),
-            is_resuming: origin.is_some(),
-            origin: origin.map(service_version),
-            received: now,
-            deadline: now + TimeSpan::from_secs(5),
-            tried: Vec::new(),
-            possible_executions: 0,
-            is_charged: false,
-        };
-        self.table.pick(&call, now)
+        self.table.pick(&serving_call(origin, now, now), now)
     }
 
     fn picked(&mut self, origin: Option<&str>, now: MonoTime) -> Option<String> {
@@ -462,6 +468,35 @@
     assert_eq!(entry.check_at(now, now), TakeUp::Unknown(UnknownCause::Uncertain));
 }
 
+/// The upstream of a stream that had run for over half of its time broke off, and the others of its
+/// version took no work for a moment: the stream was given up at once, since the wait counted from the
+/// arrival of the request.
+#[test]
+fn a_stream_that_has_run_for_long_waits_for_an_upstream() {
+    let mut entry = Entry::new("vm-0");
+    let broken = start() + TimeSpan::from_secs(9);
+    entry.list(&[("a1", "v1"), ("b1", "v2")], broken);
+    let id: UpstreamId = "a1".parse().unwrap();
+    entry.table.record_outcome(&id, AttemptOutcome::Unreachable, broken);
+    let mut scheduler = CallScheduler::new(bounds());
+    let mut quarantine = WorkQuarantine::new("vm-0".parse().unwrap());
+    scheduler.admit(serving_call(Some("v1"), start(), broken), broken).unwrap();
+    let decisions = scheduler.decide(&mut entry.table, &mut quarantine, broken);
+    assert!(decisions.is_empty(), "{decisions:?}");
+    let later = broken + TimeSpan::from_millis(1_100);
+    entry.list(&[("a1", "v1"), ("b1", "v2")], later);
+    let decisions = scheduler.decide(&mut entry.table, &mut quarantine, later);
+    let [ScheduleDecision::Send(_, pick)] = &decisions[..] else { panic!("{decisions:?}") };
+    assert_eq!(pick.upstream, id);
+    // It doesn't wait for longer than half of the time that was left.
+    scheduler.admit(serving_call(Some("v1"), start(), broken), broken).unwrap();
+    entry.table.record_outcome(&id, AttemptOutcome::Unreachable, later);
+    let end = broken + TimeSpan::from_secs(3);
+    entry.table.record_outcome(&id, AttemptOutcome::Unreachable, end);
+    let decisions = scheduler.decide(&mut entry.table, &mut quarantine, end);
+    assert!(matches!(&decisions[..], [ScheduleDecision::Refuse(..)]), "{decisions:?}");
+}
+
 /// Until it is listed again, an upstream that was down isn't taken for what it was.
 #[test]
 fn a_stream_does_not_go_on_at_an_upstream_that_may_have_restarted() {
--- a/crates/gentian-decide/tests/upstream_notices.rs
+++ b/crates/gentian-decide/tests/upstream_notices.rs
@@ -81,6 +81,7 @@
             is_resuming: false,
             origin: None,
             received: now,
+            queued: now,
             deadline: now + DEADLINE,
             tried: Vec::new(),
             possible_executions: 0,
--- a/crates/gentian-gateway/src/chain/call_context.rs
+++ b/crates/gentian-gateway/src/chain/call_context.rs
@@ -147,7 +147,7 @@
 
     /// Returns what the control thread needs to choose an upstream; `None` if the request has no
     /// route, or its route no service.
-    pub(crate) fn serving_call(&self) -> Option<ServingCall> {
+    pub(crate) fn serving_call(&self, now: MonoTime) -> Option<ServingCall> {
         let route = self.route.clone()?;
         let service: ServiceId = route.choose_service(self.id.get())?.clone();
         let has_engine =
@@ -167,6 +167,7 @@
             is_resuming: self.is_resuming(),
             origin: None,
             received: self.received,
+            queued: now,
             deadline: self.deadline,
             tried: self.tried.clone(),
             possible_executions: self.possible_executions,
--- a/crates/gentian-gateway/src/chain/forward_call.rs
+++ b/crates/gentian-gateway/src/chain/forward_call.rs
@@ -135,7 +135,7 @@
     if handles.view.load().has_suspects {
         call.identify();
     }
-    let Some(serving) = call.serving_call() else {
+    let Some(serving) = call.serving_call(handles.clock.now()) else {
         let message = "the route has no service";
         return AssignmentResult::Refused(Refusal::new(RefusalCode::NotFound, message));
     };
--- a/crates/gentian-gateway/src/control/take_up_controller.rs
+++ b/crates/gentian-gateway/src/control/take_up_controller.rs
@@ -80,7 +80,7 @@
     let claim = TakeUpClaim {
         stream: call.stream,
         service: call.service.clone(),
-        received: call.received,
+        received: call.queued,
         is_list_current: state.table.versions.is_list_current(now),
     };
     let (take_up, queries) = state.origins.check(&claim, &state.table.versions.history, now);
@@ -119,7 +119,7 @@
         call.id,
         state.table.versions.history.is_mixed(&call.service, now),
         state.table.versions.is_list_current(now),
-        now.since(call.received)
+        now.since(call.queued)
     );
 }
 
