--- a/crates/gentian-decide/tests/stream_origins.rs
+++ b/crates/gentian-decide/tests/stream_origins.rs
@@ -10,11 +10,15 @@
     MonoTime, RequestId, ServiceId, SoftwareVersion, StoreRevision, StreamId, TimeSpan, TokenCount,
     UpstreamId, VmId,
 };
+use gentian_decide::quarantine::WorkQuarantine;
 use gentian_decide::serving::{
-    AttemptOutcome, PickOutcome, ServingBounds, ServingCall, UpstreamRegistration, UpstreamState,
-    UpstreamTable, VersionHistory,
+    AttemptOutcome, CallScheduler, PickOutcome, ScheduleDecision, ServingBounds, ServingCall,
+    UpstreamRegistration, UpstreamState, UpstreamTable, VersionHistory,
+};
+use gentian_decide::streams::{
+    KnownStart, OriginTracer, ReportedStart, StreamOrigins, TakeUp, TakeUpCheck, TakeUpClaim,
+    UnknownCause,
 };
-use gentian_decide::streams::{OriginTracer, StreamOrigins, TakeUp, TakeUpClaim};
 use rstest::rstest;
 
 const STREAM: StreamId = StreamId::new(7);
@@ -89,6 +93,31 @@
     }
 }
 
+/// A request that was received and queued at these times.
+fn serving_call(origin: Option<&str>, received: MonoTime, queued: MonoTime) -> ServingCall {
+    ServingCall {
+        id: RequestId::new(1),
+        route: Arc::new(route()),
+        service: service(),
+        organisation: None,
+        target: None,
+        cost: TokenCount::new(1),
+        prompt_tokens: 0,
+        shared_prefix: None,
+        shared_parts: Vec::new(),
+        request: None,
+        stream: Some(STREAM),
+        is_resuming: origin.is_some(),
+        origin: origin.map(service_version),
+        received,
+        queued,
+        deadline: received + route().timeout,
+        tried: Vec::new(),
+        possible_executions: 0,
+        is_charged: false,
+    }
+}
+
 /// An entry with its list of upstreams.
 struct Entry {
     table: UpstreamTable,
@@ -108,6 +137,13 @@
         Self { table, origins }
     }
 
+    /// Returns the entry as one of a fleet of this size.
+    fn with_fleet(mut self, size: usize) -> Self {
+        let entries = (0..size).map(|number| format!("vm-{number}").parse().unwrap());
+        self.origins.update_entries(entries.collect());
+        self
+    }
+
     /// Returns the entry as of its start, with others before it.
     fn with_start(self, now: MonoTime) -> Self {
         Self { table: self.table.with_start(now), ..self }
@@ -171,27 +207,7 @@
     }
 
     fn pick(&mut self, origin: Option<&str>, now: MonoTime) -> PickOutcome {
-        let call = ServingCall {
-            id: RequestId::new(1),
-            route: Arc::new(route()),
-            service: service(),
-            organisation: None,
-            target: None,
-            cost: TokenCount::new(1),
-            prompt_tokens: 0,
-            shared_prefix: None,
-            shared_parts: Vec::new(),
-            request: None,
-            stream: Some(STREAM),
-            is_resuming: origin.is_some(),
-            origin: origin.map(service_version),
-            received: now,
-            deadline: now + TimeSpan::from_secs(5),
-            tried: Vec::new(),
-            possible_executions: 0,
-            is_charged: false,
-        };
-        self.table.pick(&call, now)
+        self.table.pick(&serving_call(origin, now, now), now)
     }
 
     fn picked(&mut self, origin: Option<&str>, now: MonoTime) -> Option<String> {
@@ -238,6 +254,70 @@
     assert_eq!(take_up, TakeUp::Of(service_version("v2")));
 }
 
+/// An entry with an older list began the stream, and has told nobody: it doesn't know of the further
+/// version yet. The entries that are told of a stream don't know it, and it was refused.
+#[test]
+fn a_stream_is_asked_for_at_all_entries_before_it_is_unknown() {
+    let size = 12;
+    let mut fleet: Vec<Entry> =
+        (0..size).map(|it| Entry::new(&format!("vm-{it}")).with_fleet(size)).collect();
+    let mut asker = fleet.pop().unwrap();
+    asker.list(&[("a1", "v1"), ("b1", "v2")], start());
+    let (take_up, queries) = asker.check_with(start(), start());
+    assert_eq!(take_up, TakeUp::Pending);
+    for entry in &mut fleet {
+        entry.list(&[("a1", "v1")], start());
+    }
+    let asked: Vec<VmId> = queries.iter().map(|(vm, _)| vm.clone()).collect();
+    let beginner = fleet.iter_mut().find(|entry| !asked.contains(&entry.vm())).unwrap();
+    assert!(beginner.begin(STREAM, "a1", "v1", start()).is_empty());
+    let mut rounds = 0;
+    let mut queries = queries;
+    while !queries.is_empty() {
+        rounds += 1;
+        for (vm, query) in queries {
+            let other = fleet.iter().find(|entry| entry.vm() == vm).unwrap();
+            let history = &other.table.versions.history;
+            let reply = other.origins.handle_query(&query, history, start());
+            asker.origins.handle_reply(&reply, start());
+        }
+        let (take_up, next) = asker.check_with(start(), start());
+        queries = next;
+        if queries.is_empty() {
+            assert_eq!(take_up, TakeUp::Of(service_version("v1")));
+        }
+    }
+    assert_eq!(rounds, 2);
+}
+
+/// Entries that don't reply end the wait, and many streams at once don't flood a large fleet.
+#[test]
+fn queries_to_all_entries_are_bounded() {
+    let size = 300;
+    let mut asker = Entry::new("vm-1").with_fleet(size);
+    asker.list(&[("a1", "v1"), ("b1", "v2")], start());
+    let mut sent = 0;
+    let mut open: Vec<u64> = (0..100).collect();
+    for now in (0..=500).step_by(20).map(|ms| start() + TimeSpan::from_millis(ms)) {
+        let versions = &asker.table.versions.history;
+        open.retain(|number| {
+            let claim = TakeUpClaim {
+                stream: Some(StreamId::new(*number)),
+                service: service(),
+                received: start(),
+                is_list_current: true,
+            };
+            let (take_up, queries) = asker.origins.check(&claim, versions, now);
+            sent += queries.len();
+            take_up == TakeUp::Pending
+        });
+    }
+    assert!(open.is_empty(), "{open:?} wait");
+    // Each is asked for at three entries four times; the rest is less than two whole fleets.
+    assert!(sent < 100 * 3 * 4 + 2 * size, "{sent} queries");
+    assert!(sent > 100 * 3 * 4 + size / 2, "{sent} queries");
+}
+
 /// The entry that began the stream has ended; the others were told.
 #[test]
 fn a_stream_is_taken_up_after_its_entry_has_ended() {
@@ -277,7 +357,7 @@
     let thawed = start() + TimeSpan::from_secs(6);
     assert_eq!(entry.check_at(thawed, thawed), TakeUp::Pending);
     entry.list(&[("a1", "v1"), ("b1", "v2")], thawed + TimeSpan::from_millis(100));
-    assert_eq!(entry.check_at(thawed, thawed + LONG_WAIT), TakeUp::Unknown);
+    assert_eq!(entry.check_at(thawed, thawed + LONG_WAIT), TakeUp::Unknown(UnknownCause::NoReply));
 }
 
 /// The further version had come and gone while the entry stood still.
@@ -289,7 +369,7 @@
     entry.list(&[("a1", "v1")], thawed);
     assert_eq!(entry.check_at(thawed, thawed), TakeUp::Pending);
     entry.table.versions.restore(&[service_version("v1"), service_version("v2")], thawed);
-    assert_eq!(entry.check_at(thawed, thawed + LONG_WAIT), TakeUp::Unknown);
+    assert_eq!(entry.check_at(thawed, thawed + LONG_WAIT), TakeUp::Unknown(UnknownCause::NoReply));
 }
 
 /// The entry of the take-up has just started, and nobody is left who knows.
@@ -298,7 +378,10 @@
     let mut entry = Entry::new("vm-2").with_start(start());
     entry.list(&[("b1", "v2")], start());
     assert_eq!(entry.check_at(start(), start()), TakeUp::Pending);
-    assert_eq!(entry.check_at(start(), start() + LONG_WAIT), TakeUp::Unknown);
+    assert_eq!(
+        entry.check_at(start(), start() + LONG_WAIT),
+        TakeUp::Unknown(UnknownCause::NoRecords)
+    );
 }
 
 /// All entries were killed and started anew.
@@ -325,7 +408,7 @@
     entry.table.versions.restore(&trace.versions, start() + SETTLED);
     entry.list(&[("b1", "v2")], start() + SETTLED);
     let now = start() + SETTLED;
-    assert_eq!(entry.check_at(now, now + LONG_WAIT), TakeUp::Unknown);
+    assert_eq!(entry.check_at(now, now + LONG_WAIT), TakeUp::Unknown(UnknownCause::NoReply));
 }
 
 /// With one version, a take-up needs nobody else, also right after a start.
@@ -382,7 +465,36 @@
     for (upstream, since) in entry.table.versions.drain_restarts() {
         entry.origins.record_restart(&upstream, since);
     }
-    assert_eq!(entry.check_at(now, now), TakeUp::Unknown);
+    assert_eq!(entry.check_at(now, now), TakeUp::Unknown(UnknownCause::Uncertain));
+}
+
+/// The upstream of a stream that had run for over half of its time broke off, and the others of its
+/// version took no work for a moment: the stream was given up at once, since the wait counted from the
+/// arrival of the request.
+#[test]
+fn a_stream_that_has_run_for_long_waits_for_an_upstream() {
+    let mut entry = Entry::new("vm-0");
+    let broken = start() + TimeSpan::from_secs(9);
+    entry.list(&[("a1", "v1"), ("b1", "v2")], broken);
+    let id: UpstreamId = "a1".parse().unwrap();
+    entry.table.record_outcome(&id, AttemptOutcome::Unreachable, broken);
+    let mut scheduler = CallScheduler::new(bounds());
+    let mut quarantine = WorkQuarantine::new("vm-0".parse().unwrap());
+    scheduler.admit(serving_call(Some("v1"), start(), broken), broken).unwrap();
+    let decisions = scheduler.decide(&mut entry.table, &mut quarantine, broken);
+    assert!(decisions.is_empty(), "{decisions:?}");
+    let later = broken + TimeSpan::from_millis(1_100);
+    entry.list(&[("a1", "v1"), ("b1", "v2")], later);
+    let decisions = scheduler.decide(&mut entry.table, &mut quarantine, later);
+    let [ScheduleDecision::Send(_, pick)] = &decisions[..] else { panic!("{decisions:?}") };
+    assert_eq!(pick.upstream, id);
+    // It doesn't wait for longer than half of the time that was left.
+    scheduler.admit(serving_call(Some("v1"), start(), broken), broken).unwrap();
+    entry.table.record_outcome(&id, AttemptOutcome::Unreachable, later);
+    let end = broken + TimeSpan::from_secs(3);
+    entry.table.record_outcome(&id, AttemptOutcome::Unreachable, end);
+    let decisions = scheduler.decide(&mut entry.table, &mut quarantine, end);
+    assert!(matches!(&decisions[..], [ScheduleDecision::Refuse(..)]), "{decisions:?}");
 }
 
 /// Until it is listed again, an upstream that was down isn't taken for what it was.
@@ -399,6 +511,61 @@
     assert_eq!(entry.picked(Some("v1"), listed), Some("a1".to_owned()));
 }
 
+/// Upstreams crashed and were back at once as another version, and entries that listed the earlier one
+/// sent them the rests of streams.
+#[rstest]
+#[case::same_start(ReportedStart::At(10_000), TakeUpCheck::Send)]
+#[case::registered_after_its_start(ReportedStart::At(9_800), TakeUpCheck::Send)]
+#[case::back_as_another_start(ReportedStart::At(14_000), TakeUpCheck::Restarted(14_000))]
+#[case::clock_set_back(ReportedStart::At(2_000), TakeUpCheck::Restarted(2_000))]
+#[case::huge(ReportedStart::At(u64::MAX), TakeUpCheck::Restarted(u64::MAX))]
+#[case::ended(ReportedStart::Ended, TakeUpCheck::Unknown)]
+#[case::silent(ReportedStart::NoReply, TakeUpCheck::Unknown)]
+#[case::names_no_start(ReportedStart::Unnamed, TakeUpCheck::Send)]
+fn the_rest_of_a_stream_is_sent_to_the_listed_start_only(
+    #[case] reply: ReportedStart,
+    #[case] expected: TakeUpCheck,
+) {
+    assert_eq!(KnownStart::new(10_000).check_take_up(reply), expected);
+}
+
+/// An entry that had stood still took the end of an upstream that was back for the end of its response.
+/// A start that was reported before the request was sent is known as well: the registration is late.
+#[rstest]
+#[case::same_start(ReportedStart::At(10_000), true)]
+#[case::reported_before(ReportedStart::At(14_000), true)]
+#[case::back_as_another_start(ReportedStart::At(19_000), false)]
+#[case::ended(ReportedStart::Ended, false)]
+#[case::silent(ReportedStart::NoReply, false)]
+#[case::names_no_start(ReportedStart::Unnamed, true)]
+fn a_response_is_whole_if_its_upstream_has_not_ended(
+    #[case] reply: ReportedStart,
+    #[case] expected: bool,
+) {
+    let known = KnownStart { listed: 10_000, reported: Some(14_000) };
+    assert_eq!(known.shows_end(reply), expected);
+}
+
+/// The report of an upstream shows that it has started again: until it is listed anew, each further
+/// take-up would try it in vain or join two versions. New streams still begin there.
+#[test]
+fn no_stream_goes_on_at_an_upstream_whose_report_names_another_start() {
+    let mut entry = Entry::new("vm-0");
+    entry.list(&[("a1", "v1")], start());
+    let (id, returned): (UpstreamId, u64) = ("a1".parse().unwrap(), 90_000);
+    assert!(entry.table.record_reported_start(&id, 1, returned));
+    assert!(!entry.table.record_reported_start(&id, 1, returned));
+    assert_eq!(entry.picked(Some("v1"), start()), None);
+    assert_eq!(entry.picked(None, start()), Some("a1".to_owned()));
+    // A list that is read while the registration is late doesn't change that.
+    let later = start() + TimeSpan::from_millis(600);
+    entry.list(&[("a1", "v1")], later);
+    assert_eq!(entry.picked(Some("v1"), later), None);
+    let listed = registration("a1", "v1", returned);
+    entry.table.update_registrations(vec![listed], StoreRevision::default(), later);
+    assert_eq!(entry.picked(Some("v1"), later), Some("a1".to_owned()));
+}
+
 /// What is stored changes only if there is something to store.
 #[test]
 fn an_unchanged_trace_is_not_stored_again() {
--- a/crates/gentian-gateway/src/chain/call_context.rs
+++ b/crates/gentian-gateway/src/chain/call_context.rs
@@ -158,7 +158,7 @@
 
     /// Returns what the control thread needs to choose an upstream; `None` if the request has no
     /// route, or its route no service.
-    pub(crate) fn serving_call(&self) -> Option<ServingCall> {
+    pub(crate) fn serving_call(&self, now: MonoTime) -> Option<ServingCall> {
         let route = self.route.clone()?;
         let service: ServiceId = route.choose_service(self.id.get())?.clone();
         let has_engine =
@@ -178,6 +178,7 @@
             is_resuming: self.is_resuming(),
             origin: None,
             received: self.received,
+            queued: now,
             deadline: self.deadline,
             tried: self.tried.clone(),
             possible_executions: self.possible_executions,
@@ -207,7 +208,7 @@
     }
 
     /// Returns whether the caller has some events of the stream, or may have.
-    fn is_resuming(&self) -> bool {
+    pub(crate) fn is_resuming(&self) -> bool {
         let is_resumable = self.route.as_ref().is_some_and(|route| route.kind.is_resumable());
         is_resumable && (self.event_splitter.is_some() || self.metadata.resume_after.is_some())
     }
--- a/crates/gentian-gateway/src/chain/forward_call.rs
+++ b/crates/gentian-gateway/src/chain/forward_call.rs
@@ -54,6 +54,7 @@
                 return finish_unserved(handles, call, refusal.with_unknown_run());
             }
             AttemptResult::OutOfDate => log_retry(call, &pick, "the selection is out of date"),
+            AttemptResult::Restarted => log_retry(call, &pick, "the upstream has started again"),
             AttemptResult::NotExecuted(_, cause) => {
                 call.tried.push(pick.upstream.clone());
                 if !may_retry(call, handles.clock.now()) {
@@ -134,7 +135,7 @@
     if handles.view.load().has_suspects {
         call.identify();
     }
-    let Some(serving) = call.serving_call() else {
+    let Some(serving) = call.serving_call(handles.clock.now()) else {
         let message = "the route has no service";
         return AssignmentResult::Refused(Refusal::new(RefusalCode::NotFound, message));
     };
--- /dev/null
+++ b/crates/gentian-gateway/src/chain/start_probe.rs
@@ -0,0 +1,154 @@
+//! Asks upstreams for their start, which tells an upstream that is back under its name from the one that
+//! was there before.
+
+use std::io::{self, ErrorKind};
+
+use gentian_core::{EventCode, TimeSpan};
+use gentian_decide::serving::UpstreamPick;
+use gentian_decide::streams::{ReportedStart, TakeUpCheck};
+use gentian_http::forward::{
+    BodyFraming, BodyProgress, BodyReader, BufferedStream, HeadParser, ResponseHead,
+};
+
+use super::{CallContext, CallHandles};
+use crate::control::ControlEvent;
+
+/// Longest wait for a connection after the end of a response.
+const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_millis(300);
+/// Longest wait for a report. An upstream gives it at once, and a caller waits meanwhile.
+const REPORT_TIMEOUT: TimeSpan = TimeSpan::from_millis(600);
+/// Size limit in bytes of a report, as for those that the hub reads.
+const MAX_REPORT_BYTES: usize = 256 << 10;
+
+/// Why a request for the rest of a stream can't be sent to an upstream.
+pub(super) enum StartError {
+    /// The upstream has started again.
+    Restarted,
+    /// It can't be known whether it has.
+    Unknown(String),
+}
+
+/// Connects to an upstream that is to go on with a stream. The report that shows that it is the listed
+/// start is read on the same connection, which ends with the upstream.
+pub(super) fn connect_checked(
+    handles: &CallHandles,
+    pick: &UpstreamPick,
+    limit: TimeSpan,
+) -> Result<BufferedStream, StartError> {
+    let connected = BufferedStream::connect(pick.address, limit, handles.clock);
+    let mut stream =
+        connected.map_err(|error| StartError::Unknown(format!("no connection: {error}")))?;
+    // An abandoned request must not arrive later.
+    stream.set_abortive(true);
+    let (reply, keeps_connection) = match read_start(handles, pick, &mut stream) {
+        Ok(read) => read,
+        Err(error) => return Err(StartError::Unknown(format!("no report: {error}"))),
+    };
+    let check = pick.start.check_take_up(reply);
+    count_check(handles, "take-up", check == TakeUpCheck::Send);
+    match check {
+        TakeUpCheck::Send if keeps_connection => {
+            // A faulty upstream may write the report once more.
+            stream.mark_reused();
+            Ok(stream)
+        }
+        TakeUpCheck::Send => handles
+            .connections
+            .acquire(pick.address, limit)
+            .map_err(|error| StartError::Unknown(format!("no connection: {error}"))),
+        TakeUpCheck::Restarted(start) => {
+            report_start(handles, pick, start);
+            Err(StartError::Restarted)
+        }
+        TakeUpCheck::Unknown => Err(StartError::Unknown("another upstream replied".to_owned())),
+    }
+}
+
+/// Returns whether a response that has ended with its connection is whole. The end of the upstream ends
+/// the connection too, and the upstream may be back by now.
+pub(super) fn has_ended_whole(
+    handles: &CallHandles,
+    call: &CallContext,
+    pick: &UpstreamPick,
+) -> bool {
+    let connected = BufferedStream::connect(pick.address, CONNECT_TIMEOUT, handles.clock);
+    let read = connected.and_then(|mut stream| read_start(handles, pick, &mut stream));
+    let reply = match read {
+        Ok((reply, _)) => reply,
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => ReportedStart::Ended,
+        Err(_) => ReportedStart::NoReply,
+    };
+    if let ReportedStart::At(start) = reply
+        && !pick.start.is_listed(start)
+    {
+        report_start(handles, pick, start);
+    }
+    let is_whole = pick.start.shows_end(reply);
+    count_check(handles, "end", is_whole);
+    if !is_whole {
+        log::info!(
+            "{} request={} upstream={} listed={} reported={reply}",
+            EventCode::END_UNCERTAIN,
+            call.metadata.request_id,
+            pick.upstream,
+            pick.start.listed
+        );
+    }
+    is_whole
+}
+
+fn count_check(handles: &CallHandles, moment: &str, is_confirmed: bool) {
+    let result = if is_confirmed { "confirmed" } else { "refused" };
+    handles.metrics.start_checks.with_label_values(&[moment, result]).inc();
+}
+
+fn report_start(handles: &CallHandles, pick: &UpstreamPick, start: u64) {
+    handles.send_event(ControlEvent::StartReported {
+        upstream: pick.upstream.clone(),
+        incarnation: pick.start.listed,
+        start,
+    });
+}
+
+/// Reads the report of an upstream; returns the start that it names, and whether the connection stays
+/// open.
+fn read_start(
+    handles: &CallHandles,
+    pick: &UpstreamPick,
+    stream: &mut BufferedStream,
+) -> io::Result<(ReportedStart, bool)> {
+    let deadline = handles.clock.now() + REPORT_TIMEOUT;
+    let malformed =
+        |error: &dyn std::fmt::Display| io::Error::new(ErrorKind::InvalidData, error.to_string());
+    let request = (handles.codec.encode_start_call)(&pick.upstream, pick.address);
+    stream.write_all(&request.to_bytes(), deadline)?;
+    let mut parser = HeadParser::new();
+    let head: ResponseHead = loop {
+        if let Some((head, length)) =
+            parser.parse(stream.buffered()).map_err(|error| malformed(&error))?
+        {
+            stream.consume(length);
+            break head;
+        }
+        if stream.fill(deadline)? == 0 {
+            return Err(ErrorKind::UnexpectedEof.into());
+        }
+    };
+    let framing =
+        BodyFraming::of_response(head.status, &head.headers).map_err(|error| malformed(&error))?;
+    let mut reader = BodyReader::new(framing);
+    let mut reservation = handles.buffers.reserve();
+    let mut body = Vec::new();
+    loop {
+        let progress =
+            reader.read_buffered(stream, &mut body).map_err(|error| malformed(&error))?;
+        if body.len() > MAX_REPORT_BYTES || !reservation.resize_within_share(body.len()) {
+            return Err(malformed(&"the report is too large"));
+        }
+        if progress == BodyProgress::Complete {
+            break;
+        }
+        stream.fill(deadline)?;
+    }
+    Ok(((handles.codec.decode_start)(&head, &body), head.keeps_connection()))
+}
--- a/crates/gentian-gateway/src/control/take_up_controller.rs
+++ b/crates/gentian-gateway/src/control/take_up_controller.rs
@@ -80,7 +80,7 @@
     let claim = TakeUpClaim {
         stream: call.stream,
         service: call.service.clone(),
-        received: call.received,
+        received: call.queued,
         is_list_current: state.table.versions.is_list_current(now),
     };
     let (take_up, queries) = state.origins.check(&claim, &state.table.versions.history, now);
@@ -99,9 +99,10 @@
             refuse(&call, reply, "the route leads to another service now");
         }
         TakeUp::Pending => state.take_ups.push(WaitingTakeUp { call, reply: reply.clone() }),
-        TakeUp::Unknown => {
-            log_take_up(state, &call, "unknown", now);
-            refuse(&call, reply, "it isn't known which version began the stream");
+        TakeUp::Unknown(cause) => {
+            log_take_up(state, &call, &format!("unknown, {cause}"), now);
+            let message = format!("it isn't known which version began the stream ({cause})");
+            refuse(&call, reply, &message);
         }
     }
 }
@@ -118,7 +119,7 @@
         call.id,
         state.table.versions.history.is_mixed(&call.service, now),
         state.table.versions.is_list_current(now),
-        now.since(call.received)
+        now.since(call.queued)
     );
 }
 
--- a/crates/gentian-gateway/src/platform_codec.rs
+++ b/crates/gentian-gateway/src/platform_codec.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddr;
 
 use gentian_config::serving::ServingConfig;
-use gentian_core::{DomainId, VmId};
+use gentian_core::{DomainId, UpstreamId, VmId};
 use gentian_decide::duties::{DutyReply, UsageCall};
 use gentian_decide::orders::{EngineOrder, EngineStateReport, OrderReply};
 use gentian_decide::serving::UpstreamRegistration;
+use gentian_decide::streams::ReportedStart;
 use gentian_http::forward::{RequestHead, ResponseHead};
 
 use crate::{ForwardMetadata, RequestMetadata, ResponseMetadata};
@@ -14,6 +15,8 @@
 type DecodeKeyFn<T> = Box<dyn Fn(&str) -> Option<T> + Send + Sync>;
 type EncodeHeadFn<T> = Box<dyn Fn(&RequestHead, &T) -> RequestHead + Send + Sync>;
 type DecodeReportFn = Box<dyn Fn(&[u8]) -> eyre::Result<EngineStateReport> + Send + Sync>;
+type EncodeStartCallFn = Box<dyn Fn(&UpstreamId, SocketAddr) -> RequestHead + Send + Sync>;
+type DecodeStartFn = Box<dyn Fn(&ResponseHead, &[u8]) -> ReportedStart + Send + Sync>;
 type EncodeOrderFn = Box<dyn Fn(&EngineOrder, &str) -> (RequestHead, Vec<u8>) + Send + Sync>;
 type EncodeUsageFn =
     Box<dyn Fn(&UsageCall, &VmId, SocketAddr) -> (RequestHead, Vec<u8>) + Send + Sync>;
@@ -53,6 +56,10 @@
     pub decode_response: Box<dyn Fn(&ResponseHead) -> ResponseMetadata + Send + Sync>,
     /// Decodes the state report of an engine.
     pub decode_report: DecodeReportFn,
+    /// Encodes the head of a call that asks an upstream for its start.
+    pub encode_start_call: EncodeStartCallFn,
+    /// Decodes the response to it.
+    pub decode_start: DecodeStartFn,
     /// Encodes an order as a head and a body, given the VM of the lease holder that sends it.
     pub encode_order: EncodeOrderFn,
     /// Decodes the response status of an order.
--- a/crates/gentian-soak/src/fault_plan.rs
+++ b/crates/gentian-soak/src/fault_plan.rs
@@ -25,10 +25,23 @@
     PausedEntries,
     /// Half of the engines are replaced by ones of the next version, then single engines end.
     CrashedEngines,
+    /// Engines end together and are back at once under their names and addresses as the next version,
+    /// while entries still list the earlier one.
+    ReturnedEngines,
+    /// Responses of engines end with their connections. Engines end and are back while an entry stands
+    /// still.
+    UnframedStreams,
 }
 
 impl FaultPlan {
-    const ALL: [Self; 7] = [
+    /// Returns whether replicas keep their names when they start again.
+    pub(crate) fn keeps_names(self) -> bool {
+        matches!(self, Self::ReturnedEngines | Self::UnframedStreams)
+    }
+}
+
+impl FaultPlan {
+    const ALL: [Self; 9] = [
         Self::Random,
         Self::SilentStore,
         Self::RestoredStore,
@@ -36,6 +49,8 @@
         Self::ReplacedEngines,
         Self::PausedEntries,
         Self::CrashedEngines,
+        Self::ReturnedEngines,
+        Self::UnframedStreams,
     ];
 }
 
@@ -49,6 +64,8 @@
             Self::ReplacedEngines => "replaced-engines",
             Self::PausedEntries => "paused-entries",
             Self::CrashedEngines => "crashed-engines",
+            Self::ReturnedEngines => "returned-engines",
+            Self::UnframedStreams => "unframed-streams",
         })
     }
 }
@@ -59,7 +76,7 @@
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let found = Self::ALL.into_iter().find(|plan| plan.to_string() == text);
         let expected = "one of random, silent-store, restored-store, stopped-entries, replaced-engines, \
-             paused-entries, crashed-engines";
+             paused-entries, crashed-engines, returned-engines, unframed-streams";
         found.ok_or_else(|| ParseError::new("fault plan", text, expected))
     }
 }
--- a/crates/gentian-standin/src/commands/fleet_replica.rs
+++ b/crates/gentian-standin/src/commands/fleet_replica.rs
@@ -53,7 +53,7 @@
     let incarnation = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis();
     let address = settings.address;
     let replica = Arc::new(Replica {
-        id: format!("i-{:08x}", rand::random::<u32>()),
+        id: settings.id.clone().unwrap_or_else(|| format!("i-{:08x}", rand::random::<u32>())),
         incarnation: u64::try_from(incarnation)?,
         state: Mutex::new(ReplicaState::new(&settings)),
         journal: Mutex::new(journal),
@@ -257,8 +257,12 @@
             .with_notices(ResponseHead::new(200))
             .with_header("Content-Type", "text/event-stream")
             .with_header("X-Gentianwheel-Request-Id", id)
-            .with_header("X-Gentianwheel-Server-Stamp", self.id.clone())
-            .with_header("Transfer-Encoding", "chunked");
+            .with_header("X-Gentianwheel-Server-Stamp", self.id.clone());
+        let is_chunked = !self.settings.unframed;
+        let head = match is_chunked {
+            true => head.with_header("Transfer-Encoding", "chunked"),
+            false => head.with_header("Connection", "close"),
+        };
         if !self.write(stream, &head.to_bytes()) {
             return false;
         }
@@ -270,11 +274,12 @@
                 self.write(stream, encode_chunk(&text[..text.len() / 2]).as_bytes());
                 return false;
             }
-            if !self.write(stream, encode_chunk(&text).as_bytes()) {
+            let text = if is_chunked { encode_chunk(&text) } else { text };
+            if !self.write(stream, text.as_bytes()) {
                 return false;
             }
         }
-        self.write(stream, b"0\r\n\r\n")
+        is_chunked && self.write(stream, b"0\r\n\r\n")
     }
 
     fn is_misdirected(&self, request: &ReplicaRequest) -> bool {
