Soak: a stand-in of the platform's API checks reports of usage

The soak's stand-in accepts POST /usage, answers 409 to lower tokens, and checks that a window has one content and a token one VM.

--- a/crates/gentian-soak/src/fleet_layout.rs
+++ b/crates/gentian-soak/src/fleet_layout.rs
@@ -11,6 +11,8 @@
 use gentian_http::forward::{CallLimits, ConnectionPool, HeaderList, PooledClient, RequestHead};
 use serde_json::{Value, json};
 
+use crate::usage_log::{LATE_MILLIS, WINDOW_MILLIS};
+
 pub(crate) const HOST: &str = "soak.example";
 /// The two organisations and their API keys.
 pub(crate) const KEYS: [(&str, &str); 2] =
@@ -37,6 +39,7 @@
 const REPLICA_PORT: u16 = 7_200;
 const STORE_PORT: u16 = 7_300;
 const PROXY_PORT: u16 = 7_400;
+const API_PORT: u16 = 7_500;
 const CALL_TIMEOUT: TimeSpan = TimeSpan::from_secs(2);
 
 /// Addresses of one run: every process has its own loopback address, in a subnet chosen by the
@@ -86,19 +89,38 @@
         self.address(2, PROXY_PORT)
     }
 
+    /// Returns the address of the platform's API for duties.
+    pub(crate) fn api_address(self) -> SocketAddr {
+        self.address(2, API_PORT)
+    }
+
     /// Writes the settings file of an entry.
-    pub(crate) fn write_settings(self, entry: usize, path: &Path) -> eyre::Result<()> {
+    pub(crate) fn write_settings(
+        self,
+        entry: usize,
+        has_duties: bool,
+        path: &Path,
+    ) -> eyre::Result<()> {
         let ip = self.caller_address(entry).ip();
         let (front, ready) = (self.caller_address(entry), self.readiness_address(entry));
         let store = self.store_proxy_address();
         let zone = zone_name(entry);
+        let cloud = match has_duties {
+            true => format!(
+                "[cloud]\naddress = \"{}\"\nduties = [\"usage\"]\nduty_per_s = 50\n",
+                self.api_address()
+            ),
+            false => String::new(),
+        };
+        let (window, late) = (WINDOW_MILLIS as f64 / 1e3, LATE_MILLIS as f64 / 1e3);
         let text = format!(
             "node_name = \"vm-{entry}\"\nbootstrap = true\nzone = \"{zone}\"\nip = \"{ip}\"\n\
              internal_ports = [{PEER_PORT}, {PEER_PORT}]\n\
              [listen]\nfront = \"{front}\"\nready = \"{ready}\"\n\
              [limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = {ENTRY_MEMORY_MB}\nfile_descriptors = 4100\n\
              [bounds]\nbudget_extra_attempts = 60\nquota_slack = 100000\ngrace_s = 8\n\
-             [platform]\naddress = \"{store}\"\n"
+             window_s = {window}\nusage_late_s = {late}\n\
+             [platform]\naddress = \"{store}\"\n{cloud}"
         );
         Ok(std::fs::write(path, text)?)
     }
--- a/crates/gentian-soak/src/lib.rs
+++ b/crates/gentian-soak/src/lib.rs
@@ -16,6 +16,7 @@
 mod soak_settings;
 mod stop_check;
 mod stream_text;
+mod usage_log;
 mod version_log;
 
 pub use fault_plan::FaultPlan;
--- a/crates/gentian-soak/src/soak_run.rs
+++ b/crates/gentian-soak/src/soak_run.rs
@@ -25,6 +25,7 @@
 use crate::soak_check::{ExpectedService, check_crashes, check_drains, check_limits, check_run};
 use crate::soak_fault::{PLAIN_REPLICAS, PlannedFault, SoakFault, draw_faults};
 use crate::stop_check::StopLog;
+use crate::usage_log::UsageLog;
 use crate::version_log::VersionLog;
 use crate::{SoakReport, SoakSettings};
 
@@ -49,6 +50,8 @@
     processes: ProcessSet,
     links: Vec<LoopbackProxy>,
     store_link: LoopbackProxy,
+    /// Reports of usage, if the deployment has the duty.
+    usage_log: Option<UsageLog>,
     /// Faults that end at a given time: pauses of processes, link faults, evacuations of zones.
     pending: Vec<(Instant, FaultEnd)>,
     /// Time until which a fault may delay the responses of each entry.
@@ -162,6 +165,10 @@
         processes.start("store", command.map(ToOwned::to_owned).to_vec())?;
         let store_link =
             LoopbackProxy::start(layout.store_proxy_address(), layout.store_address())?;
+        let usage_log = match settings.has_duties {
+            true => Some(UsageLog::start(layout.api_address())?),
+            false => None,
+        };
         let mut links = Vec::new();
         for replica in 0..REPLICAS {
             let (address, proxy) =
@@ -179,6 +186,7 @@
             processes,
             links,
             store_link,
+            usage_log,
             pending: Vec::new(),
             disturbed_until: vec![now; settings.entries],
             version: FIRST_VERSION,
@@ -193,7 +201,7 @@
         fleet.retry(|fleet| fleet.layout.publish(FIRST_VERSION))?;
         for entry in 0..settings.entries {
             let path = settings.folder.join(format!("entry-{entry}.toml"));
-            layout.write_settings(entry, &path)?;
+            layout.write_settings(entry, settings.has_duties, &path)?;
             let path = path.display().to_string();
             let command = ["gentianwheel", "--settings", &path];
             let command = command.map(ToOwned::to_owned).to_vec();
@@ -322,6 +330,9 @@
         violations.extend(self.version_log.check(records, &self.contact_log));
         violations.extend(self.check_memory());
         violations.extend(self.check_entry_records()?);
+        if let Some(usage_log) = &self.usage_log {
+            violations.extend(usage_log.check(folder, self.settings.seconds == 0)?);
+        }
         Ok(violations)
     }
 
@@ -468,6 +479,9 @@
         drop(self.processes);
         self.links.into_iter().for_each(LoopbackProxy::join);
         self.store_link.join();
+        if let Some(usage_log) = self.usage_log {
+            usage_log.stop();
+        }
     }
 }
 
--- a/crates/gentian-soak/src/soak_settings.rs
+++ b/crates/gentian-soak/src/soak_settings.rs
@@ -43,6 +43,8 @@
     pub request_limit: Option<RequestRate>,
     /// Requests that each replica runs concurrently.
     pub slots: Option<u64>,
+    /// Whether the deployment has the duty to report usage.
+    pub has_duties: bool,
     /// Folder with the compiled programs.
     pub programs: PathBuf,
     /// Folder for settings, logs and journals; its previous content is deleted.
@@ -69,6 +71,7 @@
             faulty_replicas: None,
             request_limit: None,
             slots: None,
+            has_duties: false,
             programs,
             folder,
         }
@@ -136,6 +139,11 @@
         Self { faulty_replicas: Some(replicas.into()), ..self }
     }
 
+    /// Gives the deployment the duty to report usage.
+    pub fn with_duties(self) -> Self {
+        Self { has_duties: true, ..self }
+    }
+
     /// Sets the limit that each replica names.
     pub fn with_request_limit(self, limit: RequestRate) -> Self {
         Self { request_limit: Some(limit), ..self }
--- a/crates/gentian-standin/src/commands/fleet_replica.rs
+++ b/crates/gentian-standin/src/commands/fleet_replica.rs
@@ -177,8 +177,8 @@
         }
         let crash = self.find_crash(request);
         match self.settings.memory {
-            0 => self.run_plain(id, crash, stream),
-            _ => self.run_stream(id, after.parse().unwrap_or(0), crash, stream),
+            0 => self.run_plain(request, crash, stream),
+            _ => self.run_stream(request, after.parse().unwrap_or(0), crash, stream),
         }
     }
 
@@ -209,9 +209,22 @@
         Some(response.send(fault, stream))
     }
 
-    fn run_plain(&self, id: &str, crash: Option<String>, stream: &mut BufferedStream) -> bool {
+    /// Records that a request has begun to run, with its organisation.
+    fn record_begin(&self, request: &ReplicaRequest) {
+        let tenant = request.header("X-Gentianwheel-Tenant");
+        self.record("began", tenant, &format!("at={}", unix_millis()));
+    }
+
+    fn run_plain(
+        &self,
+        request: &ReplicaRequest,
+        crash: Option<String>,
+        stream: &mut BufferedStream,
+    ) -> bool {
+        let id = request.header("X-Gentianwheel-Request-Id");
         std::thread::sleep(self.settings.event_time.into());
         self.crash_if(crash, id);
+        self.record_begin(request);
         let body = json!({ "done": id }).to_string();
         if self.faults.consume(FaultName::TruncatedResponse) {
             let head = self.head(200, &[("X-Gentianwheel-Request-Id", id)], body.len());
@@ -248,11 +261,12 @@
 
     fn run_stream(
         &self,
-        id: &str,
+        request: &ReplicaRequest,
         after: u64,
         crash: Option<String>,
         stream: &mut BufferedStream,
     ) -> bool {
+        let id = request.header("X-Gentianwheel-Request-Id");
         let head = self
             .with_notices(ResponseHead::new(200))
             .with_header("Content-Type", "text/event-stream")
@@ -265,6 +279,9 @@
         self.crash_if(crash, id);
         for event in after + 1..=self.settings.events {
             std::thread::sleep(self.settings.event_time.into());
+            if event == after + 1 {
+                self.record_begin(request);
+            }
             let text = event_text(id, event, &self.settings.version);
             if self.faults.consume(FaultName::TruncatedResponse) {
                 self.write(stream, encode_chunk(&text[..text.len() / 2]).as_bytes());
