Duties: a restoration may be older than the process, also at its first start

Settings may still say that the system starts for the first time when a process is restarted after the store came back from a copy. Windows that ended before the process started are then left out too, unless the newest record is of the present era; at a true first start there are none. Missed windows are counted each.

--- a/crates/gentian-decide/src/duties/usage_duty.rs
+++ b/crates/gentian-decide/src/duties/usage_duty.rs
@@ -38,7 +38,7 @@
     pub vms: &'a [VmId],
     /// When this process noticed that the key-value service had been restored, or its start if the
     /// restoration may be older. Windows that ended before may have been fixed and lost. `None` if
-    /// the service wasn't restored since the first process of the system started.
+    /// the service names no era.
     pub restored: Option<MonoTime>,
 }
 
--- a/crates/gentian-gateway/src/control/duty_controller.rs
+++ b/crates/gentian-gateway/src/control/duty_controller.rs
@@ -30,7 +30,7 @@
     /// Era of the key-value service.
     era: StoreEra,
     /// When this process noticed that the key-value service had been restored, or its start if that
-    /// may have been before.
+    /// may have been before; `None` while the service names no era.
     restored: Option<MonoTime>,
     started: MonoTime,
     /// When the duties were last looked at.
@@ -105,10 +105,9 @@
     let lease_era = fence.map_or(StoreEra::default(), |it| StoreRevision::of_fence(it).era());
     let era = state.eras.era().max(lease_era);
     if era > duties.era {
-        duties.restored = match duties.era == StoreEra::default() {
-            true => state.has_predecessor.then_some(duties.started),
-            false => Some(now),
-        };
+        // A restoration may be as old as this process if it never read an earlier era.
+        let is_first = duties.era == StoreEra::default();
+        duties.restored = Some(if is_first { duties.started } else { now });
         duties.era = era;
     }
     duties.counter.update_entry_count(state.entries.len());
@@ -199,19 +198,21 @@
             state.lease.retire(fence);
         }
         log_event(&event);
-        if let Some(result) = window_result(&event) {
-            state.metrics.usage_windows.with_label_values(&[result]).inc();
+        if let Some((result, count)) = window_result(&event) {
+            state.metrics.usage_windows.with_label_values(&[result]).inc_by(count);
         }
     }
 }
 
-/// Returns the result of a window by which the metrics count it.
-fn window_result(event: &UsageEvent) -> Option<&'static str> {
+/// Returns the result of windows by which the metrics count them, and their number.
+fn window_result(event: &UsageEvent) -> Option<(&'static str, u64)> {
     match event {
-        UsageEvent::Fixed(_) => Some("fixed"),
-        UsageEvent::Reported(..) => Some("reported"),
-        UsageEvent::Missed(..) | UsageEvent::LeftOut(..) => Some("missed"),
-        UsageEvent::Unconfirmed(_) => Some("unconfirmed"),
+        UsageEvent::Fixed(_) => Some(("fixed", 1)),
+        UsageEvent::Reported(..) => Some(("reported", 1)),
+        UsageEvent::Missed(first, end) | UsageEvent::LeftOut(first, end) => {
+            Some(("missed", end.get().saturating_sub(first.get())))
+        }
+        UsageEvent::Unconfirmed(_) => Some(("unconfirmed", 1)),
         UsageEvent::Adopted(_) | UsageEvent::Refused(_) | UsageEvent::Failed(..) => None,
     }
 }
