Ask an upstream whose connection broke for its start instead of leaving it out

Cause: while versions are mixed, an upstream got no stream from an entry after one connection to it had broken, until it was listed again. While the store is silent, or if the version has one or two upstreams, the streams of that version waited and were refused.

Change: such upstreams are selected if no other one of the version is left, and their report right before the take-up decides. One whose reports name no start is left out as before.

--- a/crates/gentian-decide/src/serving/upstream_row.rs
+++ b/crates/gentian-decide/src/serving/upstream_row.rs
@@ -45,6 +45,8 @@
     failure_updated: MonoTime,
     /// Start that a report has named, other than that of the registration.
     reported_start: Option<u64>,
+    /// Whether its reports name no start.
+    names_no_start: bool,
 }
 
 impl UpstreamRow {
@@ -68,6 +70,7 @@
             failure_rate: 0.0,
             failure_updated: now,
             reported_start: None,
+            names_no_start: false,
         }
     }
 
@@ -113,20 +116,26 @@
         self.unreachable >= time || (is_mixed && self.broken >= time)
     }
 
-    /// Returns what is known of the start of the upstream.
-    pub fn start(&self) -> KnownStart {
-        KnownStart { listed: self.registration.incarnation, reported: self.reported_start }
+    /// Returns what is known of the start of the upstream; `is_doubtful` is whether it may have started
+    /// again since it was listed.
+    pub fn start(&self, is_doubtful: bool) -> KnownStart {
+        KnownStart {
+            listed: self.registration.incarnation,
+            reported: self.reported_start,
+            is_doubtful,
+        }
     }
 
-    /// Returns whether a report has shown that the upstream has started again since it was registered, so
-    /// that its version isn't known.
-    pub fn has_restarted(&self) -> bool {
-        self.reported_start.is_some()
+    /// Returns whether a stream may go on here, as far as the start of the upstream is concerned: no report
+    /// has shown that it has started again. One that may have is asked, if its reports name its start.
+    pub fn may_go_on(&self, is_doubtful: bool) -> bool {
+        self.reported_start.is_none() && !(is_doubtful && self.names_no_start)
     }
 
-    /// Records the start that a report names, if it isn't that of the registration; returns whether it is
-    /// new.
-    pub fn record_start(&mut self, start: u64) -> bool {
+    /// Records the start that a report names, if it isn't that of the registration, or that it names none;
+    /// returns whether this is new.
+    pub fn record_start(&mut self, start: Option<u64>) -> bool {
+        let Some(start) = start else { return !std::mem::replace(&mut self.names_no_start, true) };
         let is_listed = KnownStart::new(self.registration.incarnation).is_listed(start);
         !is_listed && self.reported_start.replace(start) != Some(start)
     }
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -262,9 +262,14 @@
         }
     }
 
-    /// Records the start that a report of an upstream names, which was selected as this incarnation; returns
-    /// whether that is news.
-    pub fn record_reported_start(&mut self, id: &UpstreamId, incarnation: u64, start: u64) -> bool {
+    /// Records the start that a report of an upstream names, which was selected as this incarnation, or that
+    /// it names none; returns whether that is news.
+    pub fn record_reported_start(
+        &mut self,
+        id: &UpstreamId,
+        incarnation: u64,
+        start: Option<u64>,
+    ) -> bool {
         let row = self.rows.get_mut(id);
         let row = row.filter(|row| row.registration.incarnation == incarnation);
         row.is_some_and(|row| row.record_start(start))
@@ -318,22 +323,26 @@
             return PickOutcome::VersionGone;
         }
         let is_mixed = self.versions.history.is_mixed(&call.service, now);
-        let is_certain = |row: &&UpstreamRow| {
-            let may_have_restarted = row.may_have_restarted(self.versions.list_time(), is_mixed);
-            call.origin.is_none() || !(row.has_restarted() || may_have_restarted)
-        };
-        let rows = rows.into_iter().filter(is_certain);
-        let certain: Vec<&UpstreamRow> = rows.collect();
-        if call.origin.is_some() && certain.is_empty() {
+        let list_time = self.versions.list_time();
+        let is_doubtful = |row: &UpstreamRow| row.may_have_restarted(list_time, is_mixed);
+        let may_go_on =
+            |row: &&UpstreamRow| call.origin.is_none() || row.may_go_on(is_doubtful(row));
+        let rows: Vec<&UpstreamRow> = rows.into_iter().filter(may_go_on).collect();
+        if call.origin.is_some() && rows.is_empty() {
             return PickOutcome::Uncertain;
         }
-        let available: Vec<&UpstreamRow> =
-            certain.into_iter().filter(|row| self.is_available(row, now)).collect();
+        let mut available: Vec<&UpstreamRow> =
+            rows.into_iter().filter(|row| self.is_available(row, now)).collect();
         if available.is_empty() {
             return PickOutcome::NoUpstream;
         }
         let has_target =
             |row: &&&UpstreamRow| call.target.as_ref().is_none_or(|target| row.has_loaded(target));
+        // The others are asked for their start first, which may be in vain.
+        if call.origin.is_some() && available.iter().filter(has_target).any(|row| !is_doubtful(row))
+        {
+            available.retain(|row| !is_doubtful(row));
+        }
         let mut ranked: Vec<(f64, UpstreamId)> = available
             .iter()
             .filter(has_target)
@@ -366,7 +375,9 @@
                     let work = row.map(UpstreamRow::work).unwrap_or_default();
                     let limit = row.and_then(|row| row.limit);
                     let version = row.and_then(|row| row.registration.version.clone());
-                    let start = row.map_or(KnownStart::new(0), UpstreamRow::start);
+                    let start = row.map_or(KnownStart::new(0), |row| {
+                        row.start(row.may_have_restarted(self.versions.list_time(), is_mixed))
+                    });
                     return PickOutcome::Send(UpstreamPick {
                         upstream: id,
                         address,
--- a/crates/gentian-decide/src/streams/known_start.rs
+++ b/crates/gentian-decide/src/streams/known_start.rs
@@ -28,7 +28,9 @@
     Send,
     /// It has started again, at this time of its own clock, and its version isn't known.
     Restarted(u64),
-    /// It can't be known whether it has started again.
+    /// It may have started again, and its reports name no start.
+    Unnamed,
+    /// It accepts no connections or gives no report.
     Unknown,
 }
 
@@ -40,6 +42,8 @@
     pub listed: u64,
     /// Another start that a report has named since.
     pub reported: Option<u64>,
+    /// Whether the upstream may have started again since it was listed: a connection to it broke.
+    pub is_doubtful: bool,
 }
 
 impl fmt::Display for ReportedStart {
@@ -56,7 +60,7 @@
 impl KnownStart {
     /// Creates the start of an upstream of which no report is known.
     pub fn new(listed: u64) -> Self {
-        Self { listed, reported: None }
+        Self { listed, reported: None, is_doubtful: false }
     }
 
     /// Returns whether a report that names `start` is of the process that is listed.
@@ -81,6 +85,7 @@
         match reply {
             ReportedStart::At(start) if self.is_listed(start) => TakeUpCheck::Send,
             ReportedStart::At(start) => TakeUpCheck::Restarted(start),
+            ReportedStart::Unnamed if self.is_doubtful => TakeUpCheck::Unnamed,
             ReportedStart::Unnamed => TakeUpCheck::Send,
             ReportedStart::Ended | ReportedStart::NoReply => TakeUpCheck::Unknown,
         }
--- a/crates/gentian-gateway/src/chain/start_probe.rs
+++ b/crates/gentian-gateway/src/chain/start_probe.rs
@@ -22,7 +22,7 @@
 
 /// Why a request for the rest of a stream can't be sent to an upstream.
 pub(super) enum StartError {
-    /// The upstream has started again.
+    /// The upstream has started again, or may have and names no start.
     Restarted,
     /// It can't be known whether it has.
     Unknown(String),
@@ -57,7 +57,11 @@
             .acquire(pick.address, limit)
             .map_err(|error| StartError::Unknown(format!("no connection: {error}"))),
         TakeUpCheck::Restarted(start) => {
-            report_start(handles, pick, start);
+            report_start(handles, pick, Some(start));
+            Err(StartError::Restarted)
+        }
+        TakeUpCheck::Unnamed => {
+            report_start(handles, pick, None);
             Err(StartError::Restarted)
         }
         TakeUpCheck::Unknown => Err(StartError::Unknown("another upstream replied".to_owned())),
@@ -81,7 +85,7 @@
     if let ReportedStart::At(start) = reply
         && !pick.start.is_listed(start)
     {
-        report_start(handles, pick, start);
+        report_start(handles, pick, Some(start));
     }
     let is_whole = pick.start.shows_end(reply);
     count_check(handles, "end", is_whole);
@@ -102,7 +106,7 @@
     handles.metrics.start_checks.with_label_values(&[moment, result]).inc();
 }
 
-fn report_start(handles: &CallHandles, pick: &UpstreamPick, start: u64) {
+fn report_start(handles: &CallHandles, pick: &UpstreamPick, start: Option<u64>) {
     handles.send_event(ControlEvent::StartReported {
         upstream: pick.upstream.clone(),
         incarnation: pick.start.listed,
--- a/crates/gentian-gateway/src/control/control_event.rs
+++ b/crates/gentian-gateway/src/control/control_event.rs
@@ -62,14 +62,14 @@
         /// What else the response says about its upstream.
         notices: Vec<UpstreamNotice>,
     },
-    /// The report of an upstream names another start than its registration.
+    /// The report of an upstream names another start than its registration, or none.
     StartReported {
         /// The upstream.
         upstream: UpstreamId,
         /// Start of which it was listed when it was selected.
         incarnation: u64,
         /// Start that the report names.
-        start: u64,
+        start: Option<u64>,
     },
     /// An attempt of a request ended.
     EndAttempt(AttemptEnd),
--- a/crates/gentian-gateway/src/control/upstream_controller.rs
+++ b/crates/gentian-gateway/src/control/upstream_controller.rs
@@ -58,7 +58,8 @@
     _now: MonoTime,
 ) {
     let ControlEvent::StartReported { upstream, incarnation, start } = event else { return };
-    if state.table.record_reported_start(upstream, *incarnation, *start) {
+    let is_new = state.table.record_reported_start(upstream, *incarnation, *start);
+    if let Some(start) = start.filter(|_| is_new) {
         let code = EventCode::UPSTREAM_RETURNED;
         log::info!("{code} upstream={upstream} listed={incarnation} reported={start}");
     }
