Let streams wait for the models of their version while no hub reports them

Cause: a stream whose version has the model nowhere is given up after two seconds, so that its caller can ask for the whole. While an entry has no hub it knows of no resident models, so that all streams of mixed services that broke off then were given up, while new requests waited.

Change: the two seconds hold only while a hub reports resident models. Without one, the stream waits as a new request does.

Runs: stream_origins 38 passed; a_stream_waits_for_the_models_of_its_version_while_no_hub_reports_them fails (refused after four seconds without a hub) without the change.

--- a/crates/gentian-decide/src/serving/call_scheduler.rs
+++ b/crates/gentian-decide/src/serving/call_scheduler.rs
@@ -152,7 +152,7 @@
                     decisions
                         .push(ScheduleDecision::Refuse(call.id, refuse_queued(&call, &outcome)));
                 }
-                ref outcome if is_hopeless(&call, outcome, now) => {
+                ref outcome if is_hopeless(&call, outcome, table, now) => {
                     self.refund_unexecuted(&call, now);
                     let message = match outcome {
                         PickOutcome::NotLoaded => {
@@ -380,12 +380,19 @@
 }
 
 /// Returns whether the upstreams that could go on with a stream have left, or don't get its model back
-/// soon.
-fn is_hopeless(call: &ServingCall, outcome: &PickOutcome, now: MonoTime) -> bool {
+/// soon. Without a hub it isn't known which models they have.
+fn is_hopeless(
+    call: &ServingCall,
+    outcome: &PickOutcome,
+    table: &UpstreamTable,
+    now: MonoTime,
+) -> bool {
     match outcome {
         PickOutcome::VersionGone => true,
         PickOutcome::NotLoaded => {
-            call.origin.is_some() && now.since(call.wait_start()) >= VERSION_LOAD_WAIT
+            call.origin.is_some()
+                && table.has_resident_models()
+                && now.since(call.wait_start()) >= VERSION_LOAD_WAIT
         }
         _ => false,
     }
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -217,6 +217,11 @@
         }
     }
 
+    /// Returns whether a hub reports the resident models.
+    pub fn has_resident_models(&self) -> bool {
+        self.hub.is_some()
+    }
+
     /// Drops the resident models of a hub that is unreachable.
     pub fn clear_resident_models(&mut self) {
         self.hub = None;
--- a/crates/gentian-decide/tests/stream_origins.rs
+++ b/crates/gentian-decide/tests/stream_origins.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 
 use gentian_config::serving::{RetrySafety, ServiceWeight, ServingConfig, ServingRoute};
-use gentian_core::peer::{OriginTrace, ServiceVersion, StreamOrigin};
+use gentian_core::peer::{OriginTrace, ServiceVersion, StreamOrigin, TargetId};
 use gentian_core::{
-    MonoTime, RequestId, ServiceId, SoftwareVersion, StoreRevision, StreamId, TimeSpan, TokenCount,
-    UpstreamId, VmId,
+    InstanceId, MonoTime, RequestId, ServiceId, SoftwareVersion, StoreRevision, StreamId, TimeSpan,
+    TokenCount, UpstreamId, VmId,
 };
 use gentian_decide::quarantine::WorkQuarantine;
 use gentian_decide::serving::{
@@ -497,6 +497,25 @@
     assert!(matches!(&decisions[..], [ScheduleDecision::Refuse(..)]), "{decisions:?}");
 }
 
+/// The hub was lost, so that it wasn't known which models upstreams have, and streams were given up after
+/// two seconds while new ones waited for the next hub.
+#[test]
+fn a_stream_waits_for_the_models_of_its_version_while_no_hub_reports_them() {
+    let mut entry = Entry::new("vm-0");
+    entry.list(&[("a1", "v1"), ("b1", "v2")], start());
+    let mut scheduler = CallScheduler::new(bounds());
+    let mut quarantine = WorkQuarantine::new("vm-0".parse().unwrap());
+    let target = Some(TargetId::new("m1".parse().unwrap()));
+    let call = ServingCall { target, ..serving_call(Some("v1"), start(), start()) };
+    scheduler.admit(call, start()).unwrap();
+    let later = start() + TimeSpan::from_secs(4);
+    let decisions = scheduler.decide(&mut entry.table, &mut quarantine, later);
+    assert!(decisions.is_empty(), "{decisions:?}");
+    entry.table.update_resident_models(InstanceId::new(1), Vec::new());
+    let decisions = scheduler.decide(&mut entry.table, &mut quarantine, later);
+    assert!(matches!(&decisions[..], [ScheduleDecision::Refuse(..)]), "{decisions:?}");
+}
+
 /// Until it is listed again, an upstream that was down isn't taken for what it was: it is asked for its
 /// start, and gets no stream if it names none or another one. It was left out before, so that the streams
 /// of a version with one upstream were lost while the store was silent.
