--- a/crates/gentian-gateway/src/control/control_event.rs
+++ b/crates/gentian-gateway/src/control/control_event.rs
@@ -65,14 +65,14 @@
     },
     /// A request of an organisation began to run at an upstream at this time.
     RunBegan(OrganisationId, MonoTime),
-    /// The report of an upstream names another start than its registration.
+    /// The report of an upstream names another start than its registration, or none.
     StartReported {
         /// The upstream.
         upstream: UpstreamId,
         /// Start of which it was listed when it was selected.
         incarnation: u64,
         /// Start that the report names.
-        start: u64,
+        start: Option<u64>,
     },
     /// An attempt of a request ended.
     EndAttempt(AttemptEnd),
