Tests of crowds that send large request bodies

Cause: an entry reads the body of each request whole, up to body_bytes, and copies it once more for the upstream; nothing bounds what all bodies together take.

Change: tests with real processes on loopback, and parts of the soak that they use (BodyCrowd, BodyPattern, ProcessUsage). One entry of gentianwheel with 64 MB, 1,400 descriptors and body_bytes = 1,000,000 gets 150 clients; gentian-entry gets 100 clients with bodies of 4 MB (its limit) and may use 160 MB. Crowd, limits and bounds stay as they are here. Nobody kills the processes, so the peak (VmHWM) shows.

Stalled senders get no response within 6 s.

--- a/crates/gentian-proof/tests/fleet/mod.rs
+++ b/crates/gentian-proof/tests/fleet/mod.rs
@@ -20,6 +20,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 
+#[allow(unused_imports)]
 pub(crate) use caller::{CallResult, call, stream};
 use link::Link;
 
@@ -313,6 +314,17 @@
         lines.filter(|line| line["event"] == event).collect()
     }
 
+    /// Returns the id of a process.
+    pub(crate) fn id(&self, name: &str) -> u32 {
+        self.processes[name].child.id()
+    }
+
+    /// Returns whether a process has not ended.
+    pub(crate) fn is_alive(&mut self, name: &str) -> bool {
+        let process = self.processes.get_mut(name).unwrap();
+        process.child.try_wait().unwrap().is_none()
+    }
+
     /// Sends a signal to a process.
     pub(crate) fn signal(&self, name: &str, signal: Signal) {
         let child = &self.processes[name].child;
--- a/crates/gentian-soak/src/process_set.rs
+++ b/crates/gentian-soak/src/process_set.rs
@@ -8,6 +8,8 @@
 use gentian_core::FastMap;
 use rustix::process::{Pid, Signal, kill_process};
 
+use crate::process_usage::peak_memory;
+
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time that a process has to exit before it receives SIGKILL.
 const STOP_TIMEOUT: Duration = Duration::from_secs(8);
@@ -62,11 +64,7 @@
     /// Returns the largest amount of memory in bytes that a process has used, as far as it is known.
     pub(crate) fn peak_memory(&self, name: &str) -> Option<u64> {
         let process = self.processes.get(name)?;
-        let status =
-            std::fs::read_to_string(format!("/proc/{}/status", process.child.id())).ok()?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
-        let kilobytes: u64 = line.trim().trim_end_matches("kB").trim().parse().ok()?;
-        Some(kilobytes << 10)
+        peak_memory(process.child.id())
     }
 
     /// Restarts the processes that have exited; returns their names and exit statuses.
--- /dev/null
+++ b/crates/gentian-soak/tests/body_fleet/mod.rs
@@ -0,0 +1,244 @@
+//! A store, a replica and an entry with little memory, as processes on loopback.
+
+#![allow(clippy::unwrap_used)]
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use gentian_core::TimeSpan;
+use gentian_http::ProcessClock;
+use gentian_http::forward::{CallLimits, ConnectionPool, HeaderList, PooledClient, RequestHead};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+
+/// Memory of the entry's VM in the settings.
+pub(crate) const MEMORY_MB: u64 = 64;
+/// Descriptors of the entry's VM in the settings.
+pub(crate) const FILE_DESCRIPTORS: usize = 1_400;
+/// Largest legal body in the configuration.
+pub(crate) const BODY_BYTES: usize = 1_000_000;
+
+const HOST: &str = "bodies.example";
+const KEY: &str = "key-of-the-club";
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+const CALL_TIMEOUT: TimeSpan = TimeSpan::from_secs(10);
+const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_secs(2);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Lets only one fleet run at a time.
+static FLEET_LOCK: Mutex<()> = Mutex::new(());
+/// Subnet of the next fleet; sockets of an earlier one may still be closing.
+static NEXT_SUBNET: AtomicU8 = AtomicU8::new(1);
+
+pub(crate) struct BodyFleet {
+    _guard: MutexGuard<'static, ()>,
+    folder: PathBuf,
+    /// The entry is the last one.
+    processes: Vec<Child>,
+    subnet: u8,
+}
+
+impl BodyFleet {
+    /// Starts the processes and waits until the entry is ready.
+    pub(crate) fn start() -> Self {
+        let guard = FLEET_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+        let subnet = NEXT_SUBNET.fetch_add(1, Ordering::Relaxed);
+        let folder =
+            std::env::temp_dir().join(format!("gentian-bodies-{}-{subnet}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let mut fleet = Self { _guard: guard, folder, processes: Vec::new(), subnet };
+        let (store, replica) = (fleet.store().to_string(), fleet.address(100, 7_200).to_string());
+        let journal = fleet.folder.join("replica.journal").display().to_string();
+        fleet.spawn("gentian-standin", &["fleet-store", "--address", &store]);
+        fleet.spawn(
+            "gentian-standin",
+            &[
+                "fleet-replica",
+                "--address",
+                &replica,
+                "--announce",
+                &replica,
+                "--store",
+                &store,
+                "--service",
+                "desk",
+                "--zone",
+                "north",
+                "--journal",
+                &journal,
+            ],
+        );
+        fleet.wait_until("the store takes the configuration", Self::publish);
+        let settings = fleet.write_settings().display().to_string();
+        fleet.spawn("gentianwheel", &["--settings", &settings]);
+        fleet.wait_until("the entry is ready", Self::is_ready);
+        fleet
+    }
+
+    fn address(&self, host: u8, port: u16) -> SocketAddr {
+        // The last two thirds of the subnets belong to the seeds of the soak.
+        SocketAddr::from(([127, 78, self.subnet, host], port))
+    }
+
+    fn store(&self) -> SocketAddr {
+        self.address(2, 7_300)
+    }
+
+    /// Returns the address on which the entry accepts requests.
+    pub(crate) fn entry_address(&self) -> SocketAddr {
+        self.address(10, 7_100)
+    }
+
+    /// Returns the id of the entry's process.
+    pub(crate) fn entry_id(&self) -> u32 {
+        self.processes.last().unwrap().id()
+    }
+
+    /// Returns the head of a request without its framing and the empty line.
+    pub(crate) fn request_head() -> String {
+        format!("POST /look/1 HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n")
+    }
+
+    /// Sends the entry a stop signal and returns whether it ended with success in time.
+    pub(crate) fn stop_entry(&mut self) -> bool {
+        let entry = self.processes.last_mut().unwrap();
+        kill_process(Pid::from_child(entry), Signal::TERM).unwrap();
+        let end = Instant::now() + START_TIMEOUT;
+        while Instant::now() < end {
+            if let Some(status) = entry.try_wait().unwrap() {
+                return status.success();
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        false
+    }
+
+    /// Returns whether the entry's process has not ended.
+    pub(crate) fn is_entry_alive(&mut self) -> bool {
+        self.processes.last_mut().unwrap().try_wait().unwrap().is_none()
+    }
+
+    /// Returns the status of the response to a request with a body of `body_bytes`; zero without one.
+    pub(crate) fn call_entry(&self, body_bytes: usize) -> u16 {
+        let headers = HeaderList::new()
+            .with("Host", HOST)
+            .with("Authorization", format!("Token {KEY}"))
+            .with("X-Gentianwheel-Request-Id", "ordinary");
+        self.call(self.entry_address(), ("POST", "/look/1"), headers, &vec![b'o'; body_bytes])
+    }
+
+    fn call(
+        &self,
+        address: SocketAddr,
+        (method, target): (&str, &str),
+        headers: HeaderList,
+        body: &[u8],
+    ) -> u16 {
+        let clock = ProcessClock::new();
+        let client = PooledClient::new(ConnectionPool::new(clock), clock);
+        let headers =
+            headers.with("Connection", "close").with("Content-Length", body.len().to_string());
+        let (method, target) = (method.to_owned(), target.to_owned());
+        let head = RequestHead { method, target, is_http11: true, headers };
+        let limits = CallLimits {
+            connect: CONNECT_TIMEOUT,
+            response: CALL_TIMEOUT,
+            body: CALL_TIMEOUT,
+            send_until: None,
+        };
+        client.call(address, &head, body, limits).map_or(0, |(head, _)| head.status)
+    }
+
+    fn publish(&self) -> bool {
+        let value = STANDARD.encode(config().to_string());
+        let write = json!({ "key": "op/config", "value": value, "lease": 0 });
+        let change = json!({ "expected": [], "writes": [write], "remove": [] }).to_string();
+        let headers = HeaderList::new().with("Host", "store");
+        self.call(self.store(), ("POST", "/-/kv-txn"), headers, change.as_bytes()) == 200
+    }
+
+    fn is_ready(&self) -> bool {
+        let headers = HeaderList::new().with("Host", "ready");
+        self.call(self.address(10, 7_101), ("GET", "/-/readiness"), headers, b"") == 200
+    }
+
+    fn write_settings(&self) -> PathBuf {
+        let (front, ready) = (self.entry_address(), self.address(10, 7_101));
+        let (ip, store) = (front.ip(), self.store());
+        let text = format!(
+            "node_name = \"vm-0\"\nbootstrap = true\nzone = \"north\"\nip = \"{ip}\"\n\
+             internal_ports = [7102, 7102]\n\
+             [listen]\nfront = \"{front}\"\nready = \"{ready}\"\n\
+             [limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = {MEMORY_MB}\n\
+             file_descriptors = {FILE_DESCRIPTORS}\n\
+             [bounds]\nbudget_extra_attempts = 60\nquota_slack = 100000\ngrace_s = 8\n\
+             [platform]\naddress = \"{store}\"\n"
+        );
+        let path = self.folder.join("entry.toml");
+        std::fs::write(&path, text).unwrap();
+        path
+    }
+
+    fn wait_until(&self, what: &str, condition: impl Fn(&Self) -> bool) {
+        let end = Instant::now() + START_TIMEOUT;
+        while !condition(self) {
+            assert!(Instant::now() < end, "timed out: {what}; logs in {}", self.folder.display());
+            std::thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    fn spawn(&mut self, program: &str, arguments: &[&str]) {
+        let test = std::env::current_exe().unwrap();
+        let programs = test.parent().and_then(Path::parent).unwrap();
+        let log = self.folder.join(format!("{}-{program}.log", self.processes.len()));
+        let log = File::options().create(true).append(true).open(log).unwrap();
+        let child = Command::new(programs.join(program))
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        self.processes.push(child);
+    }
+}
+
+impl Drop for BodyFleet {
+    fn drop(&mut self) {
+        for process in &mut self.processes {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+fn config() -> Value {
+    let route = json!({
+        "name": "look", "host": HOST, "path_prefix": "/look/", "kind": "safe",
+        "timeout_ms": 8_000, "target_latency_ms": 500, "priority": 1, "service": "desk",
+        "attempts": 2, "resumable": false,
+    });
+    json!({
+        "version": 1,
+        "routes": [route],
+        "services": [{ "name": "desk", "connection_limit": 200 }],
+        "limits": {
+            "header_bytes": 16384, "body_bytes": BODY_BYTES, "header_timeout_ms": 3000,
+            "idle_timeout_ms": 10000,
+        },
+        "tenants": [{
+            "name": "club", "api_keys": [KEY], "unit": "token_count", "plain_tokens": 10,
+            "rate_per_s": 2_000_000, "burst": 2_000_000,
+        }],
+    })
+}
