Bound what an entry holds of all request bodies together

Cause: read_request_body read each body whole into a Vec and encode_request copied it for the upstream. Nothing bounded all bodies together, nor what the kernel had received and nobody read.

Change: - gentian-decide::memory: MemoryPlan divides memory_mb among the process (32 MB), connections (45% of the rest) and buffers (40%); MemoryAccount keeps the bytes in use and the large bodies that wait, in their order. - BufferBudget is one account for bodies of requests and responses and for queued events. Large request bodies fill it up to 60%, small ones up to 80%, so that responses of requests that ran find room. A declared length is reserved before 100 Continue or the first read; a chunked body reserves as it grows. Whole blocks are counted. - A body is held once, in blocks, and written to the upstream from them; retries send the same blocks again. - Without room: an announced large body waits unread, others get 503 with Retry-After at once. New cases: a legal body on a VM of 120 MB, kept connections with Expect and chunks.

--- a/crates/gentian-decide/src/lib.rs
+++ b/crates/gentian-decide/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod entry;
 pub mod limits;
+pub mod memory;
 pub mod orders;
 pub mod placement;
 pub mod quarantine;
--- a/crates/gentian-decide/src/quarantine/request_identity.rs
+++ b/crates/gentian-decide/src/quarantine/request_identity.rs
@@ -23,8 +23,8 @@
     pub target: Option<&'a TargetId>,
     /// Digests of all parts of the prompt, those included that no other request shares.
     pub parts: &'a [u64],
-    /// Body.
-    pub body: &'a [u8],
+    /// Body, in pieces.
+    pub body: &'a [&'a [u8]],
 }
 
 impl RequestIdentity<'_> {
@@ -40,7 +40,11 @@
         update_field(&mut hasher, target.as_bytes());
         let parts: Vec<u8> = self.parts.iter().flat_map(|part| part.to_le_bytes()).collect();
         update_field(&mut hasher, &parts);
-        update_field(&mut hasher, self.body);
+        let body_length: usize = self.body.iter().map(|piece| piece.len()).sum();
+        hasher.update(&(body_length as u64).to_le_bytes());
+        for piece in self.body {
+            hasher.update(piece);
+        }
         let mut digest = [0; size_of::<u64>()];
         hasher.finalize_xof().fill(&mut digest);
         WorkId::of_request(u64::from_le_bytes(digest))
--- a/crates/gentian-decide/tests/request_quarantine.rs
+++ b/crates/gentian-decide/tests/request_quarantine.rs
@@ -301,7 +301,7 @@
         organisation: None,
         target: Some(target),
         parts,
-        body: b"body",
+        body: &[b"body"],
     }
 }
 
@@ -314,6 +314,15 @@
     assert_eq!(id.to_string(), "f997aad95d6731c9");
 }
 
+/// Entries hold a body in pieces that depend on how it arrived.
+#[test]
+fn the_pieces_of_a_body_do_not_change_the_id() {
+    let target = TargetId::new("m1".parse().unwrap());
+    let whole = identity(&target, &[1, 2]);
+    let pieces = RequestIdentity { body: &[b"", b"bo", b"dy"], ..whole };
+    assert_eq!(pieces.work_id(), whole.work_id());
+}
+
 #[test]
 fn requests_that_differ_in_what_upstreams_are_asked_have_different_ids() {
     let (model, adapter) = (TargetId::new("m1".parse().unwrap()), Some("a1".parse().unwrap()));
@@ -331,7 +340,7 @@
         RequestIdentity { host: "other.example", ..plain },
         RequestIdentity { path: "/advice/1?q=2", ..plain },
         RequestIdentity { organisation: Some(&organisation), ..plain },
-        RequestIdentity { body: b"bodies", ..plain },
+        RequestIdentity { body: &[b"bodies"], ..plain },
         RequestIdentity { method: "POS", host: "Tclub.example", ..plain },
     ]
     .map(|identity| identity.work_id())
--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -82,9 +82,9 @@
     if !pick.is_current(handles.clock.now()) {
         return AttemptResult::OutOfDate;
     }
-    let bytes = encode_request(handles, call, pick);
+    let head = encode_head(handles, call, pick);
     call.progress = AttemptProgress::Sent;
-    let is_request_complete = match stream.write_request(&bytes, call.deadline) {
+    let is_request_complete = match write_request(call, &mut stream, head) {
         Ok(is_request_complete) => is_request_complete,
         Err(error) => {
             return AttemptResult::Failed(
@@ -123,7 +123,7 @@
     is_request_complete: bool,
 }
 
-fn encode_request(handles: &CallHandles, call: &CallContext, pick: &UpstreamPick) -> Vec<u8> {
+fn encode_head(handles: &CallHandles, call: &CallContext, pick: &UpstreamPick) -> Vec<u8> {
     let route_priority = call.route.as_ref().map_or(0, |route| route.priority);
     let has_body = !call.body.is_empty() || call.head.headers.text("content-length").is_some();
     let metadata = ForwardMetadata {
@@ -141,9 +141,28 @@
             .and_then(|event_splitter| event_splitter.last_id()),
         body_bytes: has_body.then_some(call.body.len()),
     };
-    let mut bytes = (handles.codec.encode_request)(&call.head, &metadata).to_bytes();
-    bytes.extend_from_slice(&call.body);
-    bytes
+    (handles.codec.encode_request)(&call.head, &metadata).to_bytes()
+}
+
+/// Writes the request from where its body is held; returns whether all of it was written, as
+/// [`BufferedStream::write_request`] does.
+fn write_request(
+    call: &CallContext,
+    stream: &mut BufferedStream,
+    mut head: Vec<u8>,
+) -> std::io::Result<bool> {
+    let mut pieces = call.body.pieces();
+    // One write takes the head and what most bodies need.
+    head.extend_from_slice(pieces.next().unwrap_or_default());
+    if !stream.write_request(&head, call.deadline)? {
+        return Ok(false);
+    }
+    for piece in pieces {
+        if !stream.write_request(piece, call.deadline)? {
+            return Ok(false);
+        }
+    }
+    Ok(true)
 }
 
 fn handle_response(
--- a/crates/gentian-gateway/src/chain/call_context.rs
+++ b/crates/gentian-gateway/src/chain/call_context.rs
@@ -36,7 +36,7 @@
     pub(crate) codec: Arc<PlatformCodec>,
     /// Open connections to upstreams.
     pub(crate) connections: ConnectionPool,
-    /// Memory for bodies of responses that are not streamed.
+    /// Memory for bodies of requests and responses and for queued events.
     pub(crate) buffers: BufferBudget,
     /// Metrics.
     pub(crate) metrics: GatewayMetrics,
@@ -69,7 +69,7 @@
     /// Head of the request as it arrived.
     pub(crate) head: RequestHead,
     /// Body of the request.
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: BodyBuffer,
     /// Metadata from the head.
     pub(crate) metadata: RequestMetadata,
     /// Connection to the caller.
@@ -111,6 +111,7 @@
     pub(crate) fn new(
         id: RequestId,
         head: RequestHead,
+        body: BodyBuffer,
         metadata: RequestMetadata,
         caller_stream: BufferedStream,
         received: MonoTime,
@@ -119,7 +120,7 @@
         Self {
             id,
             head,
-            body: Vec::new(),
+            body,
             metadata,
             caller_stream,
             received,
@@ -140,11 +141,6 @@
         }
     }
 
-    /// Returns the context with this body.
-    pub(crate) fn with_body(self, body: Vec<u8>) -> Self {
-        Self { body, ..self }
-    }
-
     /// Returns what the control thread needs to choose an upstream; `None` if the request has no
     /// route, or its route no service.
     pub(crate) fn serving_call(&self) -> Option<ServingCall> {
@@ -190,7 +186,7 @@
             organisation: self.organisation.as_ref().map(|organisation| &organisation.spec.id),
             target: self.metadata.target.as_ref(),
             parts: &parts.collect::<Vec<u64>>(),
-            body: &self.body,
+            body: &self.body.pieces().collect::<Vec<&[u8]>>(),
         };
         identity.work_id()
     }
--- a/crates/gentian-gateway/src/front/caller_session.rs
+++ b/crates/gentian-gateway/src/front/caller_session.rs
@@ -7,10 +7,12 @@
 use gentian_core::{EventCode, MonoTime, RequestId, TimeSpan};
 use gentian_decide::request::{FilterChain, FilterOutcome, Refusal};
 use gentian_http::forward::{
-    BodyError, BodyFraming, BufferedStream, HeadError, RequestHead, ResponseHead, read_request_body,
+    BodyBuffer, BodyError, BodyFraming, BufferedStream, HeadError, RequestHead, ResponseHead,
+    read_body_into,
 };
 use gentian_process::{refusal_body, refusal_status};
 
+use super::body_admission::{BodyAdmission, admit_body, record_late_body, refuse_body};
 use crate::chain::{CallContext, CallHandles};
 
 /// Interval between checks at an idle connection whether the process is stopping.
@@ -38,11 +40,13 @@
 
 /// Result of reading the next request.
 enum NextRequest {
-    Request(RequestHead, Vec<u8>, MonoTime),
+    Request(RequestHead, BodyBuffer, MonoTime),
     /// The connection must be closed without a response.
     Close,
     /// The request cannot be read: send this status and close the connection.
     Unreadable(u16),
+    /// There is no room for the body: send the refusal and close the connection.
+    Refused(RequestHead, Refusal),
 }
 
 /// Serves the requests on `stream` until either side closes it.
@@ -71,6 +75,10 @@
                 stream.close_gracefully(LINGER_TIME);
                 return;
             }
+            NextRequest::Refused(head, refusal) => {
+                refuse_unread(context, stream, &head, &refusal);
+                return;
+            }
         }
     }
 }
@@ -107,17 +115,38 @@
     let Ok(framing) = BodyFraming::of_request(&head.headers) else {
         return NextRequest::Unreadable(400);
     };
+    // Nothing of a body over the limit is read, and none waits for room.
+    if matches!(framing, BodyFraming::Length(length) if length > limits.max_body_bytes as u64) {
+        return NextRequest::Unreadable(413);
+    }
+    let (mut body, waited) = match admit_body(&context.handles, stream, framing, deadline) {
+        BodyAdmission::Admitted(body, waited) => (body, waited),
+        BodyAdmission::CallerGone => return NextRequest::Close,
+        BodyAdmission::TooLarge => return NextRequest::Unreadable(413),
+        BodyAdmission::Full => {
+            let refusal = refuse_body(&context.handles, framing, limits.request_timeout);
+            return NextRequest::Refused(head, refusal);
+        }
+    };
+    let deadline = deadline + waited;
     if head.expects_continue() && framing != BodyFraming::Length(0) {
         let interim_response = b"HTTP/1.1 100 Continue\r\n\r\n";
         if stream.write_all(interim_response, deadline).is_err() {
             return NextRequest::Close;
         }
     }
-    match read_request_body(stream, framing, limits.max_body_bytes, deadline) {
-        Ok(body) => NextRequest::Request(head, body, received),
+    match read_body_into(stream, framing, limits.max_body_bytes, deadline, &mut body) {
+        Ok(()) => NextRequest::Request(head, body, received),
+        Err(BodyError::NoRoom) => {
+            // What had arrived is released before the refusal is sent.
+            drop(body);
+            let refusal = refuse_body(&context.handles, framing, limits.request_timeout);
+            NextRequest::Refused(head, refusal)
+        }
         Err(BodyError::TooLarge) => NextRequest::Unreadable(413),
         Err(BodyError::Malformed) => NextRequest::Unreadable(400),
         Err(BodyError::Failed(error)) if error.kind() == std::io::ErrorKind::TimedOut => {
+            record_late_body(&context.handles, &body);
             NextRequest::Unreadable(408)
         }
         Err(BodyError::Truncated | BodyError::Failed(_)) => NextRequest::Close,
@@ -150,13 +179,13 @@
     context: &SessionContext,
     stream: BufferedStream,
     head: RequestHead,
-    body: Vec<u8>,
+    body: BodyBuffer,
     received: MonoTime,
 ) -> Option<BufferedStream> {
     let handles = &context.handles;
     let id = RequestId::new(context.next_id.fetch_add(1, Ordering::Relaxed));
     let metadata = (handles.codec.decode_request)(&head);
-    let mut call = CallContext::new(id, head, metadata, stream, received).with_body(body);
+    let mut call = CallContext::new(id, head, body, metadata, stream, received);
     call.closes_connection |= context.stopping.load(Ordering::Acquire);
     handles.metrics.open_requests.inc();
     let outcome = context.chain.run(&mut call, || handles.clock.now());
@@ -198,20 +227,50 @@
         clock.now().since(call.received),
         refusal.message
     );
-    let body = refusal_body(&call.metadata.request_id, refusal);
-    let mut head = ResponseHead::new(status)
+    let bytes = encode_refusal(&call.metadata.request_id, refusal, call.closes_connection);
+    if let Err(error) = call.caller_stream.write_all(&bytes, clock.now() + WRITE_TIMEOUT) {
+        log::debug!("cannot send a refusal: {error}");
+        call.is_connection_broken = true;
+    }
+}
+
+/// Refuses a request whose body isn't read, and closes the connection.
+fn refuse_unread(
+    context: &SessionContext,
+    mut stream: BufferedStream,
+    head: &RequestHead,
+    refusal: &Refusal,
+) {
+    let handles = &context.handles;
+    let request_id = (handles.codec.decode_request)(head).request_id;
+    log::info!(
+        "{} request={request_id} route=- status={} code={} run={} cause={:?}",
+        EventCode::REQUEST_REFUSED,
+        refusal_status(refusal.code),
+        refusal.code,
+        refusal.run,
+        refusal.message
+    );
+    handles.metrics.requests.with_label_values(&["-", &refusal.code.to_string()]).inc();
+    let bytes = encode_refusal(&request_id, refusal, true);
+    if let Err(error) = stream.write_all(&bytes, handles.clock.now() + WRITE_TIMEOUT) {
+        log::debug!("cannot send a refusal: {error}");
+    }
+    stream.close_gracefully(LINGER_TIME);
+}
+
+fn encode_refusal(request_id: &str, refusal: &Refusal, closes_connection: bool) -> Vec<u8> {
+    let body = refusal_body(request_id, refusal);
+    let mut head = ResponseHead::new(refusal_status(refusal.code))
         .with_header("Content-Type", "application/json")
         .with_header("Content-Length", body.len().to_string());
     if let Some(wait) = refusal.retry_after {
         head.headers.push("Retry-After", format!("{:.3}", wait.as_secs_f64()));
     }
-    if call.closes_connection {
+    if closes_connection {
         head.headers.push("Connection", "close");
     }
     let mut bytes = head.to_bytes();
     bytes.extend_from_slice(&body);
-    if let Err(error) = call.caller_stream.write_all(&bytes, clock.now() + WRITE_TIMEOUT) {
-        log::debug!("cannot send a refusal: {error}");
-        call.is_connection_broken = true;
-    }
+    bytes
 }
--- a/crates/gentian-gateway/src/front/readiness_port.rs
+++ b/crates/gentian-gateway/src/front/readiness_port.rs
@@ -4,7 +4,7 @@
 use gentian_http::ProcessClock;
 use gentian_http::forward::{BufferedStream, RequestHead, ResponseHead};
 
-/// Time after which a connection without a request is closed.
+/// Time within which the next request must arrive whole; then the connection is closed.
 const IDLE_TIMEOUT: TimeSpan = TimeSpan::from_secs(5);
 const MAX_HEAD_BYTES: usize = 8 * 1024;
 
@@ -14,8 +14,8 @@
     clock: ProcessClock,
     is_ready: impl Fn() -> bool,
 ) {
+    let mut deadline = clock.now() + IDLE_TIMEOUT;
     loop {
-        let deadline = clock.now() + IDLE_TIMEOUT;
         let head = match RequestHead::parse(stream.buffered(), MAX_HEAD_BYTES) {
             Ok(Some((head, length))) => {
                 stream.consume(length);
@@ -35,5 +35,6 @@
         if stream.write_all(&response.to_bytes(), deadline).is_err() || !head.keeps_connection() {
             return;
         }
+        deadline = clock.now() + IDLE_TIMEOUT;
     }
 }
--- a/crates/gentian-gateway/src/gateway_metrics.rs
+++ b/crates/gentian-gateway/src/gateway_metrics.rs
@@ -28,6 +28,14 @@
     pub(crate) quarantined_parts: IntGauge,
     /// Number of upstreams that name a limit of requests.
     pub(crate) limited_upstreams: IntGauge,
+    /// Number of request bodies that were not read to their end, by cause.
+    pub(crate) refused_bodies: IntCounterVec,
+    /// Bytes that are held of requests and responses.
+    pub(crate) buffered_bytes: IntGauge,
+    /// Bytes of the request bodies that wait for room.
+    pub(crate) waiting_body_bytes: IntGauge,
+    /// Number of idle connections to upstreams.
+    pub(crate) idle_connections: IntGauge,
     /// Number of open requests.
     pub(crate) open_requests: IntGauge,
     /// Version of the configuration in force.
@@ -81,6 +89,23 @@
                 "gentian_gateway_limited_upstreams",
                 "Upstreams that name a limit of requests.",
             )?,
+            refused_bodies: counter(
+                "gentian_gateway_refused_bodies_total",
+                "Bodies of requests that were not read to their end, by cause.",
+                &["cause"],
+            )?,
+            buffered_bytes: IntGauge::new(
+                "gentian_gateway_buffered_bytes",
+                "Bytes that are held of requests and responses.",
+            )?,
+            waiting_body_bytes: IntGauge::new(
+                "gentian_gateway_waiting_body_bytes",
+                "Bytes of the bodies of requests that wait for room.",
+            )?,
+            idle_connections: IntGauge::new(
+                "gentian_gateway_idle_connections",
+                "Idle connections to upstreams.",
+            )?,
             open_requests: IntGauge::new(
                 "gentian_gateway_open_requests",
                 "Requests that are open.",
@@ -98,6 +123,10 @@
         metrics.registry.register(Box::new(metrics.upstream_crashes.clone()))?;
         metrics.registry.register(Box::new(metrics.quarantined_parts.clone()))?;
         metrics.registry.register(Box::new(metrics.limited_upstreams.clone()))?;
+        metrics.registry.register(Box::new(metrics.refused_bodies.clone()))?;
+        metrics.registry.register(Box::new(metrics.buffered_bytes.clone()))?;
+        metrics.registry.register(Box::new(metrics.waiting_body_bytes.clone()))?;
+        metrics.registry.register(Box::new(metrics.idle_connections.clone()))?;
         metrics.registry.register(Box::new(metrics.open_requests.clone()))?;
         metrics.registry.register(Box::new(metrics.config_version.clone()))?;
         Ok(metrics)
--- a/crates/gentian-gateway/src/gateway_process.rs
+++ b/crates/gentian-gateway/src/gateway_process.rs
@@ -38,8 +38,6 @@
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// How long to wait for threads to finish by themselves; part of the shutdown margin.
 const JOIN_TIMEOUT: TimeSpan = TimeSpan::from_millis(100);
-/// Memory for the bodies of all responses that are not streamed.
-const MAX_BUFFERED_BYTES: usize = 32 << 20;
 /// Maximum number of open connections for readiness checks.
 const READINESS_CONNECTION_LIMIT: usize = 16;
 
@@ -61,7 +59,9 @@
     let instance = InstanceId::new(rand::random());
     let view = Arc::new(ArcSwap::from_pointee(TrafficView::default()));
     let metrics = GatewayMetrics::new()?;
-    let connections = ConnectionPool::new(clock);
+    let connections = ConnectionPool::new(clock).with_max_idle(settings.idle_connection_limit);
+    let buffer_memory = usize::try_from(settings.buffer_memory.get()).unwrap_or(usize::MAX);
+    let buffers = BufferBudget::new(buffer_memory);
     let (threads_must_end, closing) =
         (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
     let idle_close_time = Arc::new(OnceLock::new());
@@ -128,7 +128,14 @@
         metrics: metrics.clone(),
     };
     threads.extend(start_readers(&settings, &codec, reader)?);
-    threads.extend(start_admin(&settings, &view, &metrics, &signal, &threads_must_end));
+    let (pool, budget, shown_metrics) = (connections.clone(), buffers.clone(), metrics.clone());
+    let metrics_text = move || {
+        shown_metrics.buffered_bytes.set(budget.used().get() as i64);
+        shown_metrics.waiting_body_bytes.set(budget.waiting().get() as i64);
+        shown_metrics.idle_connections.set(pool.idle_count() as i64);
+        shown_metrics.text()
+    };
+    threads.extend(start_admin(&settings, &view, metrics_text, &signal, &threads_must_end));
     let (ready_view, stopping) = (Arc::clone(&view), signal.flag());
     let is_ready = move || {
         let view = ready_view.load();
@@ -144,15 +151,8 @@
         serve,
     )?);
 
-    let handles = CallHandles {
-        control: control.clone(),
-        view,
-        codec,
-        connections,
-        buffers: BufferBudget::new(MAX_BUFFERED_BYTES),
-        metrics,
-        clock,
-    };
+    let handles =
+        CallHandles { control: control.clone(), view, codec, connections, buffers, metrics, clock };
     let chain = build_chain(&handles);
     log::debug!("filters: {}", chain.names().collect::<Vec<_>>().join(", "));
     let context = SessionContext {
@@ -230,14 +230,14 @@
 fn start_admin(
     settings: &GatewaySettings,
     view: &Arc<ArcSwap<TrafficView>>,
-    metrics: &GatewayMetrics,
+    metrics_text: impl Fn() -> String + Send + Sync + 'static,
     signal: &StopSignal,
     threads_must_end: &Arc<AtomicBool>,
 ) -> Option<JoinHandle<()>> {
-    let (view, metrics, stopping) = (Arc::clone(view), metrics.clone(), signal.flag());
+    let (view, stopping) = (Arc::clone(view), signal.flag());
     let pages = AdminPages::new(
         move || !stopping.load(Ordering::Acquire),
-        move || metrics.text(),
+        metrics_text,
         move || {
             let version = view.load().config.as_ref().map_or(0, |config| config.version.get());
             format!("{{\"config_version\":{version}}}\n")
--- a/crates/gentian-gateway/src/gateway_settings.rs
+++ b/crates/gentian-gateway/src/gateway_settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use gentian_core::{DomainId, VmId};
+use gentian_core::{ByteSize, DomainId, VmId};
 use gentian_decide::serving::ServingBounds;
 use gentian_wire::ClusterKey;
 
@@ -27,6 +27,10 @@
     pub cpu_millicores: u32,
     /// Maximum number of open caller connections.
     pub connection_limit: usize,
+    /// Memory for bodies of requests and responses and for queued events.
+    pub buffer_memory: ByteSize,
+    /// Maximum number of idle connections to upstreams.
+    pub idle_connection_limit: usize,
     /// Whether the fleet starts for the first time, so that no hub can have been before.
     pub is_first_start: bool,
     /// Bounds that the gateway must keep.
--- a/crates/gentian-http/src/forward/body_buffer.rs
+++ b/crates/gentian-http/src/forward/body_buffer.rs
@@ -1,4 +1,4 @@
-//! Memory for the body of a response.
+//! Memory for the body of a request or a response.
 
 use super::{BufferBudget, BufferReservation};
 
@@ -14,18 +14,32 @@
     small: Vec<u8>,
     blocks: Vec<Vec<u8>>,
     length: usize,
+    is_request: bool,
 }
 
 impl BodyBuffer {
-    /// Creates an empty buffer whose bytes count towards `budget`.
+    /// Creates an empty buffer for the body of a response, whose bytes count towards `budget`.
     pub fn new(budget: &BufferBudget) -> Self {
-        let reservation = budget.reserve();
-        Self { reservation, small: Vec::new(), blocks: Vec::new(), length: 0 }
+        Self::with_reservation(budget.reserve(), false)
+    }
+
+    /// Creates an empty buffer for the body of a request, for which `reservation` was made.
+    pub fn for_request(reservation: BufferReservation) -> Self {
+        Self::with_reservation(reservation, true)
+    }
+
+    fn with_reservation(reservation: BufferReservation, is_request: bool) -> Self {
+        Self { reservation, small: Vec::new(), blocks: Vec::new(), length: 0, is_request }
     }
 
     /// Appends `bytes`; returns `false`, and appends nothing, if the budget has no room for them.
     pub fn append(&mut self, mut bytes: &[u8]) -> bool {
-        if !self.reservation.resize_within_share(self.length + bytes.len()) {
+        let length = self.length + bytes.len();
+        let has_room = match self.is_request {
+            true => self.reservation.grow_body(length),
+            false => self.reservation.resize_body(length),
+        };
+        if !has_room {
             return false;
         }
         self.length += bytes.len();
--- a/crates/gentian-http/src/forward/body_reader.rs
+++ b/crates/gentian-http/src/forward/body_reader.rs
@@ -5,7 +5,7 @@
 
 use gentian_core::MonoTime;
 
-use super::{BodyFraming, BufferedStream, ChunkDecoder};
+use super::{BodyBuffer, BodyFraming, BufferedStream, ChunkDecoder};
 
 /// Why a body could not be read completely.
 #[derive(Debug)]
@@ -16,6 +16,8 @@
     Malformed,
     /// The body exceeds the limit.
     TooLarge,
+    /// There is no memory for the body.
+    NoRoom,
     /// The connection failed, or the deadline passed.
     Failed(io::Error),
 }
@@ -26,6 +28,7 @@
             Self::Truncated => f.write_str("the connection ended before the body"),
             Self::Malformed => f.write_str("the body is malformed"),
             Self::TooLarge => f.write_str("the body is too large"),
+            Self::NoRoom => f.write_str("there is no memory for the body"),
             Self::Failed(error) => write!(f, "the body could not be read: {error}"),
         }
     }
@@ -144,3 +147,36 @@
         stream.fill(deadline).map_err(BodyError::Failed)?;
     }
 }
+
+/// Reads the whole body of a request into `body`.
+///
+/// # Errors
+///
+/// Returns [`BodyError::NoRoom`] if `body` finds no room, and the errors of [`read_request_body`].
+pub fn read_body_into(
+    stream: &mut BufferedStream,
+    framing: BodyFraming,
+    limit: usize,
+    deadline: MonoTime,
+    body: &mut BodyBuffer,
+) -> Result<(), BodyError> {
+    if matches!(framing, BodyFraming::Length(length) if length > limit as u64) {
+        return Err(BodyError::TooLarge);
+    }
+    let mut reader = BodyReader::new(framing);
+    let mut piece = Vec::new();
+    loop {
+        let progress = reader.read_buffered(stream, &mut piece)?;
+        if body.len() + piece.len() > limit {
+            return Err(BodyError::TooLarge);
+        }
+        if !body.append(&piece) {
+            return Err(BodyError::NoRoom);
+        }
+        if progress == BodyProgress::Complete {
+            return Ok(());
+        }
+        piece.clear();
+        stream.fill(deadline).map_err(BodyError::Failed)?;
+    }
+}
--- a/crates/gentian-http/src/forward/buffered_stream.rs
+++ b/crates/gentian-http/src/forward/buffered_stream.rs
@@ -12,6 +12,10 @@
 
 /// Largest number of bytes per read from the socket.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
+/// Size of the kernel's receive buffer. The kernel may keep more than a hundred times as much by itself,
+/// which counts as memory of the process. A body of 4 MB needs 1.4 MB/s to arrive within 3 s, which 64 KiB
+/// allow up to a round trip of 45 ms.
+pub(crate) const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 /// Time after which unacknowledged data closes the connection (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Idle time before the first keepalive probe, and time between probes; they detect a peer that
@@ -53,6 +57,7 @@
         socket.set_nonblocking(true)?;
         socket.set_nodelay(true)?;
         let options = SockRef::from(&socket);
+        options.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
         options.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
         let probes = TcpKeepalive::new();
         let probes = probes.with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
--- a/crates/gentian-http/src/forward/connection_listener.rs
+++ b/crates/gentian-http/src/forward/connection_listener.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
+use gentian_core::EventCode;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
 use super::BufferedStream;
@@ -44,9 +45,7 @@
                 Ok(Some(stream)) => {
                     let serve = Arc::clone(&serve);
                     if !pool.run(move || serve(stream)) {
-                        log::warn!(
-                            "connection closed: the limit of {limit} open connections is reached"
-                        );
+                        log::warn!("{} limit={limit}", EventCode::CONNECTION_REFUSED);
                     }
                 }
                 Ok(None) => {}
--- a/crates/gentian-http/src/forward/connection_pool.rs
+++ b/crates/gentian-http/src/forward/connection_pool.rs
@@ -15,6 +15,8 @@
 /// server could close it while a request is on its way.
 const CLOSE_MARGIN: TimeSpan = TimeSpan::from_millis(600);
 
+/// Largest number of idle connections, unless it is set.
+const MAX_IDLE: usize = 4_096;
 /// Interval between removals of expired connections.
 const PRUNE_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
 
@@ -26,7 +28,9 @@
 
 #[derive(Debug, Default)]
 struct IdleStreams {
+    /// Bounded by the largest number of idle connections of the pool.
     by_server: FastMap<SocketAddr, Vec<IdleStream>>,
+    count: usize,
     last_prune: MonoTime,
 }
 
@@ -34,13 +38,24 @@
 #[derive(Clone, Debug)]
 pub struct ConnectionPool {
     idle: Arc<Mutex<IdleStreams>>,
+    max_idle: usize,
     clock: ProcessClock,
 }
 
 impl ConnectionPool {
     /// Creates an empty pool.
     pub fn new(clock: ProcessClock) -> Self {
-        Self { idle: Arc::default(), clock }
+        Self { idle: Arc::default(), max_idle: MAX_IDLE, clock }
+    }
+
+    /// Sets the largest number of idle connections; further ones are closed instead of kept.
+    pub fn with_max_idle(self, max_idle: usize) -> Self {
+        Self { max_idle, ..self }
+    }
+
+    /// Returns the number of idle connections.
+    pub fn idle_count(&self) -> usize {
+        self.lock().count
     }
 
     /// Returns an idle connection to `address`, or connects within `timeout`. Unless it is
@@ -77,14 +92,17 @@
         let idle_stream = IdleStream { stream, usable_until: now + span };
         let mut idle = self.lock();
         idle.prune(now);
+        if idle.count >= self.max_idle {
+            return;
+        }
+        idle.count += 1;
         idle.by_server.entry(address).or_default().push(idle_stream);
     }
 
     fn acquire_idle(&self, address: SocketAddr) -> Option<BufferedStream> {
         let now = self.clock.now();
         let mut idle = self.lock();
-        let streams = idle.by_server.get_mut(&address)?;
-        while let Some(IdleStream { mut stream, usable_until }) = streams.pop() {
+        while let Some(IdleStream { mut stream, usable_until }) = idle.pop(address) {
             // A connection that was closed or has unexpected input is not reused.
             if usable_until > now && matches!(stream.has_input(), Ok(false)) {
                 stream.set_abortive(true);
@@ -100,6 +118,12 @@
 }
 
 impl IdleStreams {
+    fn pop(&mut self, address: SocketAddr) -> Option<IdleStream> {
+        let idle_stream = self.by_server.get_mut(&address)?.pop()?;
+        self.count -= 1;
+        Some(idle_stream)
+    }
+
     /// Closes expired connections, also those to servers that no longer exist.
     fn prune(&mut self, now: MonoTime) {
         if now.since(self.last_prune) < PRUNE_INTERVAL {
@@ -110,5 +134,6 @@
             streams.retain(|idle| idle.usable_until > now);
             !streams.is_empty()
         });
+        self.count = self.by_server.values().map(Vec::len).sum();
     }
 }
--- a/crates/gentian-http/src/forward/mod.rs
+++ b/crates/gentian-http/src/forward/mod.rs
@@ -19,8 +19,11 @@
 
 pub use body_buffer::BodyBuffer;
 pub use body_framing::{BodyFraming, FramingError};
-pub use body_reader::{BodyError, BodyProgress, BodyReader, read_request_body, read_response_body};
-pub use buffer_budget::{BufferBudget, BufferReservation};
+pub use body_reader::{
+    BodyError, BodyProgress, BodyReader, read_body_into, read_request_body, read_response_body,
+};
+pub use buffer_budget::{BodyRoom, BufferBudget, BufferReservation, BufferWait};
+pub(crate) use buffered_stream::RECEIVE_BUFFER_BYTES;
 pub use buffered_stream::{BufferedStream, WaitOutcome};
 pub use chunk_decoder::{ChunkDecoder, ChunkError};
 pub use connection_listener::serve_connections;
--- a/crates/gentian-http/src/http_server.rs
+++ b/crates/gentian-http/src/http_server.rs
@@ -10,6 +10,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use tiny_http::{Request, Server};
 
+use crate::forward::RECEIVE_BUFFER_BYTES;
 use crate::{EventStream, HttpResponse, WorkerPool};
 
 /// Interval at which the accepting thread checks the stop flag.
@@ -149,6 +150,8 @@
 pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
+    // Connections that are accepted inherit it.
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
     Ok(socket.into())
--- a/crates/gentian-http/tests/forward.rs
+++ b/crates/gentian-http/tests/forward.rs
@@ -9,13 +9,13 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use gentian_core::{MonoTime, TimeSpan};
+use gentian_core::{ByteSize, MonoTime, TimeSpan};
 use gentian_http::ProcessClock;
 use gentian_http::forward::{
-    BodyBuffer, BodyError, BodyFraming, BufferBudget, BufferedStream, CallLimits, ChunkDecoder,
-    ConnectionPool, EventSplitter, FramingError, HeadError, HeadParser, HeaderList,
-    PooledCallError, PooledClient, RequestHead, ResponseHead, WaitOutcome, read_request_body,
-    read_response_body,
+    BodyBuffer, BodyError, BodyFraming, BodyRoom, BufferBudget, BufferedStream, CallLimits,
+    ChunkDecoder, ConnectionPool, EventSplitter, FramingError, HeadError, HeadParser, HeaderList,
+    PooledCallError, PooledClient, RequestHead, ResponseHead, WaitOutcome, read_body_into,
+    read_request_body, read_response_body,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -486,3 +486,75 @@
     assert_eq!(result.is_ok(), is_read, "{result:?}");
     thread.join().unwrap();
 }
+
+/// A body of declared length reserves its bytes in advance, waits while others hold them, and frees them
+/// at its end.
+#[test]
+fn a_large_request_body_waits_for_room() {
+    let budget = BufferBudget::new(10 << 20);
+    let BodyRoom::Reserved(first) = budget.reserve_body(4 << 20) else { panic!("no room") };
+    let BodyRoom::Waiting(wait) = budget.reserve_body(4 << 20) else { panic!("did not wait") };
+    assert!(wait.wait(Duration::from_millis(20)).is_none());
+    let waiter = std::thread::spawn(move || wait.wait(Duration::from_secs(20)));
+    drop(first);
+    let second = waiter.join().unwrap().unwrap();
+    assert_eq!(budget.used(), ByteSize::new(4 << 20));
+    drop(second);
+    assert_eq!((budget.used(), budget.waiting()), (ByteSize::ZERO, ByteSize::ZERO));
+}
+
+/// Many chunked bodies that grow at once find no room, instead of waiting for one another.
+#[test]
+fn chunked_bodies_without_room_fail_at_once() {
+    let budget = BufferBudget::new(1 << 20);
+    let (mut stream, clock, thread) = stream_of(b"40000\r\n");
+    let mut held = BodyBuffer::for_request(budget.reserve());
+    while held.append(&[b'x'; 16 << 10]) {}
+    let mut body = BodyBuffer::for_request(budget.reserve());
+    let bytes = vec![b'y'; 300_000];
+    assert!(!body.append(&bytes), "no room for a large body");
+    assert!(body.append(&bytes[..100_000]), "room for a small one");
+    drop(held);
+    drop(body);
+    assert_eq!(budget.used(), ByteSize::ZERO);
+    let mut body = BodyBuffer::for_request(budget.reserve());
+    let result =
+        read_body_into(&mut stream, BodyFraming::Chunked, 1 << 20, deadline(clock), &mut body);
+    assert!(matches!(result, Err(BodyError::Truncated)), "{result:?}");
+    thread.join().unwrap();
+}
+
+/// A body that its caller announces or sends beyond the limit isn't read to its end.
+#[rstest]
+#[case::announced(b"", BodyFraming::Length(101))]
+#[case::sent(
+    b"ff\r\n0123456789012345678901234567890123456789012345678901234567890123456789\
+    0123456789012345678901234567890123456789",
+    BodyFraming::Chunked
+)]
+fn a_request_body_over_the_limit_is_rejected(
+    #[case] bytes: &'static [u8],
+    #[case] framing: BodyFraming,
+) {
+    let budget = BufferBudget::new(1 << 20);
+    let (mut stream, clock, thread) = stream_of(bytes);
+    let mut body = BodyBuffer::for_request(budget.reserve());
+    let result = read_body_into(&mut stream, framing, 100, deadline(clock), &mut body);
+    assert!(matches!(result, Err(BodyError::TooLarge)), "{result:?}");
+    thread.join().unwrap();
+}
+
+/// Idle connections count towards the descriptors of the process.
+#[test]
+fn a_pool_keeps_a_limited_number_of_idle_connections() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let pool = ConnectionPool::new(ProcessClock::new()).with_max_idle(2);
+    let streams: Vec<BufferedStream> =
+        (0..4).map(|_| pool.acquire(address, TimeSpan::from_secs(1)).unwrap()).collect();
+    streams.into_iter().for_each(|stream| pool.release(address, stream, None));
+    assert_eq!(pool.idle_count(), 2);
+    let reused = pool.acquire(address, TimeSpan::from_secs(1)).unwrap();
+    assert!(reused.is_reused());
+    assert_eq!(pool.idle_count(), 1);
+}
--- a/crates/gentian-soak/tests/body_fleet/mod.rs
+++ b/crates/gentian-soak/tests/body_fleet/mod.rs
@@ -48,6 +48,11 @@
 impl BodyFleet {
     /// Starts the processes and waits until the entry is ready.
     pub(crate) fn start() -> Self {
+        Self::start_with(MEMORY_MB, BODY_BYTES)
+    }
+
+    /// Starts the processes, with this memory of the entry's VM and this largest legal body.
+    pub(crate) fn start_with(memory_mb: u64, body_bytes: usize) -> Self {
         let guard = FLEET_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
         let subnet = NEXT_SUBNET.fetch_add(1, Ordering::Relaxed);
         let folder =
@@ -75,8 +80,8 @@
                 &journal,
             ],
         );
-        fleet.wait_until("the store takes the configuration", Self::publish);
-        let settings = fleet.write_settings().display().to_string();
+        fleet.wait_until("the store takes the configuration", |it| it.publish(body_bytes));
+        let settings = fleet.write_settings(memory_mb).display().to_string();
         fleet.spawn("gentianwheel", &["--settings", &settings]);
         fleet.wait_until("the entry is ready", Self::is_ready);
         fleet
@@ -103,7 +108,10 @@
 
     /// Returns the head of a request without its framing and the empty line.
     pub(crate) fn request_head() -> String {
-        format!("POST /look/1 HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n")
+        format!(
+            "POST /look/1 HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n\
+             X-Gentianwheel-Request-Id: crowd\r\n"
+        )
     }
 
     /// Sends the entry a stop signal and returns whether it ended with success in time.
@@ -156,8 +164,8 @@
         client.call(address, &head, body, limits).map_or(0, |(head, _)| head.status)
     }
 
-    fn publish(&self) -> bool {
-        let value = STANDARD.encode(config().to_string());
+    fn publish(&self, body_bytes: usize) -> bool {
+        let value = STANDARD.encode(config(body_bytes).to_string());
         let write = json!({ "key": "op/config", "value": value, "lease": 0 });
         let change = json!({ "expected": [], "writes": [write], "remove": [] }).to_string();
         let headers = HeaderList::new().with("Host", "store");
@@ -169,14 +177,14 @@
         self.call(self.address(10, 7_101), ("GET", "/-/readiness"), headers, b"") == 200
     }
 
-    fn write_settings(&self) -> PathBuf {
+    fn write_settings(&self, memory_mb: u64) -> PathBuf {
         let (front, ready) = (self.entry_address(), self.address(10, 7_101));
         let (ip, store) = (front.ip(), self.store());
         let text = format!(
             "node_name = \"vm-0\"\nbootstrap = true\nzone = \"north\"\nip = \"{ip}\"\n\
              internal_ports = [7102, 7102]\n\
              [listen]\nfront = \"{front}\"\nready = \"{ready}\"\n\
-             [limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = {MEMORY_MB}\n\
+             [limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = {memory_mb}\n\
              file_descriptors = {FILE_DESCRIPTORS}\n\
              [bounds]\nbudget_extra_attempts = 60\nquota_slack = 100000\ngrace_s = 8\n\
              [platform]\naddress = \"{store}\"\n"
@@ -222,7 +230,7 @@
     }
 }
 
-fn config() -> Value {
+fn config(body_bytes: usize) -> Value {
     let route = json!({
         "name": "look", "host": HOST, "path_prefix": "/look/", "kind": "safe",
         "timeout_ms": 8_000, "target_latency_ms": 500, "priority": 1, "service": "desk",
@@ -233,7 +241,7 @@
         "routes": [route],
         "services": [{ "name": "desk", "connection_limit": 200 }],
         "limits": {
-            "header_bytes": 16384, "body_bytes": BODY_BYTES, "header_timeout_ms": 3000,
+            "header_bytes": 16384, "body_bytes": body_bytes, "header_timeout_ms": 3000,
             "idle_timeout_ms": 10000,
         },
         "tenants": [{
--- a/crates/gentian-soak/tests/request_bodies.rs
+++ b/crates/gentian-soak/tests/request_bodies.rs
@@ -5,6 +5,10 @@
 
 mod body_fleet;
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
 use body_fleet::{BODY_BYTES, BodyFleet, FILE_DESCRIPTORS, MEMORY_MB};
 use gentian_soak::{BodyCrowd, BodyPattern};
 use rstest::rstest;
@@ -54,7 +58,60 @@
     let mut fleet = BodyFleet::start();
     let (half_read, id) = (crowd(&fleet, 20), fleet.entry_id());
     let clients = std::thread::spawn(move || half_read.run(&[BodyPattern::OneByteShort], id));
-    std::thread::sleep(std::time::Duration::from_millis(500));
+    std::thread::sleep(Duration::from_millis(500));
     assert!(fleet.stop_entry(), "the entry did not stop in time");
     clients.join().unwrap();
 }
+
+/// Guards against a division of the memory that leaves no room for a legal body on the smallest VM of the
+/// deployments.
+#[test]
+fn the_smallest_vm_serves_a_body_of_legal_size() {
+    let (memory_mb, body_bytes) = (120, 4_194_304);
+    let fleet = BodyFleet::start_with(memory_mb, body_bytes);
+    assert_eq!(fleet.call_entry(body_bytes), 200);
+    assert_eq!(fleet.call_entry(body_bytes + 1), 413);
+}
+
+/// Sends `bytes` and returns the status of the next response.
+fn exchange(socket: &mut TcpStream, bytes: &[u8]) -> String {
+    socket.write_all(bytes).unwrap();
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        assert_eq!(socket.read(&mut byte).unwrap(), 1, "the connection ended");
+        head.push(byte[0]);
+    }
+    let text = String::from_utf8(head).unwrap();
+    let length = text.lines().find_map(|line| line.strip_prefix("Content-Length: "));
+    let length: usize = length.map_or(0, |length| length.parse().unwrap());
+    socket.read_exact(&mut vec![0; length]).unwrap();
+    text.split_whitespace().nth(1).unwrap().to_owned()
+}
+
+/// Guards against callers on kept connections, with `Expect: 100-continue` or with chunks that are served
+/// differently since bodies have a budget.
+#[test]
+fn a_kept_connection_serves_bodies_of_each_kind() {
+    let fleet = BodyFleet::start();
+    let mut socket = TcpStream::connect(fleet.entry_address()).unwrap();
+    socket.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let head = BodyFleet::request_head();
+    let body = vec![b'x'; BODY_BYTES];
+    for _ in 0..3 {
+        let expecting =
+            format!("{head}Expect: 100-continue\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
+        assert_eq!(exchange(&mut socket, expecting.as_bytes()), "100");
+        assert_eq!(exchange(&mut socket, &body), "200");
+        let mut chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n").into_bytes();
+        for chunk in body.chunks(70_000) {
+            chunked.extend(format!("{:x}\r\n", chunk.len()).into_bytes());
+            chunked.extend_from_slice(chunk);
+            chunked.extend_from_slice(b"\r\n");
+        }
+        chunked.extend_from_slice(b"0\r\n\r\n");
+        assert_eq!(exchange(&mut socket, &chunked), "200");
+        let small = format!("{head}Content-Length: 3\r\n\r\nabc");
+        assert_eq!(exchange(&mut socket, small.as_bytes()), "200");
+    }
+}
