--- a/crates/gentian-decide/src/lib.rs
+++ b/crates/gentian-decide/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod duties;
 pub mod entry;
 pub mod limits;
+pub mod memory;
 pub mod orders;
 pub mod placement;
 pub mod quarantine;
