Selection: held prompts

Cause: the selection preferred an upstream for the shared part of a prompt by a hash, whether or not the part was held there, and by a random fraction of its tokens. The hash is nearly linear, so that the same one of two copies came first for most prefixes, and in a fleet of more than 16 entries the sample of two candidates left the preferred one out. Parts were read again at each copy.

Change: where the configuration names the size of an engine's cache (kv_cache_tokens), a request goes where waiting and reading together take least. A part counts as held at the engine that comes first for the prefix at every entry (its home), less as running requests fill the cache and right after a load, and where this entry saw it read, until other prompts have taken the cache, the engine restarted, unloaded the model or refused the prompt. What is to be read elsewhere costs 1.5 more a token. The home is compared in any case. Pending prefill tokens leave out what is likely held. GW1103 names the held tokens and the age of what is known of them; two counters give their share. Without a cache size the order is as before. ServingCall::shared_prefix is now a SharedPrefix; UpstreamTable::update_resident_models takes the time.

--- a/crates/gentian-config/src/serving/engine_spec.rs
+++ b/crates/gentian-config/src/serving/engine_spec.rs
@@ -1,6 +1,6 @@
 //! Model engines of a service.
 
-use gentian_core::{ByteSize, FastMap, ModelId, SlotCount};
+use gentian_core::{ByteSize, FastMap, ModelId, SlotCount, TokenCount};
 
 use super::CatalogueModel;
 
@@ -13,6 +13,8 @@
     pub adapter_slots: usize,
     /// Maximum number of requests in one batch.
     pub batch_slots: SlotCount,
+    /// Tokens that running requests and kept parts of prompts share; `None` if it is not known.
+    pub cache: Option<TokenCount>,
     /// Loads per second that the weight store can serve, over all upstreams.
     pub store_loads_per_second: f64,
     /// Models that can be loaded.
--- a/crates/gentian-decide/src/serving/call_scheduler.rs
+++ b/crates/gentian-decide/src/serving/call_scheduler.rs
@@ -123,13 +123,16 @@
             match outcome {
                 PickOutcome::Send(pick) => {
                     call.request.inspect(|request| quarantine.record_send(*request, now));
-                    table.record_start(&pick.upstream, call.prompt_tokens, now);
+                    let unread_tokens =
+                        call.prompt_tokens.saturating_sub(pick.estimate.held_tokens);
+                    table.record_start(&pick.upstream, unread_tokens, now);
                     decisions.push(ScheduleDecision::Send(call.id, pick.clone()));
                     let running = RunningCall {
                         prefill_tokens: pick
                             .work
                             .pending_prefill_tokens
-                            .saturating_add(call.prompt_tokens),
+                            .saturating_add(unread_tokens),
+                        unread_tokens,
                         incarnation: table.incarnation(&pick.upstream).unwrap_or_default(),
                         upstream: pick.upstream,
                         sent: now,
@@ -186,6 +189,9 @@
         {
             let elapsed = now.since(running.sent);
             table.record_prefill_time(&running.call.service, running.prefill_tokens, elapsed);
+            let (call, unread_tokens) = (&running.call, running.unread_tokens);
+            let prefix = call.shared_prefix.as_ref();
+            table.record_prompt(&running.upstream, prefix, unread_tokens, now);
             self.record_prefill_end(id, table);
         }
     }
@@ -248,7 +254,7 @@
         if let Some(running) = self.running.get_mut(&id)
             && !std::mem::replace(&mut running.is_prefilled, true)
         {
-            table.record_prefill_end(&running.upstream, running.call.prompt_tokens);
+            table.record_prefill_end(&running.upstream, running.unread_tokens);
         }
     }
 
@@ -264,6 +270,7 @@
         self.record_prefill_end(id, table);
         let RunningCall { call, upstream, .. } = self.running.remove(&id)?;
         table.record_outcome(&upstream, outcome, now);
+        table.forget_prompt(&upstream, call.shared_prefix.as_ref(), outcome);
         Some((call, upstream))
     }
 
@@ -319,7 +326,7 @@
             sum.running += 1;
             if !running.is_prefilled {
                 let pending = &mut sum.pending_prefill_tokens;
-                *pending = pending.saturating_add(running.call.prompt_tokens);
+                *pending = pending.saturating_add(running.unread_tokens);
             }
         }
         work.into_iter().collect()
--- a/crates/gentian-decide/src/serving/hub_client.rs
+++ b/crates/gentian-decide/src/serving/hub_client.rs
@@ -9,8 +9,8 @@
     UNREPORTED_WAIT_INTERVAL, entry_timeout, hub_timeout, near_limit_interval, report_interval,
     scale_interval, work_interval,
 };
-use super::selection_cost::hash_of;
 use super::{CallScheduler, FleetPartition, UpstreamTable};
+use crate::selection::hash_of;
 
 /// Fraction of the drain time for which an entry relies on the listings from the hub. The rest is
 /// left for the entry to read the registrations itself and to connect to an upstream.
@@ -194,7 +194,7 @@
             table.update_remote_work(work, now);
         }
         table.update_listings(summary.listings, now);
-        table.update_resident_models(summary.hub, summary.resident_models);
+        table.update_resident_models(summary.hub, summary.resident_models, now);
         self.revision = summary.revision;
         true
     }
--- a/crates/gentian-decide/src/serving/partition_bucket.rs
+++ b/crates/gentian-decide/src/serving/partition_bucket.rs
@@ -2,8 +2,8 @@
 
 use gentian_core::{MonoTime, TimeSpan};
 
-use super::selection_cost::hash_of;
 use super::{FleetPartition, QuotaLimit};
+use crate::selection::hash_of;
 
 /// Fraction of its burst with which the bucket of an isolated entry starts at most; the other entries
 /// are assumed to have used the same fraction.
--- a/crates/gentian-decide/src/serving/prefill_time.rs
+++ b/crates/gentian-decide/src/serving/prefill_time.rs
@@ -10,7 +10,7 @@
 const TYPICAL_MICROS_PER_TOKEN: f64 = 25.0;
 
 /// Average time that the engines of a service take per prompt token, over both cached and computed
-/// tokens.
+/// tokens; only over those that are likely not held where the size of the cache is known.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PrefillTime {
     micros_per_token: Option<f64>,
--- a/crates/gentian-decide/src/serving/selection_cost.rs
+++ b/crates/gentian-decide/src/serving/selection_cost.rs
@@ -2,13 +2,13 @@
 //!
 //! Load pattern: many requests to few upstreams that are unevenly loaded or unevenly fast.
 
-use std::hash::{Hash, Hasher};
-
-use gentian_core::{DomainId, MonoTime};
-use rustc_hash::FxHasher;
+use gentian_core::{DomainId, MonoTime, TokenCount, UpstreamId};
 
 use super::{ServingCall, UpstreamRow};
-use crate::selection::{ExpectedTime, expected_engine_time, expected_plain_time};
+use crate::selection::{
+    CacheState, ExpectedTime, expected_engine_time, expected_plain_time, hash_fraction,
+    mixed_fraction,
+};
 
 /// Delays that the selection assumes for another failure domain, for a failure rate of one and for an
 /// upstream that was already tried. The unit is the number of prompt tokens whose prefill would take
@@ -21,6 +21,11 @@
 /// don't all choose it.
 const LOAD_SPREAD_TOKENS: f64 = 600.0;
 
+/// Delay for each token of a shared prefix that is to be read at an engine which doesn't come first for
+/// it at every entry. Reading it delays the other prompts there, and other entries don't know then that
+/// the engine holds it.
+const OTHER_ENGINE_DELAY: f64 = 1.5;
+
 /// What the delays at all upstreams depend on.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SelectionView<'a> {
@@ -28,6 +33,10 @@
     pub(super) domain: &'a DomainId,
     /// Whether the work of the other entries is known too inaccurately to follow it strictly.
     pub(super) is_large_fleet: bool,
+    /// Engine that comes first for the shared prefix of the request at every entry.
+    pub(super) home: Option<&'a UpstreamId>,
+    /// Size of the cache of each engine; `None` if it is not known.
+    pub(super) cache: Option<TokenCount>,
     /// Current time.
     pub(super) now: MonoTime,
 }
@@ -37,7 +46,11 @@
 pub(super) struct SelectionCost {
     /// Expected time to the first event.
     pub(super) expected_tokens: f64,
-    /// The same with the preferences among upstreams, by which they are ranked.
+    /// Prompt tokens that are likely held there.
+    pub(super) held_tokens: f64,
+    /// Whether it comes first for the shared prefix of the request at every entry.
+    pub(super) is_home: bool,
+    /// Expected time with the preferences among upstreams, by which they are ranked.
     pub(super) total: f64,
 }
 
@@ -55,6 +68,7 @@
     if call.tried.contains(&row.registration.id) {
         preference += TRIED_DELAY_TOKENS;
     }
+    let held_tokens = held_tokens(row, call, view);
     let is_plain = call.target.is_none();
     let figures = ExpectedTime {
         requests: match is_plain {
@@ -64,47 +78,54 @@
         slots: row.slots(now),
         pace: row.pace(now),
         pending_tokens: f64::from(row.work().pending_prefill_tokens),
-        prompt_tokens: f64::from(call.prompt_tokens),
+        prompt_tokens: f64::from(call.prompt_tokens) - held_tokens,
     };
     if is_plain {
         if view.is_large_fleet && row.load(now).is_some() {
             let fraction = mixed_fraction(&(call.received, call.id, &row.registration.id));
             preference += -fraction.max(f64::MIN_POSITIVE).ln() * LOAD_SPREAD_TOKENS;
         }
-        return SelectionCost::new(expected_plain_time(&figures), preference);
-    }
-    if let Some((tokens, digest)) = call.shared_prefix {
-        // Every entry prefers the same upstream for a prefix, which thus stays in its cache.
-        preference += f64::from(tokens) * hash_fraction(&(digest, &row.registration.id));
+        let expected_tokens = expected_plain_time(&figures);
+        let total = expected_tokens + preference;
+        return SelectionCost { expected_tokens, held_tokens, is_home: false, total };
     }
-    SelectionCost::new(expected_engine_time(&figures), preference)
-}
-
-impl SelectionCost {
-    fn new(expected_tokens: f64, preference: f64) -> Self {
-        Self { expected_tokens, total: expected_tokens + preference }
+    let is_home = view.home == Some(&row.registration.id);
+    if let Some(prefix) = &call.shared_prefix {
+        let id = &row.registration.id;
+        let tokens = f64::from(prefix.tokens);
+        preference += match view.cache {
+            Some(_) if is_home => 0.0,
+            Some(_) => (tokens - held_tokens).max(0.0) * OTHER_ENGINE_DELAY,
+            // Every entry prefers the same upstream for a prefix, which thus stays in its cache.
+            None => tokens * hash_fraction(&(prefix.digest, id)),
+        };
     }
+    let expected_tokens = expected_engine_time(&figures);
+    SelectionCost { expected_tokens, held_tokens, is_home, total: expected_tokens + preference }
 }
 
-/// Returns a number from 0 to 1 that is the same at every entry.
-fn hash_fraction(value: &impl Hash) -> f64 {
-    hash_of(value) as f64 / u64::MAX as f64
-}
-
-/// Returns a number from 0 to 1 that is the same at every entry. Those of two values differ by an amount
-/// that depends on all parts of both: the plain hash is nearly linear, so that of two upstreams the same
-/// one would come first for most requests.
-fn mixed_fraction(value: &impl Hash) -> f64 {
-    // The finalizer of SplitMix64.
-    let mut hash = hash_of(value);
-    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    (hash ^ (hash >> 31)) as f64 / u64::MAX as f64
+/// Returns the prompt tokens of a request that are likely held at an engine.
+fn held_tokens(row: &UpstreamRow, call: &ServingCall, view: &SelectionView<'_>) -> f64 {
+    let (Some(cache), Some(prefix), Some(target)) = (view.cache, &call.shared_prefix, &call.target)
+    else {
+        return 0.0;
+    };
+    let state = CacheState {
+        cache,
+        model: &target.model,
+        requests: row.expected_engine_requests(view.now),
+        is_home: view.home == Some(&row.registration.id),
+        now: view.now,
+    };
+    row.held_prompts.held_tokens(prefix, &state).min(f64::from(call.prompt_tokens))
 }
 
-/// Returns a hash that is the same at every entry.
-pub(super) fn hash_of(value: &impl Hash) -> u64 {
-    let mut hasher = FxHasher::default();
-    value.hash(&mut hasher);
-    hasher.finish()
+/// Returns the upstream that comes first for the shared prefix of a request at every entry.
+pub(super) fn find_home<'a>(
+    ids: impl Iterator<Item = &'a UpstreamId>,
+    call: &ServingCall,
+) -> Option<&'a UpstreamId> {
+    let digest = call.shared_prefix.as_ref()?.digest;
+    let ranked = ids.map(|id| (mixed_fraction(&(digest, id)), id));
+    ranked.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
 }
--- a/crates/gentian-decide/src/serving/serving_call.rs
+++ b/crates/gentian-decide/src/serving/serving_call.rs
@@ -9,6 +9,7 @@
 };
 
 use super::UpstreamRow;
+use crate::selection::SharedPrefix;
 
 /// State of a request that the call scheduler needs.
 #[derive(Clone, Debug)]
@@ -27,8 +28,8 @@
     pub cost: TokenCount,
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
-    /// Length in tokens of the prompt prefix that other requests share, and its digest.
-    pub shared_prefix: Option<(u32, u64)>,
+    /// Parts of the prompt that other requests may share, with their tokens.
+    pub shared_prefix: Option<SharedPrefix>,
     /// Parts of the prompt that other requests may share, in their order.
     pub shared_parts: Vec<WorkId>,
     /// The request as a whole; only known while upstreams have ended lately.
--- a/crates/gentian-decide/src/serving/upstream_row.rs
+++ b/crates/gentian-decide/src/serving/upstream_row.rs
@@ -5,7 +5,7 @@
 
 use super::{AttemptOutcome, ColdLimiter, EngineModels, UpstreamRegistration, UpstreamState};
 use crate::limits::RequestShare;
-use crate::selection::{LoadReading, LoadRecord};
+use crate::selection::{HeldPrompts, LoadReading, LoadRecord};
 
 /// Time for which an upstream is skipped after a failed connection.
 const UNREACHABLE_COOLDOWN: TimeSpan = TimeSpan::from_millis(1_000);
@@ -34,6 +34,8 @@
     limit_time: MonoTime,
     /// Load that its responses report; `None` if they don't.
     load: Option<LoadRecord>,
+    /// Parts of prompts that it likely holds.
+    pub held_prompts: HeldPrompts,
     /// Limits requests while the upstream is cold.
     pub cold_limiter: ColdLimiter,
     cold_until: MonoTime,
@@ -61,6 +63,7 @@
             limit_share: RequestShare::default(),
             limit_time: MonoTime::ORIGIN,
             load: None,
+            held_prompts: HeldPrompts::default(),
             cold_limiter: ColdLimiter::default(),
             cold_until,
             skipped_until: MonoTime::ORIGIN,
@@ -88,6 +91,12 @@
         self.registration = registration;
     }
 
+    /// Replaces the models that the hub reports.
+    pub fn update_resident_models(&mut self, models: ResidentModels, now: MonoTime) {
+        self.held_prompts.update_models(models.loaded.iter().map(|target| &target.model), now);
+        self.resident_models = Some(models);
+    }
+
     /// Returns the row with a registration that had been missing. What the hub reported of it before
     /// is no longer known.
     pub fn with_registration(mut self, registration: UpstreamRegistration, now: MonoTime) -> Self {
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -1,5 +1,6 @@
 //! The upstreams that an entry knows, and load balancing among them.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -12,14 +13,14 @@
     StoreRevision, TimeSpan, UpstreamId,
 };
 
-use super::selection_cost::{SelectionCost, SelectionView, hash_of, selection_cost};
+use super::selection_cost::{SelectionCost, SelectionView, find_home, selection_cost};
 use super::{
     AttemptOutcome, DepartureLog, LimitedCapacity, PastRows, PickOutcome, PrefillTime,
     SelectionEstimate, ServingBounds, ServingCall, UpstreamNotice, UpstreamPauses, UpstreamPick,
     UpstreamRegistration, UpstreamRow, UpstreamState, VersionTracker,
 };
 use crate::limits::{PermitClient, PermitState};
-use crate::selection::{LoadReading, LoadRecord};
+use crate::selection::{LoadReading, SharedPrefix, hash_of};
 
 /// Fraction of the target latency that a request may wait for the prefill of earlier prompts.
 const PREFILL_WAIT_FRACTION: f64 = 0.7;
@@ -203,7 +204,12 @@
 
     /// Applies changed resident models from the hub. After a change of hub, all earlier ones are
     /// dropped first.
-    pub fn update_resident_models(&mut self, hub: InstanceId, models: Vec<ResidentModels>) {
+    pub fn update_resident_models(
+        &mut self,
+        hub: InstanceId,
+        models: Vec<ResidentModels>,
+        now: MonoTime,
+    ) {
         if self.hub != Some(hub) {
             self.clear_resident_models();
             self.hub = Some(hub);
@@ -212,7 +218,7 @@
             if let Some(row) = self.rows.get_mut(&resident_models.upstream)
                 && row.registration.incarnation == resident_models.incarnation
             {
-                row.resident_models = Some(resident_models);
+                row.update_resident_models(resident_models, now);
             }
         }
     }
@@ -321,10 +327,12 @@
         let has_target =
             |row: &&&UpstreamRow| call.target.as_ref().is_none_or(|target| row.has_loaded(target));
         let is_large_fleet = self.index_and_count.1 as usize > FULL_COMPARISON_ENTRIES;
-        let view = SelectionView { domain: &self.domain, is_large_fleet, now };
-        let mut ranked: Vec<(SelectionCost, UpstreamId)> = available
-            .iter()
-            .filter(has_target)
+        let cache = service.as_ref().and_then(|service| service.engine.as_ref()?.cache);
+        let loaded = available.iter().filter(has_target);
+        let ids = loaded.clone().map(|row| &row.registration.id);
+        let home = cache.and_then(|_| find_home(ids, call));
+        let view = SelectionView { domain: &self.domain, is_large_fleet, home, cache, now };
+        let mut ranked: Vec<(SelectionCost, UpstreamId)> = loaded
             .map(|row| (selection_cost(row, call, &view), row.registration.id.clone()))
             .collect();
         let candidates = ranked.len();
@@ -354,8 +362,7 @@
                     let work = row.map(UpstreamRow::work).unwrap_or_default();
                     let limit = row.and_then(|row| row.limit);
                     let version = row.and_then(|row| row.registration.version.clone());
-                    let load = row.and_then(|row| row.load(now)).map(LoadRecord::newest);
-                    let estimate = self.estimate(&call.service, cost, load, now);
+                    let estimate = self.estimate(&id, call, cost, now);
                     return PickOutcome::Send(UpstreamPick {
                         upstream: id,
                         address,
@@ -527,6 +534,33 @@
         self.rows.values().filter(|row| row.load(now).is_some()).count()
     }
 
+    /// Records that the engine has read a prompt, of which `unread_tokens` were expected not to be held.
+    pub fn record_prompt(
+        &mut self,
+        id: &UpstreamId,
+        prefix: Option<&SharedPrefix>,
+        unread_tokens: u32,
+        now: MonoTime,
+    ) {
+        let entries = self.index_and_count.1;
+        if let Some(row) = self.rows.get_mut(id) {
+            row.held_prompts.record_read(prefix, unread_tokens, entries, now);
+        }
+    }
+
+    /// Forgets that the upstream has read a prompt if this outcome shows that it may not have.
+    pub fn forget_prompt(
+        &mut self,
+        id: &UpstreamId,
+        prefix: Option<&SharedPrefix>,
+        outcome: AttemptOutcome,
+    ) {
+        let is_unread = matches!(outcome, AttemptOutcome::Rejected | AttemptOutcome::Failed);
+        if let (true, Some(prefix), Some(row)) = (is_unread, prefix, self.rows.get_mut(id)) {
+            row.held_prompts.forget(prefix);
+        }
+    }
+
     /// Records that the prefill of a prompt is no longer pending.
     pub fn record_prefill_end(&mut self, id: &UpstreamId, tokens: u32) {
         if let Some(row) = self.rows.get_mut(id) {
@@ -634,14 +668,19 @@
     /// Returns the expected time to the first event, and the age of the figures that it is based on.
     fn estimate(
         &self,
-        service: &ServiceId,
+        id: &UpstreamId,
+        call: &ServingCall,
         cost: SelectionCost,
-        load: Option<LoadReading>,
         now: MonoTime,
     ) -> SelectionEstimate {
-        let prefill_time = self.prefill_times.get(service).copied().unwrap_or_default();
+        let row = self.rows.get(id);
+        let load = row.and_then(|row| row.load(now)).map(|load| load.newest());
+        let prefix = call.shared_prefix.as_ref();
+        let prefill_time = self.prefill_times.get(&call.service).copied().unwrap_or_default();
         SelectionEstimate {
             expected: prefill_time.typical_delay(cost.expected_tokens),
+            held_tokens: cost.held_tokens as u32,
+            held_age: row.and_then(|row| row.held_prompts.age(prefix?, now)),
             load,
             load_age: load.map_or(TimeSpan::ZERO, |load| now.since(load.time)),
             work_age: now.since(self.remote_work_time),
@@ -664,11 +703,19 @@
             return;
         }
         let (_, entry_count) = self.index_and_count;
+        let holders = ranked.iter().filter(|(cost, _)| cost.is_home || cost.held_tokens > 0.0);
+        let rank = |cost: &SelectionCost| (cost.held_tokens, cost.is_home);
+        let holder = holders
+            .max_by(|a, b| rank(&a.0).partial_cmp(&rank(&b.0)).unwrap_or(Ordering::Equal))
+            .cloned();
         let size = (ranked.len() * FULL_COMPARISON_ENTRIES).div_ceil(entry_count.max(1) as usize);
         let size = size.max(MIN_SAMPLE_SIZE);
         if size < ranked.len() {
             ranked.sort_by_cached_key(|(_, id)| hash_of(&(call.received, call.id, id)));
             ranked.truncate(size);
+            // Where the prompt is likely held is compared in any case.
+            let missing = holder.filter(|(_, id)| ranked.iter().all(|(_, other)| other != id));
+            ranked.extend(missing);
         }
     }
 
--- a/crates/gentian-decide/tests/engine_fleet/mod.rs
+++ b/crates/gentian-decide/tests/engine_fleet/mod.rs
@@ -131,6 +131,7 @@
     let engine = EngineSpec {
         memory: ByteSize::new(MODEL_BYTES * MODEL_CAPACITY as u64 + 10),
         adapter_slots: ADAPTER_SLOTS,
+        cache: None,
         batch_slots: SlotCount::new(BATCH_SLOTS as u64),
         store_loads_per_second: 30.0,
         models: models.collect(),
@@ -392,7 +393,8 @@
                 }
             }
         }
-        self.table.update_resident_models(HUB, self.planner.resident_models(self.now));
+        let models = self.planner.resident_models(self.now);
+        self.table.update_resident_models(HUB, models, self.now);
     }
 
     fn apply_decisions(&mut self) {
--- a/crates/gentian-decide/tests/fleet_planner.rs
+++ b/crates/gentian-decide/tests/fleet_planner.rs
@@ -68,6 +68,7 @@
     let engine = EngineSpec {
         memory: ByteSize::new(ENGINE_BYTES),
         adapter_slots: ADAPTER_SLOTS,
+        cache: None,
         batch_slots: SlotCount::new(16),
         store_loads_per_second: 100.0,
         models: models.collect(),
--- a/crates/gentian-gateway/src/chain/call_context.rs
+++ b/crates/gentian-gateway/src/chain/call_context.rs
@@ -10,6 +10,7 @@
     MonoTime, RequestId, ServiceId, StreamId, TimeSpan, TokenCount, UpstreamId, WorkId,
 };
 use gentian_decide::quarantine::RequestIdentity;
+use gentian_decide::selection::SharedPrefix;
 use gentian_decide::serving::{AttemptProgress, ServingCall};
 use gentian_http::ProcessClock;
 use gentian_http::forward::{
@@ -242,15 +243,10 @@
         shared.iter().take(MAX_SHARED_PARTS).map(|(digest, _)| WorkId::of_part(*digest)).collect()
     }
 
-    /// Returns the token count and a combined digest of the parts of the prompt that other requests
-    /// may share; `None` if there are none.
-    fn shared_prefix(&self) -> Option<(u32, u64)> {
+    /// Returns the parts of the prompt that other requests may share with their tokens; `None` if there
+    /// are none.
+    fn shared_prefix(&self) -> Option<SharedPrefix> {
         let (_, shared) = self.metadata.prompt_prefix.split_last()?;
-        let (last, _) = shared.last()?;
-        let tokens = shared.iter().map(|(_, tokens)| *tokens).sum();
-        // The rotation makes the result depend on the order of the parts.
-        let digest =
-            shared.iter().fold(*last, |combined, (digest, _)| combined.rotate_left(7) ^ digest);
-        Some((tokens, digest))
+        SharedPrefix::new(self.metadata.target.as_ref(), shared)
     }
 }
--- a/crates/gentian-gateway/src/chain/forward_call.rs
+++ b/crates/gentian-gateway/src/chain/forward_call.rs
@@ -211,6 +211,8 @@
 
 fn log_routed(handles: &CallHandles, call: &CallContext, pick: &UpstreamPick) {
     let now = handles.clock.now();
+    handles.metrics.prompt_tokens.inc_by(call.metadata.tokens.map_or(0, |it| u64::from(it.0)));
+    handles.metrics.held_prompt_tokens.inc_by(u64::from(pick.estimate.held_tokens));
     log::info!(
         "{} request={} route={} organisation={} cost={} target={} upstream={} address={} \
          version={} after={} candidates={} running={} unread={} limit={} {} config={} waited={} left={} tried={}",
--- a/crates/gentian-gateway/src/gateway_metrics.rs
+++ b/crates/gentian-gateway/src/gateway_metrics.rs
@@ -30,6 +30,10 @@
     pub(crate) limited_upstreams: IntGauge,
     /// Number of upstreams whose responses report their load.
     pub(crate) reporting_upstreams: IntGauge,
+    /// Number of prompt tokens of routed requests.
+    pub(crate) prompt_tokens: IntCounter,
+    /// Number of those that the chosen upstreams likely held.
+    pub(crate) held_prompt_tokens: IntCounter,
     /// Number of open requests.
     pub(crate) open_requests: IntGauge,
     /// Version of the configuration in force.
@@ -87,6 +91,14 @@
                 "gentian_gateway_reporting_upstreams",
                 "Upstreams whose answers to this entry report their load.",
             )?,
+            prompt_tokens: IntCounter::new(
+                "gentian_gateway_prompt_tokens_total",
+                "Prompt tokens of routed requests.",
+            )?,
+            held_prompt_tokens: IntCounter::new(
+                "gentian_gateway_held_prompt_tokens_total",
+                "Prompt tokens of routed requests that the chosen upstreams likely held.",
+            )?,
             open_requests: IntGauge::new(
                 "gentian_gateway_open_requests",
                 "Requests that are open.",
@@ -105,6 +117,8 @@
         metrics.registry.register(Box::new(metrics.quarantined_parts.clone()))?;
         metrics.registry.register(Box::new(metrics.limited_upstreams.clone()))?;
         metrics.registry.register(Box::new(metrics.reporting_upstreams.clone()))?;
+        metrics.registry.register(Box::new(metrics.prompt_tokens.clone()))?;
+        metrics.registry.register(Box::new(metrics.held_prompt_tokens.clone()))?;
         metrics.registry.register(Box::new(metrics.open_requests.clone()))?;
         metrics.registry.register(Box::new(metrics.config_version.clone()))?;
         Ok(metrics)
