Selection: held prompts in small fleets

Cause: the home of a prefix and the extra cost at other engines stand for what an entry doesn't see.

Change: both are scaled by the fraction of requests that other entries send. Two tests of that used a fleet of one entry for what holds in a fleet of 72 now use 72.

--- a/crates/gentian-decide/src/selection/held_prompts.rs
+++ b/crates/gentian-decide/src/selection/held_prompts.rs
@@ -12,7 +12,7 @@
 /// Largest number of models whose load time is remembered for each engine.
 const MAX_MODELS: usize = 64;
 /// Probability that the engine which comes first for a part at every entry holds it, although this
-/// entry has not used the part lately.
+/// entry has not used the part lately, in a fleet of many entries.
 const HOME_PROBABILITY: f64 = 0.9;
 /// Half-life of the doubt about that after the engine has loaded the model.
 const LOAD_DOUBT_HALF_LIFE: TimeSpan = TimeSpan::from_millis(500);
@@ -55,6 +55,8 @@
     pub requests: f64,
     /// Whether it comes first for the prefix at every entry.
     pub is_home: bool,
+    /// Fraction of the requests that other entries send.
+    pub unseen_fraction: f64,
     /// Current time.
     pub now: MonoTime,
 }
@@ -116,7 +118,7 @@
             true => {
                 let age = state.now.since(loaded).as_secs_f64();
                 let doubt = 0.5_f64.powf(age / LOAD_DOUBT_HALF_LIFE.as_secs_f64());
-                HOME_PROBABILITY * (1.0 - doubt) * free / cache
+                HOME_PROBABILITY * state.unseen_fraction * (1.0 - doubt) * free / cache
             }
             false => 0.0,
         };
--- a/crates/gentian-decide/src/serving/selection_cost.rs
+++ b/crates/gentian-decide/src/serving/selection_cost.rs
@@ -33,6 +33,8 @@
     pub(super) domain: &'a DomainId,
     /// Whether the work of the other entries is known too inaccurately to follow it strictly.
     pub(super) is_large_fleet: bool,
+    /// Fraction of the requests that other entries send.
+    pub(super) unseen_fraction: f64,
     /// Engine that comes first for the shared prefix of the request at every entry.
     pub(super) home: Option<&'a UpstreamId>,
     /// Size of the cache of each engine; `None` if it is not known.
@@ -95,7 +97,10 @@
         let tokens = f64::from(prefix.tokens);
         preference += match view.cache {
             Some(_) if is_home => 0.0,
-            Some(_) => (tokens - held_tokens).max(0.0) * OTHER_ENGINE_DELAY,
+            Some(_) => {
+                let unread = (tokens - held_tokens).max(0.0);
+                unread * OTHER_ENGINE_DELAY * view.unseen_fraction
+            }
             // Every entry prefers the same upstream for a prefix, which thus stays in its cache.
             None => tokens * hash_fraction(&(prefix.digest, id)),
         };
@@ -115,6 +120,7 @@
         model: &target.model,
         requests: row.expected_engine_requests(view.now),
         is_home: view.home == Some(&row.registration.id),
+        unseen_fraction: view.unseen_fraction,
         now: view.now,
     };
     row.held_prompts.held_tokens(prefix, &state).min(f64::from(call.prompt_tokens))
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -331,7 +331,15 @@
         let loaded = available.iter().filter(has_target);
         let ids = loaded.clone().map(|row| &row.registration.id);
         let home = cache.and_then(|_| find_home(ids, call));
-        let view = SelectionView { domain: &self.domain, is_large_fleet, home, cache, now };
+        let unseen_fraction = 1.0 - 1.0 / f64::from(self.index_and_count.1.max(1));
+        let view = SelectionView {
+            domain: &self.domain,
+            is_large_fleet,
+            unseen_fraction,
+            home,
+            cache,
+            now,
+        };
         let mut ranked: Vec<(SelectionCost, UpstreamId)> = loaded
             .map(|row| (selection_cost(row, call, &view), row.registration.id.clone()))
             .collect();
--- a/crates/gentian-decide/tests/held_prompts.rs
+++ b/crates/gentian-decide/tests/held_prompts.rs
@@ -38,7 +38,12 @@
     first_weight: f64,
 }
 
-fn replay(pattern: PromptPattern, cache: Option<u64>, restarts: bool) -> PromptResult {
+fn replay(
+    pattern: PromptPattern,
+    entries: usize,
+    cache: Option<u64>,
+    restarts: bool,
+) -> PromptResult {
     let models = COPIES.iter().enumerate().map(|(number, engines)| PromptModel {
         engines: engines.to_vec(),
         weight: if number == 0 { pattern.first_weight } else { engines.len() as f64 },
@@ -48,7 +53,7 @@
     let models: Vec<PromptModel> = models.collect();
     let mut sum = PromptResult::default();
     for seed in 0..2 {
-        let mut fleet = PromptFleet::new(seed, ENTRIES, 6, models.clone(), cache);
+        let mut fleet = PromptFleet::new(seed, entries, 6, models.clone(), cache);
         fleet.run(pattern.rate, SECOND * 10);
         if restarts {
             fleet.restart_engine(0);
@@ -87,7 +92,7 @@
 ) {
     let pattern = PromptPattern { prefixes, part_tokens, rate, first_weight };
     let [before, after] = [None, Some(CACHE_TOKENS)].map(|cache| {
-        let result = replay(pattern, cache, restarts);
+        let result = replay(pattern, ENTRIES, cache, restarts);
         println!(
             "prefixes={prefixes} parts={part_tokens:?} rate={rate} first={first_weight} \
              restarts={restarts} cache={} shared={} read_again={} median={}ms at_99={}ms \
@@ -108,6 +113,35 @@
     assert!((0..2).all(|kind| after.late(kind) <= before.late(kind)));
 }
 
+/// Guards against the extra cost at other engines where an entry sees all requests, so that it knows
+/// itself what each engine holds and how long its queue is.
+#[rstest]
+#[case::many_prefixes(60, (200, 1_200), 90.0)]
+#[case::few_prefixes(12, (200, 1_200), 90.0)]
+#[case::long_prefixes(30, (500, 3_000), 60.0)]
+#[case::long_prefixes_busy(30, (500, 3_000), 90.0)]
+fn a_single_entry_does_not_wait_longer(
+    #[case] prefixes: usize,
+    #[case] part_tokens: (u32, u32),
+    #[case] rate: f64,
+) {
+    let pattern = PromptPattern { prefixes, part_tokens, rate, first_weight: 3.0 };
+    let [before, after] = [None, Some(CACHE_TOKENS)].map(|cache| replay(pattern, 1, cache, false));
+    println!(
+        "prefixes={prefixes} parts={part_tokens:?} rate={rate} entries=1 read_again={} to {} \
+         median={} to {}ms at_99={} to {}ms",
+        before.read_again(),
+        after.read_again(),
+        before.quantile(0.5),
+        after.quantile(0.5),
+        before.quantile(0.99),
+        after.quantile(0.99)
+    );
+    assert!(after.read_again() < before.read_again());
+    assert!(after.quantile(0.5) <= before.quantile(0.5));
+    assert!(after.quantile(0.99) <= before.quantile(0.99));
+}
+
 fn pick(table: &mut UpstreamTable, id: u64, parts: &[(u64, u32)], now: MonoTime) -> UpstreamPick {
     let route = route(1_000);
     match table.pick(&call(id, &route, 0, parts, 300, now), now) {
@@ -155,7 +189,7 @@
 /// Guards against waiting at the engine that holds a prompt for longer than reading it elsewhere takes.
 #[test]
 fn a_backlog_outweighs_what_is_held() {
-    let (mut table, now) = settled_table(1);
+    let (mut table, now) = settled_table(ENTRIES);
     let home = pick(&mut table, 1, &PARTS, now).upstream;
     table.update_remote_work(&[pending(home.clone(), 1_000)], now);
     assert_eq!(pick(&mut table, 2, &PARTS, now).upstream, home);
@@ -215,7 +249,7 @@
 #[case::restarted(2)]
 #[case::model_loaded_again(1)]
 fn an_engine_that_lost_what_it_held_counts_as_empty(#[case] incarnation: u64) {
-    let (mut table, now) = settled_table(1);
+    let (mut table, now) = settled_table(ENTRIES);
     let home = pick(&mut table, 1, &PARTS, now).upstream;
     let number = (0..3).find(|number| engine(*number) == home).unwrap();
     let prefix = SharedPrefix::new(call(1, &route(1), 0, &PARTS, 0, now).target.as_ref(), &PARTS);
@@ -247,6 +281,7 @@
         model: &model,
         requests,
         is_home,
+        unseen_fraction: 1.0,
         now: START + SECOND,
     };
     held.record_read(Some(&prefix), 2_000, 1, START);
@@ -270,6 +305,7 @@
         model: &model,
         requests: 0.0,
         is_home: false,
+        unseen_fraction: 1.0,
         now: START,
     };
     let mut held = HeldPrompts::default();
