--- a/crates/gentian-decide/src/serving/call_scheduler.rs
+++ b/crates/gentian-decide/src/serving/call_scheduler.rs
@@ -15,12 +15,14 @@
     refuse_limited, refuse_paused, refuse_queued, refuse_retry, refuse_take_up,
 };
 use super::queue_deadline::queue_deadline;
+use super::running_call::RunningCall;
 use super::{
     AttemptOutcome, DemandLog, OrganisationQuotas, PickOutcome, ServingBounds, ServingCall,
     SharedRetryBudget, UpstreamNotice, UpstreamPick, UpstreamTable,
 };
 use crate::quarantine::WorkQuarantine;
 use crate::request::Refusal;
+use crate::selection::LoadReading;
 
 /// Interval at which requests that wait for capacity are rechecked: engines prefill pending prompts
 /// and thus gain capacity without an event at this entry.
@@ -37,17 +39,6 @@
     Refuse(RequestId, Refusal),
 }
 
-#[derive(Debug)]
-struct RunningCall {
-    call: ServingCall,
-    upstream: UpstreamId,
-    incarnation: u64,
-    /// Pending prompt tokens at the upstream when it was sent, its own included.
-    prefill_tokens: u32,
-    sent: MonoTime,
-    is_prefilled: bool,
-}
-
 /// Decides when each request starts and at which upstream.
 #[derive(Debug)]
 pub struct CallScheduler {
@@ -130,13 +121,16 @@
             match outcome {
                 PickOutcome::Send(pick) => {
                     call.request.inspect(|request| quarantine.record_send(*request, now));
-                    table.record_start(&pick.upstream, call.prompt_tokens, now);
+                    let unread_tokens =
+                        call.prompt_tokens.saturating_sub(pick.estimate.held_tokens);
+                    table.record_start(&pick.upstream, unread_tokens, now);
                     decisions.push(ScheduleDecision::Send(call.id, pick.clone()));
                     let running = RunningCall {
                         prefill_tokens: pick
                             .work
                             .pending_prefill_tokens
-                            .saturating_add(call.prompt_tokens),
+                            .saturating_add(unread_tokens),
+                        unread_tokens,
                         incarnation: table.incarnation(&pick.upstream).unwrap_or_default(),
                         upstream: pick.upstream,
                         sent: now,
@@ -201,6 +195,9 @@
         {
             let elapsed = now.since(running.sent);
             table.record_prefill_time(&running.call.service, running.prefill_tokens, elapsed);
+            let (call, unread_tokens) = (&running.call, running.unread_tokens);
+            let prefix = call.shared_prefix.as_ref();
+            table.record_prompt(&running.upstream, prefix, unread_tokens, now);
             self.record_prefill_end(id, table);
         }
     }
@@ -219,6 +216,19 @@
         is_changed.then(|| running.upstream.clone())
     }
 
+    /// Records the load that the response to a request reports of its upstream. Returns the upstream
+    /// if it has reported none for a long time.
+    pub fn record_load(
+        &self,
+        id: RequestId,
+        reading: LoadReading,
+        table: &mut UpstreamTable,
+    ) -> Option<UpstreamId> {
+        let running = self.running.get(&id)?;
+        let is_first = table.record_load(&running.upstream, running.incarnation, reading);
+        is_first.then(|| running.upstream.clone())
+    }
+
     /// Records what the response to a request says about its upstream. Returns the upstream if that is
     /// new.
     pub fn record_notice(
@@ -250,7 +260,7 @@
         if let Some(running) = self.running.get_mut(&id)
             && !std::mem::replace(&mut running.is_prefilled, true)
         {
-            table.record_prefill_end(&running.upstream, running.call.prompt_tokens);
+            table.record_prefill_end(&running.upstream, running.unread_tokens);
         }
     }
 
@@ -266,6 +276,7 @@
         self.record_prefill_end(id, table);
         let RunningCall { call, upstream, .. } = self.running.remove(&id)?;
         table.record_outcome(&upstream, outcome, now);
+        table.forget_prompt(&upstream, call.shared_prefix.as_ref(), outcome);
         Some((call, upstream))
     }
 
@@ -321,7 +332,7 @@
             sum.running += 1;
             if !running.is_prefilled {
                 let pending = &mut sum.pending_prefill_tokens;
-                *pending = pending.saturating_add(running.call.prompt_tokens);
+                *pending = pending.saturating_add(running.unread_tokens);
             }
         }
         work.into_iter().collect()
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -1,5 +1,6 @@
 //! The upstreams that an entry knows, and load balancing among them.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -12,13 +13,14 @@
     StoreRevision, TimeSpan, UpstreamId,
 };
 
-use super::selection_cost::{hash_of, selection_cost};
+use super::selection_cost::{SelectionCost, SelectionView, find_home, selection_cost};
 use super::{
     AttemptOutcome, DepartureLog, LimitedCapacity, PastRows, PickOutcome, PrefillTime,
-    ServingBounds, ServingCall, UpstreamNotice, UpstreamPauses, UpstreamPick, UpstreamRegistration,
-    UpstreamRow, UpstreamState, VersionTracker,
+    SelectionEstimate, ServingBounds, ServingCall, UpstreamNotice, UpstreamPauses, UpstreamPick,
+    UpstreamRegistration, UpstreamRow, UpstreamState, VersionTracker,
 };
 use crate::limits::{PermitClient, PermitState};
+use crate::selection::{LoadReading, SharedPrefix, hash_of};
 use crate::streams::KnownStart;
 
 /// Fraction of the target latency that a request may wait for the prefill of earlier prompts.
@@ -203,7 +205,12 @@
 
     /// Applies changed resident models from the hub. After a change of hub, all earlier ones are
     /// dropped first.
-    pub fn update_resident_models(&mut self, hub: InstanceId, models: Vec<ResidentModels>) {
+    pub fn update_resident_models(
+        &mut self,
+        hub: InstanceId,
+        models: Vec<ResidentModels>,
+        now: MonoTime,
+    ) {
         if self.hub != Some(hub) {
             self.clear_resident_models();
             self.hub = Some(hub);
@@ -212,7 +219,7 @@
             if let Some(row) = self.rows.get_mut(&resident_models.upstream)
                 && row.registration.incarnation == resident_models.incarnation
             {
-                row.resident_models = Some(resident_models);
+                row.update_resident_models(resident_models, now);
             }
         }
     }
@@ -348,10 +355,22 @@
         {
             available.retain(|row| !is_doubtful(row));
         }
-        let mut ranked: Vec<(f64, UpstreamId)> = available
-            .iter()
-            .filter(has_target)
-            .map(|row| (selection_cost(row, call, &self.domain, now), row.registration.id.clone()))
+        let is_large_fleet = self.index_and_count.1 as usize > FULL_COMPARISON_ENTRIES;
+        let cache = service.as_ref().and_then(|service| service.engine.as_ref()?.cache);
+        let loaded = available.iter().filter(has_target);
+        let ids = loaded.clone().map(|row| &row.registration.id);
+        let home = cache.and_then(|_| find_home(ids, call));
+        let unseen_fraction = 1.0 - 1.0 / f64::from(self.index_and_count.1.max(1));
+        let view = SelectionView {
+            domain: &self.domain,
+            is_large_fleet,
+            unseen_fraction,
+            home,
+            cache,
+            now,
+        };
+        let mut ranked: Vec<(SelectionCost, UpstreamId)> = loaded
+            .map(|row| (selection_cost(row, call, &view), row.registration.id.clone()))
             .collect();
         let candidates = ranked.len();
         if ranked.is_empty() {
@@ -371,9 +390,9 @@
         if let (true, Some(rate)) = (ranked.is_empty(), accepted_rate) {
             return PickOutcome::Limited(LimitedCapacity { rate, backlog });
         }
-        self.retain_sample(&mut ranked, call);
-        ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (_, id) in ranked {
+        self.retain_sample(&mut ranked, call, now);
+        ranked.sort_by(|a, b| a.0.total.total_cmp(&b.0.total));
+        for (cost, id) in ranked {
             match self.find_capacity(&id, call, service.as_deref(), now) {
                 UpstreamCapacity::Free(address) => {
                     let row = self.rows.get(&id);
@@ -383,6 +402,7 @@
                     let start = row.map_or(KnownStart::new(0), |row| {
                         row.start(row.may_have_restarted(self.versions.list_time(), is_mixed))
                     });
+                    let estimate = self.estimate(&id, call, cost, now);
                     return PickOutcome::Send(UpstreamPick {
                         upstream: id,
                         address,
@@ -391,6 +411,7 @@
                         work,
                         candidates,
                         limit,
+                        estimate,
                         selected: now,
                     });
                 }
@@ -402,7 +423,7 @@
     }
 
     /// Removes the upstreams at which resumable streams may not begin yet, unless there are no others.
-    fn retain_settled(&self, ranked: &mut Vec<(f64, UpstreamId)>, now: MonoTime) {
+    fn retain_settled(&self, ranked: &mut Vec<(SelectionCost, UpstreamId)>, now: MonoTime) {
         let is_settled = |id: &UpstreamId| {
             let registration = self.rows.get(id).map(|row| &row.registration);
             registration.is_some_and(|it| {
@@ -421,7 +442,7 @@
     /// first of them does again if none is left.
     fn retain_accepting(
         &self,
-        ranked: &mut Vec<(f64, UpstreamId)>,
+        ranked: &mut Vec<(SelectionCost, UpstreamId)>,
         now: MonoTime,
     ) -> Option<MonoTime> {
         if self.pauses.is_empty() {
@@ -541,6 +562,46 @@
         row.is_some_and(|row| row.record_limit(limit, sent, now))
     }
 
+    /// Records the load that a response of this incarnation of an upstream reports; returns whether
+    /// it is the first one, or the first after a long time.
+    pub fn record_load(&mut self, id: &UpstreamId, incarnation: u64, reading: LoadReading) -> bool {
+        let row = self.rows.get_mut(id);
+        let row = row.filter(|row| row.registration.incarnation == incarnation);
+        row.is_some_and(|row| row.record_load(reading))
+    }
+
+    /// Returns the number of upstreams whose responses report their load.
+    pub fn reporting_count(&self, now: MonoTime) -> usize {
+        self.rows.values().filter(|row| row.load(now).is_some()).count()
+    }
+
+    /// Records that the engine has read a prompt, of which `unread_tokens` were expected not to be held.
+    pub fn record_prompt(
+        &mut self,
+        id: &UpstreamId,
+        prefix: Option<&SharedPrefix>,
+        unread_tokens: u32,
+        now: MonoTime,
+    ) {
+        let entries = self.index_and_count.1;
+        if let Some(row) = self.rows.get_mut(id) {
+            row.held_prompts.record_read(prefix, unread_tokens, entries, now);
+        }
+    }
+
+    /// Forgets that the upstream has read a prompt if this outcome shows that it may not have.
+    pub fn forget_prompt(
+        &mut self,
+        id: &UpstreamId,
+        prefix: Option<&SharedPrefix>,
+        outcome: AttemptOutcome,
+    ) {
+        let is_unread = matches!(outcome, AttemptOutcome::Rejected | AttemptOutcome::Failed);
+        if let (true, Some(prefix), Some(row)) = (is_unread, prefix, self.rows.get_mut(id)) {
+            row.held_prompts.forget(prefix);
+        }
+    }
+
     /// Records that the prefill of a prompt is no longer pending.
     pub fn record_prefill_end(&mut self, id: &UpstreamId, tokens: u32) {
         if let Some(row) = self.rows.get_mut(id) {
@@ -600,7 +661,11 @@
 
     /// Returns what these upstreams accept together, if all of them name limits: from all entries, or
     /// from this one if it keeps to its share.
-    fn accepted_rate(&self, ranked: &[(f64, UpstreamId)], now: MonoTime) -> Option<RequestRate> {
+    fn accepted_rate(
+        &self,
+        ranked: &[(SelectionCost, UpstreamId)],
+        now: MonoTime,
+    ) -> Option<RequestRate> {
         let sum: RequestRate = ranked.iter().map(|(_, id)| self.limit(id)).sum::<Option<_>>()?;
         let sharers = if self.permits.needs_permits(now) { 1 } else { self.index_and_count.1 };
         Some(sum.divide(sharers))
@@ -641,15 +706,57 @@
         Some(row.registration.address)
     }
 
+    /// Returns the expected time to the first event, and the age of the figures that it is based on.
+    fn estimate(
+        &self,
+        id: &UpstreamId,
+        call: &ServingCall,
+        cost: SelectionCost,
+        now: MonoTime,
+    ) -> SelectionEstimate {
+        let row = self.rows.get(id);
+        let load = row.and_then(|row| row.load(now)).map(|load| load.newest());
+        let prefix = call.shared_prefix.as_ref();
+        let prefill_time = self.prefill_times.get(&call.service).copied().unwrap_or_default();
+        SelectionEstimate {
+            expected: prefill_time.typical_delay(cost.expected_tokens),
+            held_tokens: cost.held_tokens as u32,
+            held_age: row.and_then(|row| row.held_prompts.age(prefix?, now)),
+            load,
+            load_age: load.map_or(TimeSpan::ZERO, |load| now.since(load.time)),
+            work_age: now.since(self.remote_work_time),
+        }
+    }
+
     /// Reduces the candidates to a random sample in a large fleet. Remote work is known with a
     /// delay there, and if all entries chose the least loaded upstream, they would overload it.
-    fn retain_sample(&self, ranked: &mut Vec<(f64, UpstreamId)>, call: &ServingCall) {
+    /// Upstreams of plain services that report their load are all compared: a random delay in
+    /// their costs has the same effect.
+    fn retain_sample(
+        &self,
+        ranked: &mut Vec<(SelectionCost, UpstreamId)>,
+        call: &ServingCall,
+        now: MonoTime,
+    ) {
+        let reports_load =
+            |id: &UpstreamId| self.rows.get(id).is_some_and(|row| row.load(now).is_some());
+        if call.target.is_none() && ranked.iter().all(|(_, id)| reports_load(id)) {
+            return;
+        }
         let (_, entry_count) = self.index_and_count;
+        let holders = ranked.iter().filter(|(cost, _)| cost.is_home || cost.held_tokens > 0.0);
+        let rank = |cost: &SelectionCost| (cost.held_tokens, cost.is_home);
+        let holder = holders
+            .max_by(|a, b| rank(&a.0).partial_cmp(&rank(&b.0)).unwrap_or(Ordering::Equal))
+            .cloned();
         let size = (ranked.len() * FULL_COMPARISON_ENTRIES).div_ceil(entry_count.max(1) as usize);
         let size = size.max(MIN_SAMPLE_SIZE);
         if size < ranked.len() {
             ranked.sort_by_cached_key(|(_, id)| hash_of(&(call.received, call.id, id)));
             ranked.truncate(size);
+            // Where the prompt is likely held is compared in any case.
+            let missing = holder.filter(|(_, id)| ranked.iter().all(|(_, other)| other != id));
+            ranked.extend(missing);
         }
     }
 
@@ -658,7 +765,7 @@
     /// this engine are not slowed down.
     fn is_overloaded(&self, row: &UpstreamRow, call: &ServingCall, now: MonoTime) -> bool {
         let prefill_time = self.prefill_times.get(&call.service).copied().unwrap_or_default();
-        let is_batch_full = u64::from(row.work().running) >= row.registration.slots.get().max(1);
+        let is_batch_full = row.expected_engine_requests(now) >= row.slots(now);
         // Engines have continued to prefill the remote prompts since the report.
         let remote_delay = prefill_time
             .expected_delay(row.remote_work.pending_prefill_tokens)
--- a/crates/gentian-decide/tests/abandoned_streams.rs
+++ b/crates/gentian-decide/tests/abandoned_streams.rs
@@ -67,7 +67,7 @@
         loaded: vec![target()],
         in_transition: None,
     };
-    table.update_resident_models(InstanceId::new(1), vec![resident]);
+    table.update_resident_models(InstanceId::new(1), vec![resident], START);
     table
 }
 
--- a/crates/gentian-decide/tests/engine_fleet/mod.rs
+++ b/crates/gentian-decide/tests/engine_fleet/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(clippy::unwrap_used, dead_code)]
 
+mod bounds;
 mod simulated_engine;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -22,11 +23,12 @@
 use gentian_decide::quarantine::WorkQuarantine;
 use gentian_decide::serving::{
     AttemptOutcome, CallScheduler, EngineModels, FleetHub, FleetPartition, ScheduleDecision,
-    ServingBounds, ServingCall, UpstreamRegistration, UpstreamState, UpstreamTable,
+    ServingCall, UpstreamRegistration, UpstreamState, UpstreamTable,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+pub(crate) use bounds::bounds;
 use simulated_engine::{
     ADAPTER_SLOTS, BATCH_SLOTS, EngineRequest, MODEL_CAPACITY, SimulatedEngine,
 };
@@ -129,6 +131,7 @@
     let engine = EngineSpec {
         memory: ByteSize::new(MODEL_BYTES * MODEL_CAPACITY as u64 + 10),
         adapter_slots: ADAPTER_SLOTS,
+        cache: None,
         batch_slots: SlotCount::new(BATCH_SLOTS as u64),
         store_loads_per_second: 30.0,
         models: models.collect(),
@@ -144,25 +147,6 @@
     Arc::new(ServingConfig { services, ..ServingConfig::default() })
 }
 
-pub(crate) fn bounds() -> ServingBounds {
-    ServingBounds {
-        registration_ttl: TimeSpan::from_millis(3_600),
-        retry_ratio: 0.2,
-        extra_retries: 50.0,
-        retry_window: TimeSpan::from_secs(10),
-        quota_window: TimeSpan::from_secs(8),
-        quota_excess_fraction: 0.1,
-        quota_slack: TokenCount::new(1_000),
-        cold_rate_factor: 1.5,
-        cold_slack: 5.0,
-        takeover_delay: TimeSpan::from_secs(3),
-        load_window: TimeSpan::from_secs(5),
-        config_delay: TimeSpan::from_secs(2),
-        drain_time: TimeSpan::from_secs(2),
-        shutdown_grace: TimeSpan::from_secs(8),
-    }
-}
-
 impl EngineFleet {
     /// Creates a fleet in which each engine has `disk_models` models on disk: the first
     /// [`MODEL_CAPACITY`] are spread evenly over the engines and loaded, the others are random.
@@ -411,7 +395,8 @@
                 }
             }
         }
-        self.table.update_resident_models(HUB, self.planner.resident_models(self.now));
+        let models = self.planner.resident_models(self.now);
+        self.table.update_resident_models(HUB, models, self.now);
     }
 
     fn apply_decisions(&mut self) {
--- a/crates/gentian-gateway/src/control/control_event.rs
+++ b/crates/gentian-gateway/src/control/control_event.rs
@@ -6,6 +6,7 @@
 use gentian_decide::duties::{DutyReply, UsageCall, UsageStoreReply};
 use gentian_decide::orders::{EngineOrder, EngineStateReport, LeaseReply, OrderReply};
 use gentian_decide::request::Refusal;
+use gentian_decide::selection::LoadReading;
 use gentian_decide::serving::{AttemptEnd, ServingCall, UpstreamNotice, UpstreamPick};
 use gentian_process::StoredValue;
 
@@ -60,6 +61,8 @@
         request_limit: Option<RequestRate>,
         /// Whether it is a success; the response of an overloaded upstream may lack the limit.
         is_success: bool,
+        /// Load of the upstream that the response reports.
+        load: Option<LoadReading>,
         /// What else the response says about its upstream.
         notices: Vec<UpstreamNotice>,
     },
--- a/crates/gentian-gateway/src/gateway_metrics.rs
+++ b/crates/gentian-gateway/src/gateway_metrics.rs
@@ -42,6 +42,12 @@
     pub(crate) waiting_body_bytes: IntGauge,
     /// Number of idle connections to upstreams.
     pub(crate) idle_connections: IntGauge,
+    /// Number of upstreams whose responses report their load.
+    pub(crate) reporting_upstreams: IntGauge,
+    /// Number of prompt tokens of routed requests.
+    pub(crate) prompt_tokens: IntCounter,
+    /// Number of those that the chosen upstreams likely held.
+    pub(crate) held_prompt_tokens: IntCounter,
     /// Number of open requests.
     pub(crate) open_requests: IntGauge,
     /// Version of the configuration in force.
@@ -127,6 +133,18 @@
                 "gentian_gateway_idle_connections",
                 "Idle connections to upstreams.",
             )?,
+            reporting_upstreams: IntGauge::new(
+                "gentian_gateway_reporting_upstreams",
+                "Upstreams whose answers to this entry report their load.",
+            )?,
+            prompt_tokens: IntCounter::new(
+                "gentian_gateway_prompt_tokens_total",
+                "Prompt tokens of routed requests.",
+            )?,
+            held_prompt_tokens: IntCounter::new(
+                "gentian_gateway_held_prompt_tokens_total",
+                "Prompt tokens of routed requests that the chosen upstreams likely held.",
+            )?,
             open_requests: IntGauge::new(
                 "gentian_gateway_open_requests",
                 "Requests that are open.",
@@ -151,6 +169,9 @@
         metrics.registry.register(Box::new(metrics.buffered_bytes.clone()))?;
         metrics.registry.register(Box::new(metrics.waiting_body_bytes.clone()))?;
         metrics.registry.register(Box::new(metrics.idle_connections.clone()))?;
+        metrics.registry.register(Box::new(metrics.reporting_upstreams.clone()))?;
+        metrics.registry.register(Box::new(metrics.prompt_tokens.clone()))?;
+        metrics.registry.register(Box::new(metrics.held_prompt_tokens.clone()))?;
         metrics.registry.register(Box::new(metrics.open_requests.clone()))?;
         metrics.registry.register(Box::new(metrics.config_version.clone()))?;
         Ok(metrics)
