--- a/crates/gentian-decide/tests/stream_origins.rs
+++ b/crates/gentian-decide/tests/stream_origins.rs
@@ -512,7 +512,7 @@
     let later = start() + TimeSpan::from_secs(4);
     let decisions = scheduler.decide(&mut entry.table, &mut quarantine, later);
     assert!(decisions.is_empty(), "{decisions:?}");
-    entry.table.update_resident_models(InstanceId::new(1), Vec::new());
+    entry.table.update_resident_models(InstanceId::new(1), Vec::new(), later);
     let decisions = scheduler.decide(&mut entry.table, &mut quarantine, later);
     assert!(matches!(&decisions[..], [ScheduleDecision::Refuse(..)]), "{decisions:?}");
 }
