Send entries of a large fleet only the rows that they have not read

Cause: each entry of a fleet of 300 got all 3,000 listings and rows of resident models, 165 MB over the hub's link of 25 MB a second, in pages that were asked for faster than the link bears.

Change: an entry of a large fleet tells the hub as of which revision it has read all registrations, and the hub leaves out listings that are older and resident models that have been registered since.

--- a/crates/gentian-core/src/peer/fleet_message.rs
+++ b/crates/gentian-core/src/peer/fleet_message.rs
@@ -80,6 +80,19 @@
     UsageReply(UsageReply),
     /// What a hub counted itself.
     UsageCopy(UsageCopy),
+    /// An entry has read all registrations of upstreams itself.
+    ListRead(ListRead),
+}
+
+/// Tells the hub of a large fleet which registrations an entry knows, so that it needn't send them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListRead {
+    /// VM of the entry.
+    pub vm: VmId,
+    /// Instance id of the entry's process.
+    pub instance: InstanceId,
+    /// Revision of the key-value service as of which it read them.
+    pub revision: StoreRevision,
 }
 
 /// Tells the entries of a large fleet, between two summaries, that the hub has read the registrations of upstreams
--- a/crates/gentian-core/src/peer/mod.rs
+++ b/crates/gentian-core/src/peer/mod.rs
@@ -34,7 +34,7 @@
 pub use config_reply::ConfigReply;
 pub use crash_report::{CrashReport, SuspicionGrade};
 pub use fleet_message::{
-    EntryReport, FleetMessage, FleetSummary, HubAnnouncement, HubHandover, ListingNotice,
+    EntryReport, FleetMessage, FleetSummary, HubAnnouncement, HubHandover, ListRead, ListingNotice,
     ResidentModels, ServingDemand, UpstreamListing, UpstreamWork,
 };
 pub use member_record::{MemberRecord, MemberRole};
--- a/crates/gentian-decide/src/serving/fleet_hub.rs
+++ b/crates/gentian-decide/src/serving/fleet_hub.rs
@@ -1,8 +1,8 @@
 //! The hub: aggregates use and demand over all entries.
 
 use gentian_core::peer::{
-    EntryReport, FleetSummary, FleetUse, ListingNotice, ResidentModels, ServingDemand, TargetId,
-    UpstreamListing, UpstreamWork, UseHistory, UseNotice, UseReport, UseTrace,
+    EntryReport, FleetSummary, FleetUse, ListRead, ListingNotice, ResidentModels, ServingDemand,
+    TargetId, UpstreamListing, UpstreamWork, UseHistory, UseNotice, UseReport, UseTrace,
 };
 use gentian_core::{
     FastMap, FastSet, FenceNumber, InstanceId, MonoTime, OrganisationId, SequenceNumber, ServiceId,
@@ -10,10 +10,11 @@
 };
 
 use super::fleet_work::{FleetWork, RequestedModels};
+use super::registered_models::RegisteredModels;
 use super::report_interval::{
     entry_timeout, is_report_interval_longest, report_interval, work_interval,
 };
-use super::{FleetUses, QuotaLimit, RevisedMap, RowPage};
+use super::{FleetUses, HubRows, QuotaLimit, RevisedMap, RowPage, UpstreamRegistration};
 
 /// Time constant of the arrival rates.
 const ARRIVAL_TIME_CONSTANT: TimeSpan = TimeSpan::from_secs(5);
@@ -79,6 +80,9 @@
     resident_models: RevisedMap<UpstreamId, ResidentModels>,
     revision: SequenceNumber,
     fleet_work: FleetWork,
+    registered: RegisteredModels,
+    /// As of which revision entries have read all registrations themselves; at most one for each VM.
+    own_lists: FastMap<VmId, (InstanceId, StoreRevision)>,
 }
 
 impl FleetHub {
@@ -96,6 +100,8 @@
             resident_models: RevisedMap::new(),
             revision: SequenceNumber::new(1),
             fleet_work: FleetWork::default(),
+            registered: RegisteredModels::default(),
+            own_lists: FastMap::default(),
         }
     }
 
@@ -263,7 +269,14 @@
         let work = self.is_work_due(entry, now).then(|| self.remote_work(entry, now));
         let (hub, known) = entry.report.known_revision;
         let known = if hub == self.id { known } else { SequenceNumber::default() };
-        let page = RowPage::new(&self.listings, &self.resident_models, known, self.revision);
+        let rows = HubRows {
+            listings: &self.listings,
+            resident_models: &self.resident_models,
+            registered: &self.registered,
+            newest: self.revision,
+        };
+        let read = self.own_lists.get(vm).filter(|(process, _)| *process == entry.report.instance);
+        let page = RowPage::new(rows, known, read.map(|(_, revision)| *revision));
         Some(FleetSummary {
             hub: self.id,
             fence,
@@ -291,6 +304,10 @@
     ) -> bool {
         let before = self.revision;
         for models in resident_models {
+            let is_changed = self.resident_models.get(&models.upstream) != Some(&models);
+            if is_changed {
+                self.registered.record_change(&models);
+            }
             self.resident_models.set(models.upstream.clone(), models, &mut self.revision);
         }
         self.revision > before
@@ -329,6 +346,22 @@
         }
     }
 
+    /// Records what the registrations say of the models of engines. Entries of a large fleet that have read the same
+    /// get no rows for it.
+    pub fn update_registered_models(&mut self, registrations: &[UpstreamRegistration]) {
+        if FleetWork::is_selective(registrations.len()) {
+            self.registered.update(registrations, &self.resident_models);
+        }
+    }
+
+    /// Records that an entry of a large fleet has read all registrations itself.
+    pub fn handle_own_list(&mut self, read: &ListRead) {
+        let known = self.own_lists.entry(read.vm.clone()).or_insert((read.instance, read.revision));
+        if known.0 != read.instance || known.1 < read.revision {
+            *known = (read.instance, read.revision);
+        }
+    }
+
     /// Returns the notice that the entries of a large fleet get after each read of the registrations, since they
     /// would hear of it too late with the summaries, and all read the registrations themselves; `None` in a smaller
     /// fleet. Listings that changed go to the entries in summaries, at once.
--- a/crates/gentian-decide/src/serving/hub_client.rs
+++ b/crates/gentian-decide/src/serving/hub_client.rs
@@ -1,15 +1,16 @@
 //! An entry's side of the exchange with the hub.
 
 use gentian_core::peer::{
-    EntryReport, FleetSummary, FleetUse, ListingNotice, UseHistory, UseNotice, UseReport,
+    EntryReport, FleetSummary, FleetUse, ListRead, ListingNotice, UseHistory, UseNotice, UseReport,
 };
 use gentian_core::{
-    FastMap, FenceNumber, InstanceId, MonoTime, OrganisationId, SequenceNumber, TimeSpan, VmId,
+    FastMap, FenceNumber, InstanceId, MonoTime, OrganisationId, SequenceNumber, StoreRevision,
+    TimeSpan, VmId,
 };
 
 use super::report_interval::{
-    UNREPORTED_WAIT_INTERVAL, entry_timeout, hub_timeout, near_limit_interval, report_interval,
-    scale_interval, work_interval,
+    UNREPORTED_WAIT_INTERVAL, entry_timeout, hub_timeout, is_report_interval_longest,
+    near_limit_interval, report_interval, scale_interval, work_interval,
 };
 use super::row_page::MAX_RESIDENT_ROWS;
 use super::{CallScheduler, FleetPartition, UpstreamTable};
@@ -365,6 +366,12 @@
         self.has_own_list |= self.first_listings.is_some_and(|time| sent >= time);
     }
 
+    /// Returns the message that tells the hub of a large fleet as of which revision this entry has read the registrations.
+    pub fn list_read(&self, revision: StoreRevision) -> Option<ListRead> {
+        let (vm, instance) = (self.vm.clone(), self.instance);
+        is_report_interval_longest(self.entry_count).then_some(ListRead { vm, instance, revision })
+    }
+
     /// Returns as of when the table of upstreams is complete by the listings from the hub; `None` if it
     /// may not be.
     pub fn listings_time(&self) -> Option<MonoTime> {
--- a/crates/gentian-decide/src/serving/revised_map.rs
+++ b/crates/gentian-decide/src/serving/revised_map.rs
@@ -53,22 +53,13 @@
         self.values.len()
     }
 
-    /// Returns the values that changed after `known`, up to `last`.
-    pub(super) fn changed_within(&self, known: SequenceNumber, last: SequenceNumber) -> Vec<V> {
-        let changed = self.values.values().filter(|it| it.revision > known && it.revision <= last);
-        changed.map(|revised| revised.value.clone()).collect()
-    }
-
-    /// Returns the revision up to which the values that changed after `known` are at most `count`;
-    /// `None` if all of them are.
-    pub(super) fn page_end(&self, known: SequenceNumber, count: usize) -> Option<SequenceNumber> {
-        let changed = self.values.values().map(|it| it.revision).filter(|it| *it > known);
-        let mut revisions: Vec<SequenceNumber> = changed.collect();
-        if revisions.len() <= count {
-            return None;
-        }
-        let (_, last, _) = revisions.select_nth_unstable(count.saturating_sub(1));
-        Some(*last)
+    /// Returns the values that changed after `known`, with their revisions.
+    pub(super) fn changed_since(
+        &self,
+        known: SequenceNumber,
+    ) -> impl Iterator<Item = (SequenceNumber, &V)> {
+        let revised = self.values.values().filter(move |revised| revised.revision > known);
+        revised.map(|revised| (revised.revision, &revised.value))
     }
 
     /// Keeps the values for whose keys `is_wanted` returns `true`.
--- a/crates/gentian-gateway/src/control/hub_controller.rs
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -1,10 +1,10 @@
 //! Controllers of the fleet's entries, of the exchange with the hub and of the hub's own work.
 
 use gentian_core::peer::{
-    EntryReport, FleetMessage, FleetSummary, HubAnnouncement, ListingNotice, OperatorNotice,
-    UpstreamListing, UseTrace,
+    EntryReport, FleetMessage, FleetSummary, HubAnnouncement, ListRead, ListingNotice,
+    OperatorNotice, UpstreamListing, UseTrace,
 };
-use gentian_core::{EventCode, FenceNumber, MonoTime, TimeSpan, VmId};
+use gentian_core::{EventCode, FenceNumber, MonoTime, StoreRevision, TimeSpan, VmId};
 use gentian_decide::orders::EngineCall;
 use gentian_decide::serving::UpstreamRegistration;
 
@@ -104,6 +104,7 @@
         FleetMessage::Report(report) => handle_report(state, report.clone(), now),
         FleetMessage::Summary(summary) => handle_summary(state, summary.clone(), now),
         FleetMessage::Listings(notice) => handle_listing_notice(state, notice, now),
+        FleetMessage::ListRead(read) => handle_list_read(state, read),
         // The controllers of uses, of the quarantine and of permits handle the others.
         _ => {}
     }
@@ -203,6 +204,22 @@
     broadcast_once(state, &FleetMessage::Listings(notice));
 }
 
+/// Tells the hub of a large fleet that this entry has read all registrations.
+pub(super) fn report_list_read(state: &ControlState, revision: StoreRevision) {
+    let Some((vm, _)) = &state.known_hub else { return };
+    if let Some(read) = state.hub_client.list_read(revision)
+        && *vm != state.vm
+    {
+        send_to_vm(state, &FleetMessage::ListRead(read), vm);
+    }
+}
+
+fn handle_list_read(state: &mut ControlState, read: &ListRead) {
+    if let Some(hub) = &mut state.hub {
+        hub.fleet_hub.handle_own_list(read);
+    }
+}
+
 fn handle_listing_notice(state: &mut ControlState, notice: &ListingNotice, now: MonoTime) {
     if state.hub_client.handle_listing_notice(notice, now)
         && let Some(time) = state.hub_client.listings_time()
--- a/crates/gentian-gateway/src/control/upstream_controller.rs
+++ b/crates/gentian-gateway/src/control/upstream_controller.rs
@@ -4,7 +4,7 @@
 use gentian_core::{EventCode, FastSet, FenceNumber, MonoTime, UpstreamId};
 use gentian_decide::serving::{UpstreamRegistration, UpstreamState};
 
-use super::hub_controller::send_listings;
+use super::hub_controller::{report_list_read, send_listings};
 use super::{ControlEvent, ControlState, StoreRecords};
 
 /// Longest cause in the log line of a record that can't be read.
@@ -33,6 +33,7 @@
     state.table.update_registrations(registrations.clone(), *revision, now);
     if let Some(sent) = fresh_since {
         state.table.versions.record_list_time(*sent);
+        report_list_read(state, *revision);
     }
     if let Some(hub) = &mut state.hub {
         // A listing is the part of a registration that entries get from the hub.
@@ -43,6 +44,7 @@
             UpstreamListing { is_ready: listing.is_ready && !is_outdated, ..listing }
         });
         hub.fleet_hub.update_listings(listings, *revision, now);
+        hub.fleet_hub.update_registered_models(&registrations);
         hub.planner.update_engines(&state.table, now);
         let planner = &hub.planner;
         hub.fleet_hub.retain_resident_models(|id| planner.has_engine(id));
--- a/crates/gentian-wire/tests/large_fleet.rs
+++ b/crates/gentian-wire/tests/large_fleet.rs
@@ -4,14 +4,17 @@
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
 use gentian_core::peer::{
-    EntryReport, FleetMessage, FleetSummary, ResidentModels, ServingDemand, TargetId,
+    EntryReport, FleetMessage, FleetSummary, ListRead, ResidentModels, ServingDemand, TargetId,
     UpstreamListing, UpstreamWork,
 };
 use gentian_core::{
-    FenceNumber, InstanceId, MonoTime, SequenceNumber, SlotCount, StoreRevision, TimeSpan,
+    FenceNumber, InstanceId, ModelId, MonoTime, SequenceNumber, SlotCount, StoreRevision, TimeSpan,
     TokenCount, UpstreamId, VmId,
 };
-use gentian_decide::serving::{CallScheduler, FleetHub, HubClient, ServingBounds, UpstreamTable};
+use gentian_decide::serving::{
+    CallScheduler, EngineModels, FleetHub, HubClient, LoadedModel, ServingBounds,
+    UpstreamRegistration, UpstreamTable,
+};
 use gentian_wire::encode_datagram;
 
 const UPSTREAMS: usize = 3_000;
@@ -244,3 +247,55 @@
     let notice = hub.listing_notice(read).unwrap();
     assert!(!client.handle_listing_notice(&notice, arrival), "the entry lacks the change");
 }
+
+fn registration(number: usize, revision: u64) -> UpstreamRegistration {
+    let row = resident_models(number);
+    let base = row.loaded.iter().filter(|target| target.adapter.is_none());
+    let adapters_of = |model: &ModelId| {
+        let targets = row.loaded.iter().filter(move |target| target.model == *model);
+        targets.filter_map(|target| target.adapter.clone()).collect()
+    };
+    let loaded = base.map(|target| LoadedModel {
+        id: target.model.clone(),
+        adapters: adapters_of(&target.model),
+    });
+    let models = EngineModels { loaded: loaded.collect(), ..EngineModels::default() };
+    let registration = UpstreamRegistration::from(listing(number));
+    UpstreamRegistration {
+        models: Some(models),
+        revision: StoreRevision::new(revision),
+        ..registration
+    }
+}
+
+/// All rows for all entries took the hub's link for many seconds after a start and after each change of the hub.
+#[test]
+fn an_entry_that_has_read_the_registrations_got_all_rows_again() {
+    let mut hub = large_hub();
+    let registered: Vec<_> = (0..UPSTREAMS).map(|it| registration(it, 190_000)).collect();
+    hub.update_registered_models(&registered);
+    let read =
+        ListRead { vm: vm(1), instance: InstanceId::new(2), revision: StoreRevision::new(200_000) };
+    hub.handle_own_list(&read);
+    let (page, bytes) = summary(&mut hub, report(1, 1, Default::default()), START);
+    assert!(page.listings.is_empty() && page.resident_models.is_empty(), "{bytes} bytes");
+    assert!(page.listing_age < TimeSpan::from_secs(1), "the entry's table is complete");
+
+    // What changes later is sent: a heartbeat alone is no change.
+    let later: Vec<_> = (0..UPSTREAMS).map(|it| registration(it, 210_000)).collect();
+    hub.update_registered_models(&later);
+    let changed = ResidentModels { loaded: vec![target(5)], ..resident_models(7) };
+    hub.update_resident_models([changed]);
+    let gone =
+        UpstreamListing { is_ready: false, revision: StoreRevision::new(220_000), ..listing(9) };
+    let listings = (0..UPSTREAMS).filter(|it| *it != 9).map(listing).chain([gone]);
+    hub.update_listings(listings, StoreRevision::new(220_000), START);
+    let (page, _) = summary(&mut hub, report(1, 2, (page.hub, page.revision)), START);
+    assert_eq!(page.resident_models.len(), 1);
+    assert_eq!(page.listings.len(), 1);
+
+    // Another process on the VM has read nothing.
+    let other = EntryReport { instance: InstanceId::new(77), ..report(1, 3, Default::default()) };
+    let (page, _) = summary(&mut hub, other, START);
+    assert!(page.listings.len() > 100);
+}
