Placement: copies ahead of demand

Cause: the number of copies followed running requests, which fill an eighth of an engine's slots only when its prompts are late already. The hub counted the whole total of a target again whenever it had been missing from an entry's last report, so that rarely used models seemed busy and got copies. An unload that was not followed by a load at once (two models had to go) was expected to last as long as a load of the unloaded model, so the engine and a place of the weight store stayed reserved for up to 10 s.

Change: the hub learns the length of prompts per target and the arrivals of the last second. A model gets a copy for each half of an engine's time that its prompts take, and a further one while its pending prompts take more than 0.25 s at each copy. Totals of arrivals are kept per entry and target. An unload is expected to take 150 ms, and the adapters of an evicted model count as freed.

--- a/crates/gentian-decide/src/orders/engine_tracker.rs
+++ b/crates/gentian-decide/src/orders/engine_tracker.rs
@@ -21,6 +21,8 @@
 const REQUESTS_PER_REPORT: usize = 2;
 /// Interval between two report calls to an engine that does not respond.
 const UNREACHABLE_REPORT_INTERVAL: TimeSpan = TimeSpan::from_millis(500);
+/// Expected duration of an unload.
+pub(super) const UNLOAD_TIME: TimeSpan = TimeSpan::from_millis(150);
 /// Time from the acceptance of an adapter until requests can use it.
 const ADAPTER_ACTIVATION_TIME: TimeSpan = TimeSpan::from_millis(25);
 /// Expected time until an engine is free whose open order it has not accepted yet.
@@ -249,7 +251,7 @@
     }
 
     /// Handles the reply to the open order; `load_time` is the expected duration of a load of the
-    /// model. An accepted unload without a follow-up is expected to take as long.
+    /// model.
     pub(super) fn handle_reply(
         &mut self,
         order: &EngineOrder,
@@ -328,7 +330,12 @@
         }
         open.is_accepted = true;
         open.accepted_at = now;
-        open.expected_end = now + load_time;
+        // An unload takes no longer for a model whose weights come from the weight store.
+        open.expected_end = now
+            + match open.order.action {
+                OrderAction::Load => load_time,
+                OrderAction::Unload => UNLOAD_TIME,
+            };
         self.next_report = open.expected_end;
         self.report_interval = REPORT_INTERVAL;
         self.open = Some(open);
--- a/crates/gentian-decide/src/orders/fleet_planner.rs
+++ b/crates/gentian-decide/src/orders/fleet_planner.rs
@@ -7,12 +7,13 @@
 use gentian_core::peer::{ResidentModels, TargetId};
 use gentian_core::{FastMap, FenceNumber, ModelId, MonoTime, ServiceId, TimeSpan, UpstreamId};
 
-use super::placement_choice::{ModelUse, load_time};
+use super::model_use::ModelUse;
+use super::placement_choice::load_time;
 use super::plan_round::PlanRound;
 use super::{
     EngineOrder, EngineStateReport, EngineTracker, OrderCooldowns, OrderReply, StoreLoadLimiter,
 };
-use crate::serving::{TargetUse, UpstreamRow, UpstreamTable};
+use crate::serving::{PrefillTime, TargetUse, UpstreamRow, UpstreamTable};
 
 /// Interval between two checks for models that need more copies. The need changes slowly, and the
 /// CPU time of a check on the hub grows with the fleet.
@@ -182,7 +183,8 @@
                 .filter(|row| row.registration.service == *service && table.is_available(row, now))
                 .map(|row| (&row.registration.id, row))
                 .collect();
-            let models = self.model_uses(service, engine, uses, &rows);
+            let prefill_time = table.prefill_time(service);
+            let models = self.model_uses(service, engine, uses, &rows, prefill_time);
             let mut round = PlanRound::new(self, service, engine, uses, rows, models)
                 .with_fence_and_time(fence, now);
             let mut waiting: Vec<_> =
@@ -236,12 +238,13 @@
         engine: &EngineSpec,
         uses: &TargetUses,
         rows: &FastMap<&UpstreamId, &UpstreamRow>,
+        prefill_time: PrefillTime,
     ) -> ModelUses {
         let mut models = ModelUses::default();
         for ((_, target), usage) in uses.iter().filter(|((id, _), _)| id == service) {
             let sum = models.entry(target.model.clone()).or_default();
             sum.waiting = sum.waiting.saturating_add(usage.waiting);
-            sum.rate += usage.rate;
+            sum.add_rates(usage);
             sum.last_arrival = sum.last_arrival.max(usage.last_arrival);
             for (upstream, count) in &usage.running {
                 let running = sum.running.entry(upstream.clone()).or_default();
@@ -260,6 +263,7 @@
                 models.entry(model.clone()).or_default().add_copy(share);
             }
         }
+        share_prefill(&mut models, rows, prefill_time);
         for (model, usage) in &mut models {
             usage.wanted = usage.wanted_copies(model, engine);
         }
@@ -272,6 +276,22 @@
     }
 }
 
+/// Divides the prompt tokens that are pending at each engine among the models that run requests there.
+fn share_prefill(
+    models: &mut ModelUses,
+    rows: &FastMap<&UpstreamId, &UpstreamRow>,
+    prefill_time: PrefillTime,
+) {
+    for usage in models.values_mut() {
+        for (upstream, running) in &usage.running {
+            let Some(work) = rows.get(upstream).map(|row| row.work()) else { continue };
+            let share = f64::from(*running) / f64::from(work.running.max(*running).max(1));
+            usage.pending_tokens += f64::from(work.pending_prefill_tokens) * share.min(1.0);
+        }
+        usage.update_prefill(prefill_time);
+    }
+}
+
 fn engine_services(config: &ServingConfig) -> impl Iterator<Item = (&ServiceId, &EngineSpec)> {
     config.services.iter().filter_map(|(id, service)| Some((id, service.engine.as_ref()?)))
 }
--- a/crates/gentian-decide/src/orders/mod.rs
+++ b/crates/gentian-decide/src/orders/mod.rs
@@ -7,6 +7,7 @@
 mod engine_tracker;
 mod fleet_planner;
 mod holder_lease;
+mod model_use;
 mod order_cooldowns;
 mod placement_choice;
 mod plan_round;
--- a/crates/gentian-decide/src/orders/placement_choice.rs
+++ b/crates/gentian-decide/src/orders/placement_choice.rs
@@ -1,13 +1,13 @@
 //! Chooses the engine on which to load a model, and the models to unload for it.
 
 use gentian_config::serving::{CatalogueModel, EngineSpec};
-use gentian_core::{FastMap, ModelId, MonoTime, TimeSpan, UpstreamId};
+use gentian_core::{ByteSize, FastMap, FastSet, ModelId, MonoTime, TimeSpan, UpstreamId};
 
 use super::EngineTracker;
 use super::confirmed_state::ConfirmedState;
+use super::engine_tracker::UNLOAD_TIME;
+use super::model_use::ModelUse;
 
-/// Duration of an unload that precedes a load.
-const UNLOAD_TIME: TimeSpan = TimeSpan::from_millis(150);
 /// Cost, as a delay, of evicting the only copy of a model that was just used; it rises with the
 /// request rate and falls with the number of copies.
 const EVICTION_BASE_DELAY: TimeSpan = TimeSpan::from_millis(800);
@@ -19,18 +19,6 @@
 /// Idle time before a needed copy of a model may be evicted for an extra copy of another one: longer
 /// than the pauses between requests for a model in regular use.
 const MIN_IDLE_FOR_EXTRA_COPY: TimeSpan = TimeSpan::from_secs(4);
-/// A model gets a spare copy, so that a crash does not interrupt its service, if at least this many
-/// requests would wait while it is loaded from disk.
-const SPARE_COPY_WAITERS: f64 = 1.0;
-/// A model gets a further copy for each time that its requests fill this fraction of an engine's
-/// slots. An adapter for which no request waits is also loaded on an engine without it that runs
-/// fewer requests than every engine with it, by at least this fraction of its slots.
-pub(super) const SCALE_OUT_FRACTION: f64 = 0.12;
-
-/// A model whose copies are all on engines that name limits gets a further copy if its requests
-/// exceed this fraction of what these engines accept.
-const LIMITED_USE_FRACTION: f64 = 0.7;
-
 /// Why a model is loaded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LoadReason {
@@ -40,73 +28,6 @@
     ExtraCopy,
 }
 
-/// Use of a model with all its adapters, summed over all entries.
-#[derive(Clone, Debug, Default)]
-pub(super) struct ModelUse {
-    /// Number of requests that wait.
-    pub(super) waiting: u32,
-    /// Number of running requests, by upstream.
-    pub(super) running: FastMap<UpstreamId, u32>,
-    /// Requests per second.
-    pub(super) rate: f64,
-    /// Arrival of the last request.
-    pub(super) last_arrival: MonoTime,
-    /// Number of engines that have loaded the model or are loading it.
-    pub(super) copies: usize,
-    /// Number of copies on engines that name no limit of requests.
-    pub(super) unlimited_copies: usize,
-    /// Requests per second that the other copies accept.
-    pub(super) limited_rate: f64,
-    /// Number of copies that its use needs.
-    pub(super) wanted: usize,
-}
-
-impl ModelUse {
-    /// Returns the number of requests per copy.
-    pub(super) fn requests_per_copy(&self) -> f64 {
-        self.requests() / self.copies.max(1) as f64
-    }
-
-    /// Adds a copy on an engine that accepts `accepted_rate` requests per second for it; `None` if
-    /// the engine names no limit.
-    pub(super) fn add_copy(&mut self, accepted_rate: Option<f64>) {
-        self.copies += 1;
-        match accepted_rate {
-            Some(rate) => self.limited_rate += rate,
-            None => self.unlimited_copies += 1,
-        }
-    }
-
-    /// Returns whether the copies on engines that name limits do not accept its requests.
-    fn exceeds_limits(&self) -> bool {
-        self.rate > self.limited_rate * LIMITED_USE_FRACTION
-    }
-
-    /// Returns the number of copies that count when one of them may be evicted. The only one on an
-    /// engine without a limit counts as the only copy if the others do not accept its requests.
-    fn copies_for_eviction(&self, is_limited: bool) -> usize {
-        let is_needed = !is_limited && self.unlimited_copies == 1 && self.exceeds_limits();
-        if is_needed { 1 } else { self.copies }
-    }
-
-    fn requests(&self) -> f64 {
-        f64::from(self.running.values().sum::<u32>() + self.waiting)
-    }
-
-    /// Returns the number of copies that the use of `model` needs on engines like `engine`.
-    pub(super) fn wanted_copies(&self, model: &ModelId, engine: &EngineSpec) -> usize {
-        let disk_load_time =
-            engine.models.get(model).map_or(TimeSpan::ZERO, |spec| spec.disk_load_time);
-        let waiters = self.rate * disk_load_time.as_secs_f64();
-        let spare = usize::from(waiters >= SPARE_COPY_WAITERS);
-        let slots = engine.batch_slots.get().max(1) as f64;
-        let scaled_out = (self.requests() / (slots * SCALE_OUT_FRACTION)) as usize;
-        let wanted = 1 + spare + scaled_out;
-        let needs_unlimited_copy = self.unlimited_copies == 0 && self.exceeds_limits();
-        if needs_unlimited_copy { wanted.max(self.copies + 1) } else { wanted }
-    }
-}
-
 /// A load whose engine is to be selected.
 #[derive(Clone, Copy)]
 pub(super) struct WantedLoad<'a> {
@@ -172,8 +93,9 @@
         if free >= model.memory {
             break;
         }
-        // Adapters of the victim may free a little more memory, which is not counted.
-        free = free + engine.models.get(victim)?.memory;
+        let spec = engine.models.get(victim)?;
+        let adapters = confirmed.loaded.get(victim).map_or(0, FastSet::len) as u64;
+        free = free + spec.memory + ByteSize::new(spec.adapter_memory.get() * adapters);
         cost_micros += eviction + UNLOAD_TIME.as_micros() as f64;
         victims.push(victim.clone());
     }
--- a/crates/gentian-decide/src/orders/plan_round.rs
+++ b/crates/gentian-decide/src/orders/plan_round.rs
@@ -8,9 +8,8 @@
 };
 
 use super::fleet_planner::{ModelUses, TargetUses};
-use super::placement_choice::{
-    LoadOption, LoadReason, SCALE_OUT_FRACTION, WantedLoad, find_option,
-};
+use super::model_use::SCALE_OUT_FRACTION;
+use super::placement_choice::{LoadOption, LoadReason, WantedLoad, find_option};
 use super::{EngineOrder, EngineTracker, FleetPlanner, OrderAction};
 use crate::serving::UpstreamRow;
 
--- a/crates/gentian-decide/src/serving/fleet_hub.rs
+++ b/crates/gentian-decide/src/serving/fleet_hub.rs
@@ -10,10 +10,8 @@
 };
 
 use super::report_interval::{entry_timeout, report_interval, work_interval};
-use super::{FleetUses, QuotaLimit, RevisedMap};
-
-/// Time constant of the arrival rates.
-const ARRIVAL_TIME_CONSTANT: TimeSpan = TimeSpan::from_secs(5);
+use super::target_history::record_prompts;
+use super::{ArrivalTotals, FleetUses, QuotaLimit, RevisedMap, TargetHistory};
 
 /// Age of the listings of a hub that has not read any list yet.
 const UNKNOWN_AGE: TimeSpan = TimeSpan::from_micros(u64::MAX);
@@ -29,6 +27,10 @@
     pub running: FastMap<UpstreamId, u32>,
     /// Requests per second, as an exponential moving average.
     pub rate: f64,
+    /// Requests per second in the last second, as an exponential moving average.
+    pub recent_rate: f64,
+    /// Mean length of a prompt in tokens; zero if it is not known.
+    pub prompt_tokens: f64,
     /// When a request last arrived.
     pub last_arrival: MonoTime,
 }
@@ -50,13 +52,7 @@
     spent: FastMap<OrganisationId, u64>,
     /// Highest totals that this process has reported.
     reported: FastMap<OrganisationId, u64>,
-}
-
-#[derive(Debug, Default)]
-struct ArrivalRate {
-    rate: f64,
-    updated: MonoTime,
-    last_arrival: MonoTime,
+    arrival_totals: ArrivalTotals,
 }
 
 /// Aggregates the reports of all entries and distributes the state of upstreams to them.
@@ -67,7 +63,8 @@
     entries: FastMap<VmId, EntryState>,
     spent: FastMap<OrganisationId, u64>,
     uses: FleetUses,
-    rates: FastMap<(ServiceId, TargetId), ArrivalRate>,
+    /// Bounded by the models and adapters that entries accept requests for.
+    histories: FastMap<(ServiceId, TargetId), TargetHistory>,
     listings: RevisedMap<UpstreamId, UpstreamListing>,
     listings_time: Option<MonoTime>,
     resident_models: RevisedMap<UpstreamId, ResidentModels>,
@@ -82,7 +79,7 @@
             entries: FastMap::default(),
             spent: FastMap::default(),
             uses: FleetUses::new(TimeSpan::ZERO),
-            rates: FastMap::default(),
+            histories: FastMap::default(),
             listings: RevisedMap::new(),
             listings_time: None,
             resident_models: RevisedMap::new(),
@@ -141,16 +138,19 @@
             Some(entry) => entry.reported.clone(),
             None => report.spent.iter().cloned().collect(),
         };
+        let known_totals = previous.map(|entry| entry.arrival_totals.clone());
+        let mut arrival_totals = known_totals.unwrap_or_else(|| ArrivalTotals::new(now));
+        arrival_totals.prune(now);
         let count_new = |demand: &ServingDemand| {
-            let before = previous.map(|entry| find_arrived(&entry.report, demand));
             let key = (demand.service.clone(), demand.target.clone());
-            (key, demand.arrived.saturating_sub(before.unwrap_or(demand.arrived)))
+            (key, arrival_totals.record(demand, now))
         };
         let arrivals: Vec<_> = report.demands.iter().map(count_new).collect();
         for (key, count) in arrivals {
-            self.rates.entry(key).or_default().record(count, now);
+            self.histories.entry(key).or_default().record_arrivals(count, now);
         }
         let remote_work_sent = known.map_or(MonoTime::ORIGIN, |entry| entry.remote_work_sent);
+        record_prompts(&mut self.histories, &report);
         let previous_work = same_process.map(|entry| entry.work.clone()).unwrap_or_default();
         let work = report.work.clone().unwrap_or(previous_work);
         let use_report = UseReport {
@@ -166,6 +166,7 @@
             last_report: now,
             spent: entry_spent,
             reported,
+            arrival_totals,
         };
         self.entries.insert(use_report.vm.clone(), entry);
         self.handle_use_report(&use_report, now);
@@ -328,10 +329,12 @@
     /// Returns the use of each target, over all entries.
     pub fn target_uses(&self, now: MonoTime) -> FastMap<(ServiceId, TargetId), TargetUse> {
         let mut uses: FastMap<(ServiceId, TargetId), TargetUse> = FastMap::default();
-        for (key, rate) in &self.rates {
+        for (key, history) in &self.histories {
             let current = TargetUse {
-                rate: rate.rate_at(now),
-                last_arrival: rate.last_arrival,
+                rate: history.rate(now),
+                recent_rate: history.recent_rate(now),
+                prompt_tokens: history.prompt_tokens(),
+                last_arrival: history.last_arrival(),
                 ..TargetUse::default()
             };
             uses.insert(key.clone(), current);
@@ -374,22 +377,6 @@
     }
 }
 
-impl ArrivalRate {
-    fn record(&mut self, count: u64, now: MonoTime) {
-        self.rate = self.rate_at(now) + count as f64 / ARRIVAL_TIME_CONSTANT.as_secs_f64();
-        self.updated = now;
-        if count > 0 {
-            self.last_arrival = now;
-        }
-    }
-
-    fn rate_at(&self, now: MonoTime) -> f64 {
-        let time_constants =
-            now.since(self.updated).as_secs_f64() / ARRIVAL_TIME_CONSTANT.as_secs_f64();
-        self.rate * (-time_constants).exp()
-    }
-}
-
 /// Returns the known listing if the new one differs only in what changes with every heartbeat: the
 /// revision, and the remaining time for which the upstream is cold. Otherwise returns the new one,
 /// with the known remaining time unless the upstream has restarted, become cold or warmed up.
@@ -402,10 +389,3 @@
     let is_same = UpstreamListing { revision: known.revision, ..listing.clone() } == *known;
     if is_same { known.clone() } else { listing }
 }
-
-fn find_arrived(report: &EntryReport, demand: &ServingDemand) -> u64 {
-    let mut demands = report.demands.iter();
-    let is_same =
-        |other: &&ServingDemand| other.target == demand.target && other.service == demand.service;
-    demands.find(is_same).map_or(0, |other| other.arrived)
-}
--- a/crates/gentian-decide/src/serving/mod.rs
+++ b/crates/gentian-decide/src/serving/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions of an entry in a serving fleet: quotas, load balancing, retries, and the exchange with
 //! the hub, which aggregates use over all entries.
 
+mod arrival_totals;
 mod attempt_end;
 mod attempt_progress;
 mod call_refusal;
@@ -31,6 +32,7 @@
 mod serving_bounds;
 mod serving_call;
 mod shared_retry_budget;
+mod target_history;
 mod upstream_notice;
 mod upstream_pauses;
 mod upstream_pick;
@@ -45,6 +47,7 @@
 mod version_queries;
 mod version_tracker;
 
+use arrival_totals::ArrivalTotals;
 pub use attempt_end::AttemptEnd;
 pub use attempt_progress::AttemptProgress;
 pub use call_refusal::refuse_take_up;
@@ -71,6 +74,7 @@
 pub use serving_bounds::ServingBounds;
 pub use serving_call::{AttemptOutcome, ServingCall};
 pub use shared_retry_budget::SharedRetryBudget;
+use target_history::TargetHistory;
 pub use upstream_notice::UpstreamNotice;
 use upstream_pauses::UpstreamPauses;
 pub use upstream_pick::UpstreamPick;
--- a/crates/gentian-decide/src/serving/prefill_time.rs
+++ b/crates/gentian-decide/src/serving/prefill_time.rs
@@ -26,6 +26,11 @@
         self.micros_per_token = Some(previous + (newest - previous) * NEWEST_SAMPLE_WEIGHT);
     }
 
+    /// Returns the time per token in microseconds; `None` before the first sample.
+    pub fn micros_per_token(&self) -> Option<f64> {
+        self.micros_per_token
+    }
+
     /// Returns the expected time to prefill `tokens`; zero before the first sample.
     pub fn expected_delay(&self, tokens: u32) -> TimeSpan {
         let micros = self.micros_per_token.unwrap_or(0.0) * f64::from(tokens);
--- a/crates/gentian-decide/src/serving/upstream_table.rs
+++ b/crates/gentian-decide/src/serving/upstream_table.rs
@@ -495,6 +495,11 @@
         self.prefill_times.entry(service.clone()).or_default().record(prefill_tokens, elapsed);
     }
 
+    /// Returns how long the engines of a service take to prefill prompts, as this entry has learned it.
+    pub fn prefill_time(&self, service: &ServiceId) -> PrefillTime {
+        self.prefill_times.get(service).copied().unwrap_or_default()
+    }
+
     /// Records the limit that a response of an upstream names; its request was sent at `sent`.
     /// Returns whether the limit changed.
     pub fn record_limit(
--- a/crates/gentian-decide/tests/engine_fleet/mod.rs
+++ b/crates/gentian-decide/tests/engine_fleet/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(clippy::unwrap_used, dead_code)]
 
+mod replay_setup;
 mod simulated_engine;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -42,7 +43,8 @@
 const ENTRY_REPORT_TICKS: u64 = 10;
 /// Ticks by which engine reports lag behind.
 const ENGINE_REPORT_LAG_TICKS: usize = 15;
-const MODEL_BYTES: u64 = 70;
+pub(crate) const MODEL_BYTES: u64 = 70;
+pub(crate) const ENGINE_BYTES: u64 = MODEL_BYTES * MODEL_CAPACITY as u64 + 10;
 const HUB: InstanceId = InstanceId::new(1);
 
 /// One kind of request.
@@ -70,6 +72,16 @@
     pub(crate) refused: u32,
 }
 
+/// An accepted load of a model.
+#[derive(Clone, Debug)]
+pub(crate) struct LoadRecord {
+    /// Time since the start of the simulation.
+    pub(crate) time: TimeSpan,
+    pub(crate) model: ModelId,
+    pub(crate) upstream: UpstreamId,
+    pub(crate) from_store: bool,
+}
+
 struct OpenRequest {
     kind: usize,
     arrived: MonoTime,
@@ -100,6 +112,16 @@
     pub(crate) store_loads: usize,
     /// Highest number of requests at one engine.
     pub(crate) max_engine_requests: usize,
+    /// Accepted loads of models.
+    pub(crate) loads: Vec<LoadRecord>,
+    /// Number of orders, and of those that engines did not accept.
+    pub(crate) orders: (usize, usize),
+    /// Loads that the weight store serves at full speed; more share that speed.
+    store_concurrency: usize,
+    /// Tokens at the beginning of every prompt of a model that an engine reads only once.
+    shared_tokens: f64,
+    /// Engines that leave, and when they are gone.
+    draining: BTreeMap<UpstreamId, MonoTime>,
 }
 
 pub(crate) fn model(number: usize) -> ModelId {
@@ -114,12 +136,16 @@
     format!("engine-{number:03}").parse().unwrap()
 }
 
-fn config(models: usize) -> Arc<ServingConfig> {
+fn engine_number(upstream: &UpstreamId) -> usize {
+    upstream.as_str().strip_prefix("engine-").unwrap().parse().unwrap()
+}
+
+fn config(models: usize, adapter_bytes: u64) -> Arc<ServingConfig> {
     let models = (0..models).map(|number| {
         let spec = CatalogueModel {
             id: model(number),
             memory: ByteSize::new(MODEL_BYTES),
-            adapter_memory: ByteSize::new(0),
+            adapter_memory: ByteSize::new(adapter_bytes),
             store_load_time: STORE_LOAD_TIME,
             disk_load_time: DISK_LOAD_TIME,
             host_load_time: HOST_LOAD_TIME,
@@ -127,7 +153,7 @@
         (spec.id.clone(), spec)
     });
     let engine = EngineSpec {
-        memory: ByteSize::new(MODEL_BYTES * MODEL_CAPACITY as u64 + 10),
+        memory: ByteSize::new(ENGINE_BYTES),
         adapter_slots: ADAPTER_SLOTS,
         batch_slots: SlotCount::new(BATCH_SLOTS as u64),
         store_loads_per_second: 30.0,
@@ -168,7 +194,7 @@
     /// [`MODEL_CAPACITY`] are spread evenly over the engines and loaded, the others are random.
     pub(crate) fn new(seed: u64, engines: usize, models: usize, disk_models: usize) -> Self {
         let mut random = SmallRng::seed_from_u64(seed);
-        let config = config(models);
+        let config = config(models, 0);
         let mut table = UpstreamTable::new("north".parse().unwrap(), bounds());
         table.update(Arc::clone(&config));
         table.update_entry_index(0, 1);
@@ -219,6 +245,11 @@
             counts: Vec::new(),
             store_loads: 0,
             max_engine_requests: 0,
+            loads: Vec::new(),
+            orders: (0, 0),
+            store_concurrency: usize::MAX,
+            shared_tokens: 0.0,
+            draining: BTreeMap::new(),
         }
     }
 
@@ -273,18 +304,27 @@
 
     fn update_table(&mut self) {
         let registrations =
-            self.engines.keys().enumerate().map(|(number, id)| UpstreamRegistration {
-                id: id.clone(),
-                revision: StoreRevision::default(),
-                incarnation: 1,
-                service: service(),
-                address: format!("10.0.{}.{}:80", number / 250, number % 250 + 1).parse().unwrap(),
-                domain: "north".parse().unwrap(),
-                version: None,
-                state: UpstreamState::Ready,
-                slots: SlotCount::new(BATCH_SLOTS as u64),
-                cold_remaining: TimeSpan::ZERO,
-                models: Some(EngineModels::default()),
+            self.engines.keys().map(|id| (engine_number(id), id)).map(|(number, id)| {
+                UpstreamRegistration {
+                    id: id.clone(),
+                    revision: StoreRevision::default(),
+                    incarnation: 1,
+                    service: service(),
+                    address: format!("10.0.{}.{}:80", number / 250, number % 250 + 1)
+                        .parse()
+                        .unwrap(),
+                    domain: "north".parse().unwrap(),
+                    version: None,
+                    state: match self.draining.get(id) {
+                        Some(end) => {
+                            UpstreamState::Draining { remaining: Some(end.since(self.now)) }
+                        }
+                        None => UpstreamState::Ready,
+                    },
+                    slots: SlotCount::new(BATCH_SLOTS as u64),
+                    cold_remaining: TimeSpan::ZERO,
+                    models: Some(EngineModels::default()),
+                }
             });
         self.table.update_registrations(
             registrations.collect(),
@@ -295,6 +335,8 @@
     }
 
     fn run_engines(&mut self, kinds: &[RequestKind]) {
+        self.remove_drained();
+        self.share_store();
         let ids: Vec<UpstreamId> = self.engines.keys().cloned().collect();
         for id in ids {
             let engine = self.engines.get_mut(&id).unwrap();
@@ -398,13 +440,23 @@
                     let engine = self.engines.get_mut(&order.upstream).unwrap();
                     let is_load = order.action == OrderAction::Load;
                     let from_store = is_load && engine.is_store_load(&order.target.model);
+                    self.orders.0 += 1;
                     let reply = engine.handle_order(&order, self.now);
                     let Some(reply) = reply else {
                         panic!("{} is ordered to load too much", order.upstream)
                     };
                     let is_accepted_load =
                         reply == OrderReply::Accepted && order.target.adapter.is_none();
+                    self.orders.1 += usize::from(reply != OrderReply::Accepted);
                     self.store_loads += usize::from(is_accepted_load && from_store);
+                    if is_load && is_accepted_load {
+                        self.loads.push(LoadRecord {
+                            time: self.now.since(START),
+                            model: order.target.model.clone(),
+                            upstream: order.upstream.clone(),
+                            from_store,
+                        });
+                    }
                     self.planner.handle_reply(&order, reply, self.now);
                 }
             }
@@ -442,7 +494,10 @@
             self.open.remove(&id);
             return;
         }
-        let (model, (pending_prefill, pending_decode)) = (open.model.clone(), open.tokens);
+        let (model, (prompt, pending_decode)) = (open.model.clone(), open.tokens);
+        let is_held = engine.held_prefixes.contains(&model);
+        let held = if is_held { self.shared_tokens.min(prompt) } else { 0.0 };
+        let pending_prefill = prompt - held;
         engine.requests.push(EngineRequest {
             id,
             model,
--- a/crates/gentian-decide/tests/engine_fleet/simulated_engine.rs
+++ b/crates/gentian-decide/tests/engine_fleet/simulated_engine.rs
@@ -7,7 +7,7 @@
 use gentian_decide::orders::{EngineOrder, EngineStateReport, OrderAction, OrderReply};
 use gentian_decide::serving::{EngineModels, LoadedModel};
 
-use super::{DISK_LOAD_TIME, HOST_LOAD_TIME, STORE_LOAD_TIME, TICK};
+use super::{DISK_LOAD_TIME, ENGINE_BYTES, HOST_LOAD_TIME, MODEL_BYTES, STORE_LOAD_TIME, TICK};
 
 /// Models that an engine can have loaded at the same time.
 pub(crate) const MODEL_CAPACITY: usize = 3;
@@ -51,7 +51,12 @@
     pub(crate) in_host_memory: Vec<ModelId>,
     /// Requests in the order of their arrival.
     pub(crate) requests: Vec<EngineRequest>,
+    /// Models of which it holds the shared part of the prompts.
+    pub(crate) held_prefixes: BTreeSet<ModelId>,
+    /// Memory that an adapter takes.
+    pub(crate) adapter_bytes: u64,
     open: Option<(ModelId, OrderAction, MonoTime)>,
+    is_loading_from_store: bool,
 }
 
 /// Events of one tick.
@@ -76,13 +81,14 @@
         let model = order.target.model.clone();
         if let Some(adapter) = &order.target.adapter {
             let count: usize = self.loaded.values().map(BTreeSet::len).sum();
-            let Some(adapters) = self.loaded.get_mut(&model) else {
+            if !self.loaded.contains_key(&model) {
                 return Some(OrderReply::Refused);
-            };
+            }
             match order.action {
                 OrderAction::Load if count >= ADAPTER_SLOTS => return None,
-                OrderAction::Load => adapters.insert(adapter.to_string()),
-                OrderAction::Unload => adapters.remove(adapter.as_str()),
+                OrderAction::Load if self.free_bytes() < self.adapter_bytes => return None,
+                OrderAction::Load => self.adapters(&model).insert(adapter.to_string()),
+                OrderAction::Unload => self.adapters(&model).remove(adapter.as_str()),
             };
         } else {
             if self.open.is_some() {
@@ -91,19 +97,44 @@
             let time = match order.action {
                 OrderAction::Unload => UNLOAD_TIME,
                 OrderAction::Load if self.loaded.len() >= MODEL_CAPACITY => return None,
+                OrderAction::Load if self.free_bytes() < MODEL_BYTES => return None,
                 OrderAction::Load => self.load_time(&model),
             };
+            self.is_loading_from_store =
+                order.action == OrderAction::Load && self.is_store_load(&model);
             self.open = Some((model, order.action, now + time));
         }
         self.sequence += 1;
         Some(OrderReply::Accepted)
     }
 
+    fn adapters(&mut self, model: &ModelId) -> &mut BTreeSet<String> {
+        self.loaded.entry(model.clone()).or_default()
+    }
+
+    fn free_bytes(&self) -> u64 {
+        let adapters: usize = self.loaded.values().map(BTreeSet::len).sum();
+        let models = self.loaded.len() as u64 * MODEL_BYTES;
+        ENGINE_BYTES - models - adapters as u64 * self.adapter_bytes
+    }
+
     /// Returns whether a load of `model` would fetch it from the weight store.
     pub(crate) fn is_store_load(&self, model: &ModelId) -> bool {
         self.load_time(model) == STORE_LOAD_TIME
     }
 
+    /// Returns whether it is fetching weights from the weight store.
+    pub(crate) fn is_loading_from_store(&self) -> bool {
+        self.open.is_some() && self.is_loading_from_store
+    }
+
+    /// Delays the end of the open order.
+    pub(crate) fn delay_order(&mut self, span: TimeSpan) {
+        if let Some((_, _, end)) = &mut self.open {
+            *end = *end + span;
+        }
+    }
+
     /// Returns whether `model` is loaded and no order is changing it.
     pub(crate) fn serves(&self, model: &ModelId) -> bool {
         let is_changing = self.open.as_ref().is_some_and(|(open, ..)| open == model);
@@ -124,6 +155,7 @@
             }
             if !std::mem::replace(&mut request.has_first_token, true) {
                 events.first_tokens.push(request.id);
+                self.held_prefixes.insert(request.model.clone());
             }
             request.pending_decode -= DECODE_TOKENS_PER_TICK;
             if request.pending_decode <= 0.0 {
@@ -172,6 +204,7 @@
                 return;
             }
             self.loaded.remove(&model);
+            self.held_prefixes.remove(&model);
             return;
         }
         self.in_host_memory.retain(|other| *other != model);
--- a/crates/gentian-decide/tests/fleet_hub.rs
+++ b/crates/gentian-decide/tests/fleet_hub.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use gentian_core::peer::{EntryReport, FleetSummary, UpstreamListing};
+use gentian_core::peer::{EntryReport, FleetSummary, ServingDemand, TargetId, UpstreamListing};
 use gentian_core::{
     FenceNumber, InstanceId, MonoTime, SequenceNumber, SlotCount, StoreRevision, TimeSpan, VmId,
 };
@@ -95,3 +95,28 @@
     assert!(hub.is_returning(&report(2, 1), soon), "a new process");
     assert!(hub.is_returning(&report(1, 2), NOW + TimeSpan::from_secs(3)), "a frozen process");
 }
+
+/// A target that was missing from the last report counted with its whole total again when it came
+/// back, so that in a large fleet a rarely used model seemed to be in heavy use.
+#[test]
+fn a_target_that_returns_counts_only_its_new_requests() {
+    let mut hub = FleetHub::new(InstanceId::new(9));
+    let interval = TimeSpan::from_millis(250);
+    let key = ("advice".parse().unwrap(), TargetId::new("m1".parse().unwrap()));
+    let demand = |arrived| ServingDemand {
+        service: "advice".parse().unwrap(),
+        target: TargetId::new("m1".parse().unwrap()),
+        arrived,
+        waiting: 0,
+        slack: TimeSpan::ZERO,
+        running: Vec::new(),
+    };
+    for step in 0..40 {
+        let demands = if step % 2 == 1 { vec![demand(step / 2 + 1)] } else { Vec::new() };
+        let report = EntryReport { demands, ..report(1, step + 1) };
+        assert!(hub.handle_report(report, NOW + interval * step));
+    }
+    // One request every half second.
+    let rate = hub.target_uses(NOW + interval * 40)[&key].rate;
+    assert!((1.2..2.2).contains(&rate), "{rate} requests per second");
+}
