Placement: schedule of the weight store

Cause: an engine that was loading seemed to have free memory and to be free within 100 ms, also when its load was overdue. It was the cheapest engine for a copy, which was then put off every 100 ms while rarely used models took the places of the weight store. Three loads began at once although two run at full speed. A new hub began as many beside those of the hub before. A load that needed two unloads held a place during the first and was planned again meanwhile. A load was sent before the unload ahead of it had ended, and refused until then. Models of an engine whose state was read again seemed lost.

Change: places are given by class and worth (store_schedule), two at first; the number follows from the mean number of loads during a load. Loads count as memory in use, overdue orders as not free. Unloads and the load after them are one chain, whose next order is sent when the unload is expected to have ended. Orders of an earlier hub count as loads. A failed load goes to another engine and says nothing of the store's speed.

--- a/crates/gentian-decide/src/orders/engine_tracker.rs
+++ b/crates/gentian-decide/src/orders/engine_tracker.rs
@@ -1,5 +1,6 @@
 //! Tracks the state of one engine and its open order.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use gentian_config::serving::EngineSpec;
@@ -9,7 +10,8 @@
 };
 
 use super::confirmed_state::ConfirmedState;
-use super::{EngineOrder, EngineStateReport, OrderAction, OrderReply};
+use super::open_order::OpenOrder;
+use super::{EngineOrder, EngineStateReport, FollowUpDelay, OrderAction, OrderReply};
 
 /// Time after the known state was discarded before a report is fetched, because reports lag behind
 /// the state. It is also the expected time until an engine with an unknown state is free.
@@ -27,30 +29,11 @@
 const ADAPTER_ACTIVATION_TIME: TimeSpan = TimeSpan::from_millis(25);
 /// Expected time until an engine is free whose open order it has not accepted yet.
 const PENDING_ORDER_TIME: TimeSpan = TimeSpan::from_millis(1_500);
+/// Time for which the models of a discarded state count as loaded: longer than it takes to read the
+/// state again, so that they are not loaded elsewhere meanwhile.
+const DISCARDED_RETENTION: TimeSpan = TimeSpan::from_secs(1);
 /// Maximum number of retries of an order without a reply before a report is fetched.
 const RETRY_LIMIT: u32 = 3;
-/// Interval between two retries of a load that waits for the preceding unload.
-const BUSY_RETRY_INTERVAL: TimeSpan = TimeSpan::from_millis(60);
-/// Maximum number of retries of a load that waits for the preceding unload.
-const BUSY_RETRY_LIMIT: u32 = 12;
-
-#[derive(Clone, Debug)]
-struct OpenOrder {
-    order: EngineOrder,
-    /// Target to load after the acceptance of an unload.
-    follow_up: Option<TargetId>,
-    /// Whether the engine has accepted the order.
-    is_accepted: bool,
-    /// Retries without a reply and of a load that waits for an unload, together; `RETRY_LIMIT` and
-    /// `BUSY_RETRY_LIMIT` both apply to this sum.
-    retries: u32,
-    next_send: Option<MonoTime>,
-    /// Time of the acceptance, and expected end. Before the acceptance, both are the time at which
-    /// the order was opened.
-    accepted_at: MonoTime,
-    expected_end: MonoTime,
-}
-
 /// Known state and open order of one engine. The engine counts as free only while its state is
 /// confirmed. Each order carries the number of orders accepted before it, so it cannot take effect
 /// on a state other than the one it was planned for.
@@ -66,6 +49,10 @@
     max_report_interval: TimeSpan,
     is_report_pending: bool,
     activating: Vec<(TargetId, MonoTime)>,
+    /// Models of the state that was discarded last, and when that was.
+    discarded: Option<(Vec<ModelId>, MonoTime)>,
+    /// Whether the engine executes an order that this process did not give or no longer knows.
+    is_busy_unknown: bool,
 }
 
 impl EngineTracker {
@@ -82,6 +69,8 @@
             max_report_interval: REPORT_INTERVAL,
             is_report_pending: false,
             activating: Vec::new(),
+            discarded: None,
+            is_busy_unknown: false,
         }
     }
 
@@ -109,7 +98,10 @@
     /// Returns the expected time until a new order can be planned.
     pub(super) fn time_until_free(&self, now: MonoTime) -> TimeSpan {
         match &self.open {
-            Some(open) if open.is_accepted => open.expected_end.since(now).max(REPORT_INTERVAL),
+            // An order that is overdue is expected to take as long again.
+            Some(open) if open.is_accepted => {
+                open.expected_end.since(now).max(now.since(open.expected_end)).max(REPORT_INTERVAL)
+            }
             Some(_) => PENDING_ORDER_TIME,
             None if self.confirmed.is_none() => REPORT_LAG,
             None => TimeSpan::ZERO,
@@ -129,11 +121,26 @@
 
     /// Returns the target that the open order loads, or the one to be loaded after its unload.
     pub fn loading_target(&self) -> Option<&TargetId> {
-        let open = self.open.as_ref()?;
-        match open.order.action {
-            OrderAction::Load => Some(&open.order.target),
-            OrderAction::Unload => open.follow_up.as_ref(),
-        }
+        self.open.as_ref()?.loading_target()
+    }
+
+    /// Returns the models that the engine has loaded and that no order unloads. While its state is
+    /// read again, those of the discarded state count.
+    pub(super) fn kept_models(&self, now: MonoTime) -> Vec<&ModelId> {
+        let Some(confirmed) = &self.confirmed else {
+            let recent =
+                self.discarded.iter().filter(|(_, time)| now.since(*time) < DISCARDED_RETENTION);
+            return recent.flat_map(|(models, _)| models).collect();
+        };
+        let is_unloaded =
+            |model: &ModelId| self.open.as_ref().is_some_and(|open| open.unloads(model));
+        confirmed.loaded.keys().filter(|model| !is_unloaded(model)).collect()
+    }
+
+    /// Returns whether the engine executes an order that this process did not give or no longer knows.
+    /// It may be a load from the weight store.
+    pub(super) fn is_busy_unknown(&self) -> bool {
+        self.is_busy_unknown
     }
 
     /// Returns the models and adapters that requests can use, in sorted order.
@@ -173,20 +180,19 @@
         [activated, send, report].into_iter().flatten().min()
     }
 
-    /// Returns the memory that is free in the confirmed state.
+    /// Returns the memory that is free in the confirmed state, less what the open order loads.
     pub(super) fn free_memory(&self, engine: &EngineSpec) -> ByteSize {
         let Some(confirmed) = &self.confirmed else { return ByteSize::ZERO };
-        let sizes =
-            confirmed.loaded.iter().map(|(model, adapters)| match engine.models.get(model) {
-                Some(spec) => {
-                    let adapters = spec.adapter_memory.get() * adapters.len() as u64;
-                    spec.memory + ByteSize::new(adapters)
-                }
-                // A model that is not in the catalogue may have any size, so it counts as filling
-                // the engine.
-                None => engine.memory,
-            });
-        engine.memory.saturating_sub(sizes.sum())
+        let size = |model: &ModelId, adapters: usize| match engine.models.get(model) {
+            Some(spec) => spec.memory + ByteSize::new(spec.adapter_memory.get() * adapters as u64),
+            // A model that is not in the catalogue may have any size, so it counts as filling
+            // the engine.
+            None => engine.memory,
+        };
+        let resident = confirmed.loaded.iter().map(|(model, adapters)| size(model, adapters.len()));
+        let loading = self.loading_target().filter(|target| target.adapter.is_none());
+        let loading = loading.map(|target| size(&target.model, 0));
+        engine.memory.saturating_sub(resident.chain(loading).sum())
     }
 
     /// Returns the number of adapters in the confirmed state.
@@ -196,27 +202,19 @@
             .map_or(0, |confirmed| confirmed.loaded.values().map(FastSet::len).sum())
     }
 
-    /// Opens an order; after the acceptance of an unload, `follow_up` is loaded.
+    /// Opens the first of `steps`; the others follow when the one before is accepted.
     pub(super) fn start_order(
         &mut self,
-        action: OrderAction,
-        target: TargetId,
-        follow_up: Option<TargetId>,
+        steps: impl IntoIterator<Item = (OrderAction, TargetId)>,
         fence: FenceNumber,
         now: MonoTime,
     ) -> Option<EngineOrder> {
+        let mut next_steps: VecDeque<_> = steps.into_iter().collect();
         let expected = self.confirmed.as_ref()?.sequence;
+        let (action, target) = next_steps.pop_front()?;
         let (upstream, address) = (self.upstream.clone(), self.address);
         let order = EngineOrder { upstream, address, action, target, expected, fence };
-        self.open = Some(OpenOrder {
-            order: order.clone(),
-            follow_up,
-            is_accepted: false,
-            retries: 0,
-            next_send: None,
-            accepted_at: now,
-            expected_end: now,
-        });
+        self.open = Some(OpenOrder::new(order.clone(), next_steps, now));
         Some(order)
     }
 
@@ -257,19 +255,24 @@
         order: &EngineOrder,
         reply: OrderReply,
         load_time: TimeSpan,
+        follow_up_delay: &mut FollowUpDelay,
         now: MonoTime,
     ) {
         let Some(mut open) = self.open.take_if(|open| open.order == *order) else { return };
         match reply {
-            OrderReply::Accepted | OrderReply::Done => self.apply_accepted(open, load_time, now),
+            OrderReply::Accepted | OrderReply::Done => {
+                if let Some(unloaded) = open.unload_accepted_at {
+                    follow_up_delay.record(now.since(unloaded), open.retries);
+                }
+                self.apply_accepted(open, load_time, follow_up_delay.delay(), now);
+            }
             OrderReply::Unknown if open.retries < RETRY_LIMIT => {
                 open.retries += 1;
                 open.next_send = Some(now);
                 self.open = Some(open);
             }
-            OrderReply::Conflict if open.follow_up.is_none() && self.may_retry_conflict(&open) => {
-                open.retries += 1;
-                open.next_send = Some(now + BUSY_RETRY_INTERVAL);
+            OrderReply::Conflict if open.may_retry_conflict() => {
+                open.retry_after_conflict(now);
                 self.open = Some(open);
             }
             _ => self.forget_state(now),
@@ -290,6 +293,7 @@
         };
         let is_old =
             self.confirmed.as_ref().is_some_and(|confirmed| report.sequence < confirmed.sequence);
+        self.is_busy_unknown = report.is_busy && self.confirmed.is_none();
         if is_old || report.is_busy {
             self.next_report = now + self.report_interval;
             self.report_interval = (self.report_interval * 2).min(self.max_report_interval);
@@ -302,7 +306,13 @@
         self.open.take().map(|open| (open.order, now.since(open.accepted_at)))
     }
 
-    fn apply_accepted(&mut self, mut open: OpenOrder, load_time: TimeSpan, now: MonoTime) {
+    fn apply_accepted(
+        &mut self,
+        mut open: OpenOrder,
+        load_time: TimeSpan,
+        follow_up_delay: TimeSpan,
+        now: MonoTime,
+    ) {
         let Some(confirmed) = &mut self.confirmed else { return };
         confirmed.sequence = confirmed.sequence.next();
         let target = open.order.target.clone();
@@ -318,13 +328,14 @@
                     adapters.remove(adapter);
                 }
             }
-            self.open_follow_up(open, now);
+            // An adapter is unloaded when the order is accepted.
+            self.open_next_step(open, None, now);
             return;
         }
         if open.order.action == OrderAction::Unload {
             confirmed.loaded.remove(&target.model);
-            if open.follow_up.is_some() {
-                self.open_follow_up(open, now);
+            if !open.next_steps.is_empty() {
+                self.open_next_step(open, Some(follow_up_delay), now);
                 return;
             }
         }
@@ -341,36 +352,19 @@
         self.open = Some(open);
     }
 
-    /// Opens the load for which the unload has freed memory or an adapter slot.
-    fn open_follow_up(&mut self, open: OpenOrder, now: MonoTime) {
-        let (Some(follow_up), Some(confirmed)) = (open.follow_up, &self.confirmed) else { return };
-        let order = EngineOrder {
-            action: OrderAction::Load,
-            target: follow_up,
-            expected: confirmed.sequence,
-            ..open.order
-        };
-        self.open = Some(OpenOrder {
-            order,
-            follow_up: None,
-            is_accepted: false,
-            retries: 0,
-            next_send: Some(now),
-            accepted_at: now,
-            expected_end: now,
-        });
-    }
-
-    /// Returns whether an order that conflicts may be retried: any load of a model, since an unload
-    /// before it may still be running.
-    fn may_retry_conflict(&self, open: &OpenOrder) -> bool {
-        open.order.action == OrderAction::Load
-            && open.order.target.adapter.is_none()
-            && open.retries < BUSY_RETRY_LIMIT
+    /// Opens the order that follows an accepted one, to be sent after the `delay` that the unload of a
+    /// model is expected to take.
+    fn open_next_step(&mut self, mut open: OpenOrder, delay: Option<TimeSpan>, now: MonoTime) {
+        let Some(confirmed) = &self.confirmed else { return };
+        let Some((action, target)) = open.next_steps.pop_front() else { return };
+        let order = EngineOrder { action, target, expected: confirmed.sequence, ..open.order };
+        let next = OpenOrder::new(order, open.next_steps, now);
+        self.open = Some(next.with_delay(delay, now));
     }
 
     fn forget_state(&mut self, now: MonoTime) {
-        self.confirmed = None;
+        let confirmed = self.confirmed.take();
+        self.discarded = confirmed.map(|it| (it.loaded.into_keys().collect(), now));
         self.open = None;
         self.next_report = now + REPORT_LAG;
         self.report_interval = REPORT_INTERVAL;
--- a/crates/gentian-decide/src/orders/fleet_planner.rs
+++ b/crates/gentian-decide/src/orders/fleet_planner.rs
@@ -5,13 +5,17 @@
 
 use gentian_config::serving::{EngineSpec, ServingConfig};
 use gentian_core::peer::{ResidentModels, TargetId};
-use gentian_core::{FastMap, FenceNumber, ModelId, MonoTime, ServiceId, TimeSpan, UpstreamId};
+use gentian_core::{
+    FastMap, FastSet, FenceNumber, ModelId, MonoTime, ServiceId, TimeSpan, UpstreamId,
+};
 
+use super::failed_loads::FailedLoads;
 use super::model_use::ModelUse;
 use super::placement_choice::load_time;
 use super::plan_round::PlanRound;
 use super::{
-    EngineOrder, EngineStateReport, EngineTracker, OrderCooldowns, OrderReply, StoreLoadLimiter,
+    EngineOrder, EngineStateReport, EngineTracker, FollowUpDelay, OrderAction, OrderCooldowns,
+    OrderReply, StoreLoadLimiter,
 };
 use crate::serving::{PrefillTime, TargetUse, UpstreamRow, UpstreamTable};
 
@@ -46,8 +50,10 @@
     pub(super) load_window: TimeSpan,
     pub(super) trackers: FastMap<UpstreamId, EngineTracker>,
     pub(super) store_limiter: StoreLoadLimiter,
-    /// Running loads from the weight store, by engine.
-    pub(super) store_loads: FastMap<UpstreamId, ModelId>,
+    /// Number of loads that wait for a place at the weight store.
+    pub(super) store_queue: usize,
+    follow_up_delay: FollowUpDelay,
+    pub(super) failed_loads: FailedLoads,
     last_scale_out_check: MonoTime,
     pub(super) cooldowns: OrderCooldowns,
 }
@@ -61,7 +67,9 @@
             load_window,
             trackers: FastMap::default(),
             store_limiter: StoreLoadLimiter::new(),
-            store_loads: FastMap::default(),
+            store_queue: 0,
+            follow_up_delay: FollowUpDelay::new(),
+            failed_loads: FailedLoads::default(),
             last_scale_out_check: MonoTime::ORIGIN,
             cooldowns: OrderCooldowns::default(),
         }
@@ -84,7 +92,7 @@
             engines().map(|row| (&row.registration.id, row.registration.incarnation)).collect();
         self.trackers.retain(|id, tracker| incarnations.get(id) == Some(&tracker.incarnation()));
         let trackers = &self.trackers;
-        self.store_loads.retain(|id, _| trackers.contains_key(id));
+        self.store_limiter.retain(|id| trackers.contains_key(id), now);
         self.cooldowns.remove_expired(now);
         for row in engines() {
             let (id, address, incarnation) =
@@ -100,7 +108,8 @@
         let Some(tracker) = self.trackers.get_mut(&order.upstream) else { return };
         let confirmed = tracker.confirmed();
         let time = confirmed.zip(model).map(|(confirmed, model)| load_time(confirmed, &model).0);
-        tracker.handle_reply(order, reply, time.unwrap_or(TimeSpan::ZERO), now);
+        let time = time.unwrap_or(TimeSpan::ZERO);
+        tracker.handle_reply(order, reply, time, &mut self.follow_up_delay, now);
     }
 
     /// Handles a report, or `None` after a failed report call. Returns the order that the report
@@ -113,20 +122,30 @@
     ) -> Option<(EngineOrder, TimeSpan)> {
         let tracker = self.trackers.get_mut(upstream)?;
         let done = tracker.handle_report(report, now);
+        if let Some((order, _)) = &done
+            && order.action == OrderAction::Load
+            && !tracker.has_target(&order.target)
+        {
+            self.failed_loads.record(upstream, &order.target.model, now);
+        }
         if tracker.is_free() {
-            self.end_store_load(upstream, done.as_ref());
+            self.end_store_load(upstream, done.as_ref(), now);
         }
         done
     }
 
-    fn end_store_load(&mut self, upstream: &UpstreamId, done: Option<&(EngineOrder, TimeSpan)>) {
-        let Some(model) = self.store_loads.remove(upstream) else { return };
-        let expected = self.find_model(&model).map(|spec| spec.store_load_time);
-        if let (Some((order, duration)), Some(expected)) = (done, expected)
-            && order.target.model == model
-        {
-            self.store_limiter.record_end(*duration, expected, self.store_loads.len());
-        }
+    fn end_store_load(
+        &mut self,
+        upstream: &UpstreamId,
+        done: Option<&(EngineOrder, TimeSpan)>,
+        now: MonoTime,
+    ) {
+        let Some(model) = self.store_limiter.model(upstream).cloned() else { return };
+        let expected = self.find_model(&model).map_or(TimeSpan::ZERO, |spec| spec.store_load_time);
+        let is_load =
+            |order: &EngineOrder| order.action == OrderAction::Load && order.target.model == model;
+        let duration = done.filter(|(order, _)| is_load(order)).map(|(_, duration)| *duration);
+        self.store_limiter.record_end(upstream, duration, expected, now);
     }
 
     /// Returns what each engine has loaded, for engines whose state is confirmed.
@@ -184,7 +203,11 @@
                 .map(|row| (&row.registration.id, row))
                 .collect();
             let prefill_time = table.prefill_time(service);
-            let models = self.model_uses(service, engine, uses, &rows, prefill_time);
+            let mut models = self.model_uses(service, uses, &rows, now);
+            share_prefill(&mut models, &rows, prefill_time);
+            for (model, usage) in &mut models {
+                usage.wanted = usage.wanted_copies(model, engine);
+            }
             let mut round = PlanRound::new(self, service, engine, uses, rows, models)
                 .with_fence_and_time(fence, now);
             let mut waiting: Vec<_> =
@@ -235,16 +258,14 @@
     fn model_uses(
         &self,
         service: &ServiceId,
-        engine: &EngineSpec,
         uses: &TargetUses,
         rows: &FastMap<&UpstreamId, &UpstreamRow>,
-        prefill_time: PrefillTime,
+        now: MonoTime,
     ) -> ModelUses {
         let mut models = ModelUses::default();
         for ((_, target), usage) in uses.iter().filter(|((id, _), _)| id == service) {
             let sum = models.entry(target.model.clone()).or_default();
-            sum.waiting = sum.waiting.saturating_add(usage.waiting);
-            sum.add_rates(usage);
+            sum.add_requests(usage);
             sum.last_arrival = sum.last_arrival.max(usage.last_arrival);
             for (upstream, count) in &usage.running {
                 let running = sum.running.entry(upstream.clone()).or_default();
@@ -253,20 +274,15 @@
         }
         for (id, tracker) in &self.trackers {
             let Some(row) = rows.get(id) else { continue };
-            let resident =
-                tracker.confirmed().into_iter().flat_map(|confirmed| confirmed.loaded.keys());
             let loading = tracker.loading_target().map(|target| &target.model);
-            let held: Vec<&ModelId> = resident.chain(loading).collect();
+            let held: FastSet<&ModelId> =
+                tracker.kept_models(now).into_iter().chain(loading).collect();
             // The models of an engine share its limit.
             let share = row.limit.map(|limit| limit.per_second() / held.len().max(1) as f64);
             for model in held {
                 models.entry(model.clone()).or_default().add_copy(share);
             }
         }
-        share_prefill(&mut models, rows, prefill_time);
-        for (model, usage) in &mut models {
-            usage.wanted = usage.wanted_copies(model, engine);
-        }
         models
     }
 
--- a/crates/gentian-decide/src/orders/model_use.rs
+++ b/crates/gentian-decide/src/orders/model_use.rs
@@ -4,6 +4,7 @@
 use gentian_config::serving::EngineSpec;
 use gentian_core::{FastMap, ModelId, MonoTime, TimeSpan, UpstreamId};
 
+use super::store_schedule::LoadClass;
 use crate::serving::{PrefillTime, TargetUse};
 
 /// A model gets a spare copy, so that a crash does not interrupt its service, if at least this many
@@ -31,6 +32,14 @@
 /// prefill 38 to 41 tokens in a millisecond.
 const INITIAL_MICROS_PER_TOKEN: f64 = 25.0;
 
+/// Time for which a copy is taken to stay, in seconds.
+const COPY_STAY_SECONDS: f64 = 20.0;
+/// Requests per second from which a model counts as in regular use, so that it gets a copy when it has
+/// lost its last one although no request waits yet: two requests in five seconds.
+const REGULAR_RATE: f64 = 0.3;
+/// Probability that an engine is lost while a spare copy stays, which weighs spare copies.
+const LOSS_PROBABILITY: f64 = 0.05;
+
 /// Use of a model with all its adapters, summed over all entries.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ModelUse {
@@ -40,6 +49,11 @@
     pub(super) running: FastMap<UpstreamId, u32>,
     /// Requests per second.
     pub(super) rate: f64,
+    /// Requests per second in the last second.
+    recent_rate: f64,
+    /// Time until a queue deadline of a waiting request: the latest of those that are the earliest of
+    /// their targets.
+    time_left: TimeSpan,
     /// Prompt tokens per second, by the higher of the rates over seconds and over the last second.
     prompt_rate: f64,
     /// Mean length of the prompts of its targets, weighted by their rates, in tokens; zero if it is
@@ -64,18 +78,54 @@
 }
 
 impl ModelUse {
-    /// Returns the number of requests per copy.
-    pub(super) fn requests_per_copy(&self) -> f64 {
-        self.requests() / self.copies.max(1) as f64
+    /// Returns why a further copy is wanted, and how many requests will be served in time thanks to it
+    /// while it stays. `None` if none is wanted. Requests that wait count if they can still be served
+    /// after a load of `load_time`.
+    pub(super) fn wanted_load(
+        &self,
+        engine: &EngineSpec,
+        load_time: TimeSpan,
+    ) -> Option<(LoadClass, f64)> {
+        let arriving = self.rate.max(self.recent_rate) * COPY_STAY_SECONDS;
+        if self.copies == 0 {
+            let in_time = if self.time_left >= load_time { self.waiting } else { 0 };
+            let is_wanted = self.waiting > 0 || self.rate >= REGULAR_RATE;
+            return is_wanted.then(|| (LoadClass::Missing, f64::from(in_time) + arriving));
+        }
+        if self.copies >= self.wanted {
+            return None;
+        }
+        let needed = self.needed_copies(engine);
+        if needed <= self.copies {
+            return Some((LoadClass::Spare, arriving * LOSS_PROBABILITY));
+        }
+        let unserved = 1.0 - self.copies as f64 / needed as f64;
+        Some((LoadClass::Overloaded, f64::from(self.waiting) + arriving * unserved))
     }
 
-    /// Adds the rates of one of its targets.
-    pub(super) fn add_rates(&mut self, usage: &TargetUse) {
+    /// Returns the number of copies without which its requests are not served in time.
+    fn needed_copies(&self, engine: &EngineSpec) -> usize {
+        let slots = engine.batch_slots.get().max(1) as f64;
+        let scaled_out = (self.requests() / (slots * SCALE_OUT_FRACTION)) as usize;
+        let needed = (1 + scaled_out).max(self.copies_for_prompts());
+        let needs_unlimited_copy = self.unlimited_copies == 0 && self.exceeds_limits();
+        if needs_unlimited_copy { needed.max(self.copies + 1) } else { needed }
+    }
+
+    /// Adds the requests of one of its targets, apart from the running ones.
+    pub(super) fn add_requests(&mut self, usage: &TargetUse) {
         let rate = self.rate + usage.rate;
         if rate > 0.0 {
             self.mean_prompt += (usage.prompt_tokens - self.mean_prompt) * usage.rate / rate;
         }
         self.rate = rate;
+        self.recent_rate += usage.recent_rate;
+        if usage.waiting > 0 {
+            let is_first = self.waiting == 0;
+            let time_left = usage.time_left;
+            self.time_left = if is_first { time_left } else { self.time_left.max(time_left) };
+            self.waiting = self.waiting.saturating_add(usage.waiting);
+        }
         self.prompt_rate += usage.rate.max(usage.recent_rate) * usage.prompt_tokens;
     }
 
@@ -127,10 +177,10 @@
             engine.models.get(model).map_or(TimeSpan::ZERO, |spec| spec.disk_load_time);
         let waiters = self.rate * disk_load_time.as_secs_f64();
         let spare = usize::from(waiters >= SPARE_COPY_WAITERS);
-        let slots = engine.batch_slots.get().max(1) as f64;
-        let scaled_out = (self.requests() / (slots * SCALE_OUT_FRACTION)) as usize;
-        let wanted = (1 + spare + scaled_out).max(self.copies_for_prompts());
-        let needs_unlimited_copy = self.unlimited_copies == 0 && self.exceeds_limits();
-        if needs_unlimited_copy { wanted.max(self.copies + 1) } else { wanted }
+        // A spare copy counts beside those for running requests. Those for prompts leave half of each
+        // engine's time free, which bears the loss of one.
+        let scaled_out =
+            self.requests() / (engine.batch_slots.get().max(1) as f64 * SCALE_OUT_FRACTION);
+        (1 + spare + scaled_out as usize).max(self.needed_copies(engine))
     }
 }
--- a/crates/gentian-decide/src/orders/plan_round.rs
+++ b/crates/gentian-decide/src/orders/plan_round.rs
@@ -1,5 +1,7 @@
 //! One planning round over the engines of one service.
 
+use std::cmp::Ordering;
+
 use gentian_config::serving::EngineSpec;
 use gentian_core::peer::TargetId;
 use gentian_core::{
@@ -10,6 +12,7 @@
 use super::fleet_planner::{ModelUses, TargetUses};
 use super::model_use::SCALE_OUT_FRACTION;
 use super::placement_choice::{LoadOption, LoadReason, WantedLoad, find_option};
+use super::store_schedule::{LoadClass, WantedPlace, select_loads};
 use super::{EngineOrder, EngineTracker, FleetPlanner, OrderAction};
 use crate::serving::UpstreamRow;
 
@@ -87,9 +90,11 @@
     pub(super) fn load_for_waiting(&mut self, target: &TargetId) -> Option<EngineOrder> {
         let engines = self.engines_with(&target.model);
         if engines.is_empty() {
-            return match self.is_loading(&target.model) {
+            // A copy also counts while the state of its engine is read again.
+            let has_copy = self.models.get(&target.model).is_some_and(|usage| usage.copies > 0);
+            return match has_copy || self.is_loading(&target.model) {
                 true => None,
-                false => self.load_model(&target.model, LoadReason::Waiting, false),
+                false => self.load_from_engine(&target.model),
             };
         }
         target.adapter.as_ref()?;
@@ -100,21 +105,67 @@
         self.load_adapter(&engines, target)
     }
 
-    /// Orders more copies of heavily used models, and loads from the weight store for waiting
-    /// requests. The store serves few loads at a time, so models with the most requests go first.
+    /// Orders more copies of heavily used models, and loads for models without any copy. Those from the
+    /// weight store wait for a place there.
     pub(super) fn add_copies(&mut self) -> Vec<EngineOrder> {
-        let mut wanted: Vec<(f64, ModelId, LoadReason)> = Vec::new();
+        let mut wanted: Vec<WantedPlace> = Vec::new();
         for (model, usage) in &self.models {
-            let reason = match usage.copies {
-                0 if usage.waiting > 0 && !self.is_loading(model) => LoadReason::Waiting,
-                copies if copies > 0 && copies < usage.wanted => LoadReason::ExtraCopy,
-                _ => continue,
-            };
-            wanted.push((usage.requests_per_copy(), model.clone(), reason));
+            let Some(spec) = self.engine.models.get(model) else { continue };
+            if let Some((class, worth)) = usage.wanted_load(self.engine, spec.store_load_time)
+                && !(class == LoadClass::Missing && self.is_loading(model))
+            {
+                wanted.push(WantedPlace { model: model.clone(), class, worth });
+            }
+        }
+        wanted.sort_by(|a, b| b.worth.total_cmp(&a.worth).then_with(|| a.model.cmp(&b.model)));
+        let mut orders = Vec::new();
+        let mut from_store = Vec::new();
+        for load in wanted {
+            match self.find_best(&load.model, self.reason(&load)) {
+                Some(best) if best.is_from_store => from_store.push(load),
+                Some(best) => orders.extend(self.order_best(best, &load.model, load.class)),
+                None => {}
+            }
+        }
+        orders.extend(self.start_store_loads(from_store));
+        orders
+    }
+
+    /// Orders the loads from the weight store that get a place there.
+    fn start_store_loads(&mut self, mut wanted: Vec<WantedPlace>) -> Vec<EngineOrder> {
+        let mut orders = Vec::new();
+        let limiter = &mut self.planner.store_limiter;
+        let rate = self.engine.store_loads_per_second;
+        let capacity = limiter.window_capacity(rate, self.planner.load_window, self.now);
+        let places = limiter.max_concurrent().min(limiter.open_count() + capacity);
+        self.planner.store_queue = wanted.len();
+        // Engines may be executing loads of an earlier holder. It is not known of which models, so
+        // further copies wait for their end.
+        let unknown = self.trackers().filter(|(_, tracker)| tracker.is_busy_unknown()).count();
+        let unknown_loads = std::iter::repeat_n(LoadClass::Missing, unknown);
+        wanted.retain(|load| unknown == 0 || load.class == LoadClass::Missing);
+        loop {
+            let limiter = &self.planner.store_limiter;
+            let open = limiter.open_classes().chain(unknown_loads.clone()).collect();
+            let selected = select_loads(wanted.clone(), open, places, limiter.last_class());
+            let Some(load) = selected.into_iter().next() else { return orders };
+            wanted.retain(|other| other.model != load.model);
+            // A place is not kept for an engine that is busy.
+            let options = self.load_options(&load.model, self.reason(&load)).into_iter();
+            let best =
+                options.filter(|it| self.accepts_order(&it.upstream)).min_by(compare_options);
+            let order = best.and_then(|best| self.order_best(best, &load.model, load.class));
+            self.planner.store_queue -= usize::from(order.is_some());
+            orders.extend(order);
+        }
+    }
+
+    fn reason(&self, load: &WantedPlace) -> LoadReason {
+        let has_waiting = self.models.get(&load.model).is_some_and(|usage| usage.waiting > 0);
+        match load.class {
+            LoadClass::Missing if has_waiting => LoadReason::Waiting,
+            _ => LoadReason::ExtraCopy,
         }
-        wanted.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
-        let loads = wanted.into_iter();
-        loads.filter_map(|(_, model, reason)| self.load_model(&model, reason, true)).collect()
     }
 
     /// Orders adapters that are in use on further engines that have loaded their models and run
@@ -180,17 +231,26 @@
         self.rows.get(id).map_or(0, |row| row.work().running)
     }
 
-    /// Orders a load of `model` on the engine with the lowest expected delay, from the weight store
-    /// only if `uses_store`.
-    fn load_model(
-        &mut self,
-        model: &ModelId,
-        reason: LoadReason,
-        uses_store: bool,
-    ) -> Option<EngineOrder> {
-        let spec = self.engine.models.get(model)?.clone();
+    /// Orders the load of a model that requests wait for on an engine that has its weights.
+    fn load_from_engine(&mut self, model: &ModelId) -> Option<EngineOrder> {
+        let options = self.load_options(model, LoadReason::Waiting).into_iter();
+        let best = options.filter(|option| !option.is_from_store).min_by(compare_options)?;
+        self.order_best(best, model, LoadClass::Missing)
+    }
+
+    /// Returns the option to load `model` with the lowest expected delay.
+    fn find_best(&self, model: &ModelId, reason: LoadReason) -> Option<LoadOption> {
+        self.load_options(model, reason).into_iter().min_by(compare_options)
+    }
+
+    fn load_options(&self, model: &ModelId, reason: LoadReason) -> Vec<LoadOption> {
+        let Some(spec) = self.engine.models.get(model) else { return Vec::new() };
+        let failed_loads = &self.planner.failed_loads;
+        if failed_loads.is_model_paused(model, self.now) {
+            return Vec::new();
+        }
         let load = WantedLoad {
-            model: &spec,
+            model: spec,
             engine: self.engine,
             uses: &self.models,
             reason,
@@ -201,6 +261,9 @@
             .filter(|(_, tracker)| {
                 tracker.confirmed().is_some_and(|it| !it.loaded.contains_key(model))
             })
+            .filter(|(id, _)| {
+                failed_loads.is_empty() || !failed_loads.is_engine_paused(id, model, self.now)
+            })
             .filter_map(|(id, tracker)| find_option(tracker, id, self.is_limited(id), &load))
             .collect();
         for option in &mut options {
@@ -212,47 +275,34 @@
             option.cost_micros +=
                 self.queued_load_micros.get(&option.upstream).copied().unwrap_or(0.0);
         }
-        let has_capacity = uses_store && self.store_has_capacity();
-        options.retain(|option| !option.is_from_store || has_capacity);
-        let best = options.into_iter().min_by(|a, b| {
-            a.cost_micros.total_cmp(&b.cost_micros).then_with(|| a.upstream.cmp(&b.upstream))
-        })?;
+        options
+    }
+
+    /// Orders the load of `model` by this option, unless its engine accepts no order now.
+    fn order_best(
+        &mut self,
+        best: LoadOption,
+        model: &ModelId,
+        class: LoadClass,
+    ) -> Option<EngineOrder> {
         if !self.accepts_order(&best.upstream) {
             // The best engine is busy or cooling down, or no more orders may be given now. Later
             // models of the round count the load of this one as a delay.
-            *self.queued_load_micros.entry(best.upstream).or_default() +=
-                spec.disk_load_time.as_micros() as f64;
+            let time = self.engine.models.get(model).map_or(TimeSpan::ZERO, |it| it.disk_load_time);
+            *self.queued_load_micros.entry(best.upstream).or_default() += time.as_micros() as f64;
             return None;
         }
         self.models.entry(model.clone()).or_default().copies += 1;
-        self.start_load(best, TargetId::new(model.clone()))
-    }
-
-    fn store_has_capacity(&mut self) -> bool {
-        let open = self.planner.store_loads.len();
-        let rate = self.engine.store_loads_per_second;
-        self.planner.store_limiter.has_capacity(rate, self.planner.load_window, open, self.now)
-    }
-
-    fn start_load(&mut self, option: LoadOption, target: TargetId) -> Option<EngineOrder> {
-        if option.is_from_store {
-            self.planner.store_limiter.record_start(self.now);
-            self.planner.store_loads.insert(option.upstream.clone(), target.model.clone());
+        let target = TargetId::new(model.clone());
+        if best.is_from_store {
+            self.planner.store_limiter.record_start(&best.upstream, model, class, self.now);
         }
         self.loading.insert(target.clone());
         self.order_capacity = self.order_capacity.saturating_sub(1);
-        let tracker = self.planner.trackers.get_mut(&option.upstream)?;
-        let mut victims = option.victims.into_iter();
-        match (victims.next(), victims.next()) {
-            (None, _) => tracker.start_order(OrderAction::Load, target, None, self.fence, self.now),
-            (Some(victim), more) => {
-                // Only one order is sent now. If it is the last unload, the load follows it;
-                // otherwise a later round plans the rest.
-                let follow_up = more.is_none().then_some(target);
-                let victim = TargetId::new(victim);
-                tracker.start_order(OrderAction::Unload, victim, follow_up, self.fence, self.now)
-            }
-        }
+        let tracker = self.planner.trackers.get_mut(&best.upstream)?;
+        let unloads = best.victims.into_iter().map(|it| (OrderAction::Unload, TargetId::new(it)));
+        let steps = unloads.chain([(OrderAction::Load, target)]);
+        tracker.start_order(steps, self.fence, self.now)
     }
 
     fn load_adapter(&mut self, engines: &[UpstreamId], target: &TargetId) -> Option<EngineOrder> {
@@ -273,17 +323,13 @@
         let has_slot = tracker.adapter_count() < self.engine.adapter_slots;
         let free = tracker.free_memory(self.engine);
         if has_slot && free >= memory {
-            return tracker.start_order(
-                OrderAction::Load,
-                target.clone(),
-                None,
-                self.fence,
-                self.now,
-            );
+            let steps = [(OrderAction::Load, target.clone())];
+            return tracker.start_order(steps, self.fence, self.now);
         }
         // One that frees too little is unloaded by itself; the next round goes on from there.
-        let follow_up = (free + freed >= memory).then(|| target.clone());
-        tracker.start_order(OrderAction::Unload, victim?, follow_up, self.fence, self.now)
+        let load = (free + freed >= memory).then(|| (OrderAction::Load, target.clone()));
+        let steps = [(OrderAction::Unload, victim?)].into_iter().chain(load);
+        tracker.start_order(steps, self.fence, self.now)
     }
 
     /// Returns the adapter on `id` that has been idle for the longest time.
@@ -330,3 +376,7 @@
         self.planner.trackers.iter().filter(|(id, _)| self.rows.contains_key(id))
     }
 }
+
+fn compare_options(a: &LoadOption, b: &LoadOption) -> Ordering {
+    a.cost_micros.total_cmp(&b.cost_micros).then_with(|| a.upstream.cmp(&b.upstream))
+}
--- a/crates/gentian-decide/tests/engine_fleet/mod.rs
+++ b/crates/gentian-decide/tests/engine_fleet/mod.rs
@@ -116,6 +116,8 @@
     pub(crate) loads: Vec<LoadRecord>,
     /// Number of orders, and of those that engines did not accept.
     pub(crate) orders: (usize, usize),
+    /// Highest number of loads from the weight store at the same time.
+    pub(crate) max_store_loads: usize,
     /// Loads that the weight store serves at full speed; more share that speed.
     store_concurrency: usize,
     /// Tokens at the beginning of every prompt of a model that an engine reads only once.
@@ -247,6 +249,7 @@
             max_engine_requests: 0,
             loads: Vec::new(),
             orders: (0, 0),
+            max_store_loads: 0,
             store_concurrency: usize::MAX,
             shared_tokens: 0.0,
             draining: BTreeMap::new(),
--- a/crates/gentian-decide/tests/engine_fleet/replay_setup.rs
+++ b/crates/gentian-decide/tests/engine_fleet/replay_setup.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 
 use gentian_core::{TimeSpan, UpstreamId};
+use gentian_decide::orders::FleetPlanner;
+use gentian_decide::serving::FleetHub;
 
-use super::{EngineFleet, LoadRecord, START, TICK, config, model, upstream};
+use super::{EngineFleet, HUB, LoadRecord, START, TICK, config, model, upstream};
 
 impl EngineFleet {
     /// Sets the number of loads that the weight store serves at full speed.
@@ -41,6 +43,20 @@
         self
     }
 
+    /// Has every load of a model fail.
+    pub(crate) fn with_failing_loads(mut self, number: usize) -> Self {
+        let engines = self.engines.values_mut();
+        engines.for_each(|engine| engine.failing.extend([model(number)]));
+        self
+    }
+
+    /// Replaces the hub by one that knows nothing of its orders.
+    pub(crate) fn replace_hub(&mut self, models: usize) {
+        self.planner = FleetPlanner::new(config(models, 0), TimeSpan::from_secs(5));
+        self.planner.update_engines(&self.table, self.now);
+        self.hub = FleetHub::new(HUB);
+    }
+
     /// Has an engine announce that it leaves after `remaining`.
     pub(crate) fn drain(&mut self, number: usize, remaining: TimeSpan) {
         self.draining.insert(upstream(number), self.now + remaining);
@@ -77,6 +93,7 @@
     /// Slows the loads from the weight store down if there are more than it serves at full speed.
     pub(super) fn share_store(&mut self) {
         let loading = self.engines.values().filter(|it| it.is_loading_from_store()).count();
+        self.max_store_loads = self.max_store_loads.max(loading);
         if loading <= self.store_concurrency {
             return;
         }
--- a/crates/gentian-decide/tests/engine_fleet/simulated_engine.rs
+++ b/crates/gentian-decide/tests/engine_fleet/simulated_engine.rs
@@ -23,6 +23,9 @@
 /// Duration of an unload.
 const UNLOAD_TIME: TimeSpan = TimeSpan::from_millis(60);
 
+/// Time after which a load fails.
+const FAILURE_TIME: TimeSpan = TimeSpan::from_millis(100);
+
 /// A request at an engine.
 #[derive(Clone, Debug)]
 pub(crate) struct EngineRequest {
@@ -55,6 +58,8 @@
     pub(crate) held_prefixes: BTreeSet<ModelId>,
     /// Memory that an adapter takes.
     pub(crate) adapter_bytes: u64,
+    /// Models of which every load fails.
+    pub(crate) failing: BTreeSet<ModelId>,
     open: Option<(ModelId, OrderAction, MonoTime)>,
     is_loading_from_store: bool,
 }
@@ -98,6 +103,7 @@
                 OrderAction::Unload => UNLOAD_TIME,
                 OrderAction::Load if self.loaded.len() >= MODEL_CAPACITY => return None,
                 OrderAction::Load if self.free_bytes() < MODEL_BYTES => return None,
+                OrderAction::Load if self.failing.contains(&model) => FAILURE_TIME,
                 OrderAction::Load => self.load_time(&model),
             };
             self.is_loading_from_store =
@@ -207,6 +213,9 @@
             self.held_prefixes.remove(&model);
             return;
         }
+        if self.failing.contains(&model) {
+            return;
+        }
         self.in_host_memory.retain(|other| *other != model);
         self.in_host_memory.push(model.clone());
         if self.in_host_memory.len() > HOST_MODEL_CAPACITY {
--- a/crates/gentian-decide/tests/placement_replay.rs
+++ b/crates/gentian-decide/tests/placement_replay.rs
@@ -5,6 +5,8 @@
 
 mod engine_fleet;
 
+use std::collections::BTreeSet;
+
 use engine_fleet::{EngineFleet, KindCount, RequestKind};
 use gentian_core::TimeSpan;
 use rstest::rstest;
@@ -121,3 +123,74 @@
     );
     assert!(on_time(fleet.counts[0]) > 0.6, "{:?}", fleet.counts[0]);
 }
+
+/// Returns the fleet with models that no engine has loaded or has on disk: all from `LOADED_MODELS` on,
+/// and the busy one has no second copy on a disk either.
+fn fleet_with_rare_models(seed: u64, busy: usize) -> EngineFleet {
+    let rare = LOADED_MODELS..MODELS;
+    rare.chain([busy]).fold(fleet(seed), |fleet, number| fleet.with_disk_copies(number, 0))
+}
+
+fn rare_requests(rate: f64) -> RequestKind {
+    let rare = (LOADED_MODELS..MODELS).map(|number| (number, 1.0)).collect();
+    RequestKind { deadline: TimeSpan::from_secs(24), ..requests(rate, rare) }
+}
+
+/// The second copy of a busy model waited behind rarely used models at the weight store, of which three
+/// were loaded at once, each half as fast again.
+#[rstest]
+#[case(21)]
+#[case(22)]
+#[case(23)]
+fn a_busy_model_and_rare_ones_share_the_weight_store(#[case] seed: u64) {
+    let busy = 4;
+    let mut fleet = fleet_with_rare_models(seed, busy);
+    let mut kinds = calm_day(busy);
+    kinds.push(rare_requests(3.0));
+    fleet.run(&kinds[1..], TimeSpan::from_secs(6));
+    fleet.reset_counts();
+    let start = fleet.elapsed();
+    fleet.run(&kinds, TimeSpan::from_secs(40));
+    print_outcome("shared store", &fleet);
+    let first = fleet.loads_of(busy).first().map(|load| load.time.saturating_sub(start));
+    let rare_loads: usize =
+        (LOADED_MODELS..MODELS).map(|number| fleet.loads_of(number).len()).sum();
+    println!(
+        "shared store: second copy ordered after {first:?}, {rare_loads} rare loads, {} at once",
+        fleet.max_store_loads
+    );
+    // A place is free after one load at the latest.
+    assert!(first.is_some_and(|time| time < TimeSpan::from_secs(9)), "{first:?}");
+    assert!(rare_loads >= 5, "{rare_loads} loads of rare models");
+    assert!(fleet.max_store_loads <= 3, "{} loads at once", fleet.max_store_loads);
+}
+
+/// A new hub started as many loads from the weight store as it may, beside those of the hub before,
+/// among them further ones of the same models.
+#[rstest]
+#[case(31)]
+#[case(32)]
+fn a_hub_lost_in_the_middle_of_loads_leaves_the_store_to_them(#[case] seed: u64) {
+    let busy = 4;
+    let mut fleet = fleet_with_rare_models(seed, busy);
+    let mut kinds = calm_day(busy);
+    kinds.push(rare_requests(3.0));
+    fleet.run(&kinds, TimeSpan::from_secs(3));
+    fleet.replace_hub(MODELS);
+    fleet.run(&kinds, TimeSpan::from_secs(5));
+    println!("lost hub: {} loads at once, {} in all", fleet.max_store_loads, fleet.store_loads);
+    assert!(fleet.max_store_loads <= 2, "{} loads at once", fleet.max_store_loads);
+}
+
+/// A load that failed was ordered again on the same engine, which has free memory then.
+#[test]
+fn a_load_that_fails_is_tried_on_another_engine() {
+    let busy = 4;
+    let mut fleet = fleet(41).with_disk_copies(busy, 5).with_failing_loads(busy);
+    fleet.run(&calm_day(busy), TimeSpan::from_secs(8));
+    let engines: Vec<&str> =
+        fleet.loads_of(busy).iter().map(|load| load.upstream.as_str()).collect();
+    println!("failing loads: {engines:?}");
+    let different: BTreeSet<&str> = engines.iter().copied().collect();
+    assert!(engines.len() >= 2 && different.len() == engines.len(), "{engines:?}");
+}
