Evict what is cheap to bring back, and replace the copies of leaving engines

Cause: the cost of evicting a model didn't regard where its weights are. Models that were never requested all cost nothing, so only copies of models that no disk holds made way. Models of an engine that leaves were loaded elsewhere only when a request came.

Change: the cost is the time that bringing the model back takes, times the likelihood of a request, which has a floor. Models in regular use without a copy are loaded at once, unless their engine is only skipped after a failed connection.

--- a/crates/gentian-decide/src/orders/fleet_planner.rs
+++ b/crates/gentian-decide/src/orders/fleet_planner.rs
@@ -204,6 +204,7 @@
                 .collect();
             let prefill_time = table.prefill_time(service);
             let mut models = self.model_uses(service, uses, &rows, now);
+            self.count_skipped(&mut models, table, now);
             share_prefill(&mut models, &rows, prefill_time);
             for (model, usage) in &mut models {
                 usage.wanted = usage.wanted_copies(model, engine);
@@ -283,9 +284,28 @@
                 models.entry(model.clone()).or_default().add_copy(share);
             }
         }
+        let confirmed = self.trackers.iter().filter(|(id, _)| rows.contains_key(id));
+        for state in confirmed.filter_map(|(_, tracker)| tracker.confirmed()) {
+            for model in state.on_disk.iter().chain(&state.in_host_memory) {
+                if let Some(usage) = models.get_mut(model) {
+                    usage.is_stored = true;
+                }
+            }
+        }
         models
     }
 
+    /// Counts the copies on engines to which a connection of this entry has just failed. They are not
+    /// lost, as those of engines that leave are.
+    fn count_skipped(&self, models: &mut ModelUses, table: &UpstreamTable, now: MonoTime) {
+        for row in table.rows().filter(|row| row.is_ready() && !row.is_usable(now)) {
+            let tracker = self.trackers.get(&row.registration.id);
+            for model in tracker.into_iter().flat_map(|tracker| tracker.kept_models(now)) {
+                models.entry(model.clone()).or_default().has_skipped_copy = true;
+            }
+        }
+    }
+
     fn find_model(&self, model: &ModelId) -> Option<gentian_config::serving::CatalogueModel> {
         let mut engines = self.config.services.values().filter_map(|it| it.engine.as_ref());
         engines.find_map(|engine| engine.models.get(model)).cloned()
--- a/crates/gentian-decide/src/orders/model_use.rs
+++ b/crates/gentian-decide/src/orders/model_use.rs
@@ -69,6 +69,10 @@
     pub(super) last_arrival: MonoTime,
     /// Number of engines that have loaded the model or are loading it.
     pub(super) copies: usize,
+    /// Whether an engine has loaded it to which a connection has just failed.
+    pub(super) has_skipped_copy: bool,
+    /// Whether an engine has its weights on disk or in host memory, from where it is brought back.
+    pub(super) is_stored: bool,
     /// Number of copies on engines that name no limit of requests.
     pub(super) unlimited_copies: usize,
     /// Requests per second that the other copies accept.
@@ -89,7 +93,8 @@
         let arriving = self.rate.max(self.recent_rate) * COPY_STAY_SECONDS;
         if self.copies == 0 {
             let in_time = if self.time_left >= load_time { self.waiting } else { 0 };
-            let is_wanted = self.waiting > 0 || self.rate >= REGULAR_RATE;
+            let is_lost = self.rate >= REGULAR_RATE && !self.has_skipped_copy;
+            let is_wanted = self.waiting > 0 || is_lost;
             return is_wanted.then(|| (LoadClass::Missing, f64::from(in_time) + arriving));
         }
         if self.copies >= self.wanted {
--- a/crates/gentian-decide/src/orders/placement_choice.rs
+++ b/crates/gentian-decide/src/orders/placement_choice.rs
@@ -8,9 +8,12 @@
 use super::engine_tracker::UNLOAD_TIME;
 use super::model_use::ModelUse;
 
-/// Cost, as a delay, of evicting the only copy of a model that was just used; it rises with the
-/// request rate and falls with the number of copies.
-const EVICTION_BASE_DELAY: TimeSpan = TimeSpan::from_millis(800);
+/// Cost of evicting the only copy of a model that was just used, as a fraction of the time that it takes
+/// to bring it back; it rises with the request rate and falls with the number of copies.
+const EVICTION_RELOAD_FRACTION: f64 = 0.65;
+/// Likelihood that a model is requested soon that has not been for long, as a fraction of that of a
+/// model that was just used. It lets models make way first that are brought back from a disk.
+const MIN_REQUEST_LIKELIHOOD: f64 = 0.02;
 /// Idle time in which the cost of evicting a model halves.
 const EVICTION_COST_HALF_LIFE: TimeSpan = TimeSpan::from_secs(3);
 /// Idle time before the last copy of a model may be evicted for one that requests wait for.
@@ -86,7 +89,8 @@
         .loaded
         .keys()
         .filter(|loaded| is_evictable(uses.get(*loaded), upstream, is_limited, (reason, now)))
-        .map(|loaded| (eviction_cost(uses.get(loaded), is_limited, now), loaded))
+        .filter_map(|loaded| Some((loaded, engine.models.get(loaded)?)))
+        .map(|(loaded, spec)| (eviction_cost(uses.get(loaded), spec, is_limited, now), loaded))
         .collect();
     evictable.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
     for (eviction, victim) in evictable {
@@ -123,11 +127,22 @@
     }
 }
 
-fn eviction_cost(usage: Option<&ModelUse>, is_limited: bool, now: MonoTime) -> f64 {
+/// Returns the cost of evicting `model` as a delay in microseconds.
+fn eviction_cost(
+    usage: Option<&ModelUse>,
+    model: &CatalogueModel,
+    is_limited: bool,
+    now: MonoTime,
+) -> f64 {
     let Some(usage) = usage else { return 0.0 };
     let half_lives =
         now.since(usage.last_arrival).as_secs_f64() / EVICTION_COST_HALF_LIFE.as_secs_f64();
     let copies = usage.copies_for_eviction(is_limited).max(1) as f64;
-    let delay = EVICTION_BASE_DELAY.as_micros() as f64;
-    delay * (1.0 + usage.rate) * 0.5_f64.powf(half_lives) / (copies * copies)
+    let reload_time = match usage.is_stored {
+        true => model.disk_load_time,
+        false => model.store_load_time,
+    };
+    let delay = reload_time.as_micros() as f64 * EVICTION_RELOAD_FRACTION;
+    let likelihood = 0.5_f64.powf(half_lives).max(MIN_REQUEST_LIKELIHOOD);
+    delay * (1.0 + usage.rate) * likelihood / (copies * copies)
 }
--- a/crates/gentian-decide/tests/engine_fleet/replay_setup.rs
+++ b/crates/gentian-decide/tests/engine_fleet/replay_setup.rs
@@ -57,6 +57,15 @@
         self.hub = FleetHub::new(HUB);
     }
 
+    /// Removes the weights of models from all disks.
+    pub(crate) fn without_disk_copies(mut self, numbers: impl Iterator<Item = usize>) -> Self {
+        let removed: Vec<_> = numbers.map(model).collect();
+        for engine in self.engines.values_mut() {
+            engine.on_disk.retain(|other| !removed.contains(other));
+        }
+        self
+    }
+
     /// Has an engine announce that it leaves after `remaining`.
     pub(crate) fn drain(&mut self, number: usize, remaining: TimeSpan) {
         self.draining.insert(upstream(number), self.now + remaining);
--- a/crates/gentian-decide/tests/placement_replay.rs
+++ b/crates/gentian-decide/tests/placement_replay.rs
@@ -194,3 +194,45 @@
     let different: BTreeSet<&str> = engines.iter().copied().collect();
     assert!(engines.len() >= 2 && different.len() == engines.len(), "{engines:?}");
 }
+
+/// Idle models made way without regard to what brings them back, so that some had to be fetched from the
+/// weight store again.
+#[rstest]
+#[case(51)]
+#[case(52)]
+fn models_that_are_on_no_disk_make_way_last(#[case] seed: u64) {
+    let busy = 4;
+    // One of the three models of each engine.
+    let kept = || (0..LOADED_MODELS).step_by(3);
+    let mut fleet = fleet(seed).with_disk_copies(busy, 0).without_disk_copies(kept());
+    fleet.run(&[], TimeSpan::from_secs(5));
+    fleet.run(&calm_day(busy), TimeSpan::from_secs(25));
+    print_outcome("make way", &fleet);
+    let lost = kept().filter(|number| fleet.copies(*number) == 0).count();
+    println!("make way: {lost} of {} models on no disk have no copy", kept().count());
+    assert!(lost <= 5, "{lost} models are only in the weight store");
+}
+
+/// The models of an engine that leaves got other copies only when requests had come for them.
+#[rstest]
+#[case(61)]
+#[case(63)]
+#[case(64)]
+#[case(65)]
+#[case(62)]
+fn models_of_engines_that_leave_get_other_copies(#[case] seed: u64) {
+    const LEAVING: usize = 12;
+    let models = (0..LEAVING * 3).map(|number| (number, 1.0)).collect();
+    let others = (LEAVING * 3..LOADED_MODELS).map(|number| (number, 1.0)).collect();
+    let kinds = vec![requests(22.0, models), requests(10.0, others)];
+    let mut fleet = fleet(seed);
+    fleet.run(&kinds, TimeSpan::from_secs(10));
+    fleet.reset_counts();
+    for engine in 0..LEAVING {
+        fleet.drain(engine, TimeSpan::from_secs(6));
+        fleet.run(&kinds, TimeSpan::from_secs(1));
+    }
+    fleet.run(&kinds, TimeSpan::from_secs(8));
+    print_outcome("leaving", &fleet);
+    assert!(fleet.counts[0].late <= 17, "{:?}", fleet.counts[0]);
+}
