Placement figures, failed and refused loads, and free memory before traffic

Memory that was free before traffic stayed free. Nothing showed which copies and loads were missing.

Change: a refused or failed target is not ordered from that engine for 10 s, and a failed model from none for 1 s. A hub that has seen no request for 2 s fills free memory from the engines' own disks.

--- a/crates/gentian-core/src/event_code.rs
+++ b/crates/gentian-core/src/event_code.rs
@@ -95,6 +95,8 @@
     1410 LIMIT_CHANGED "limit-changed": "An upstream names another limit of requests per second for all entries together, or none any more."; "Check the upstream if it lasts."
     1411 UPSTREAM_NOTICE "upstream-notice": "An upstream stated in a response that it is leaving, or it turned a request away and wants none from this entry for the time in the line."; "None unless it lasts; then check the upstream."
     1412 VERSION_KNOWN "version-known": "The hub told this entry the version of an upstream that it had listed."; "None."
+    1415 LOAD_MISSING "load-missing": "An engine ended a load, but has not loaded the model; another engine gets it, and this one none of it for 10 s."; "Check the upstream and the weight store."
+    1416 STORE_PLACES "store-places": "The hub found that the weight store serves another number of loads at full speed than it took it to."; "Check the weight store if the number falls."
     1501 GRANT_VOID "grant-void": "A grant, a placement reply or a summary of the hub arrived late, twice or from a former holder and was ignored."; "None unless frequent."
     1502 DATAGRAM_REFUSED "datagram-refused": "A datagram failed authentication or decoding."; "Check the cluster key of the sender."
     1601 PLATFORM_LOST "platform-lost": "Calls to the key-value service fail or return malformed records; on the users' platform the line gives how long the failed call waited."; "Check the key-value service."
--- a/crates/gentian-decide/src/orders/fleet_planner.rs
+++ b/crates/gentian-decide/src/orders/fleet_planner.rs
@@ -15,13 +15,16 @@
 use super::plan_round::PlanRound;
 use super::{
     EngineOrder, EngineStateReport, EngineTracker, FollowUpDelay, OrderAction, OrderCooldowns,
-    OrderReply, StoreLoadLimiter,
+    OrderReply, PlacementFigures, StoreLoadLimiter,
 };
 use crate::serving::{PrefillTime, TargetUse, UpstreamRow, UpstreamTable};
 
 /// Interval between two checks for models that need more copies. The need changes slowly, and the
 /// CPU time of a check on the hub grows with the fleet.
 const SCALE_OUT_INTERVAL: TimeSpan = TimeSpan::from_millis(100);
+/// Time for which a hub sees no request before it takes the fleet for one without traffic: entries of a
+/// large fleet report once a second.
+const MIN_IDLE_START: TimeSpan = TimeSpan::from_secs(2);
 /// Maximum number of concurrent report calls, so that threads stay free for orders.
 const MAX_CONCURRENT_REPORTS: usize = 40;
 
@@ -50,11 +53,12 @@
     pub(super) load_window: TimeSpan,
     pub(super) trackers: FastMap<UpstreamId, EngineTracker>,
     pub(super) store_limiter: StoreLoadLimiter,
-    /// Number of loads that wait for a place at the weight store.
-    pub(super) store_queue: usize,
+    pub(super) figures: PlacementFigures,
     follow_up_delay: FollowUpDelay,
     pub(super) failed_loads: FailedLoads,
     last_scale_out_check: MonoTime,
+    /// Time of the first round in which orders could be given.
+    first_round: Option<MonoTime>,
     pub(super) cooldowns: OrderCooldowns,
 }
 
@@ -67,10 +71,11 @@
             load_window,
             trackers: FastMap::default(),
             store_limiter: StoreLoadLimiter::new(),
-            store_queue: 0,
+            figures: PlacementFigures::default(),
             follow_up_delay: FollowUpDelay::new(),
             failed_loads: FailedLoads::default(),
             last_scale_out_check: MonoTime::ORIGIN,
+            first_round: None,
             cooldowns: OrderCooldowns::default(),
         }
     }
@@ -109,6 +114,9 @@
         let confirmed = tracker.confirmed();
         let time = confirmed.zip(model).map(|(confirmed, model)| load_time(confirmed, &model).0);
         let time = time.unwrap_or(TimeSpan::ZERO);
+        if reply == OrderReply::Refused && order.action == OrderAction::Load {
+            self.failed_loads.record(&order.upstream, &order.target, now);
+        }
         tracker.handle_reply(order, reply, time, &mut self.follow_up_delay, now);
     }
 
@@ -126,7 +134,7 @@
             && order.action == OrderAction::Load
             && !tracker.has_target(&order.target)
         {
-            self.failed_loads.record(upstream, &order.target.model, now);
+            self.failed_loads.record(upstream, &order.target, now);
         }
         if tracker.is_free() {
             self.end_store_load(upstream, done.as_ref(), now);
@@ -144,7 +152,10 @@
         let expected = self.find_model(&model).map_or(TimeSpan::ZERO, |spec| spec.store_load_time);
         let is_load =
             |order: &EngineOrder| order.action == OrderAction::Load && order.target.model == model;
-        let duration = done.filter(|(order, _)| is_load(order)).map(|(_, duration)| *duration);
+        let done = done.filter(|(order, _)| is_load(order));
+        // A load that failed says nothing of the store's speed.
+        let done = done.filter(|(order, _)| self.has_target(upstream, &order.target));
+        let duration = done.map(|(_, duration)| *duration);
         self.store_limiter.record_end(upstream, duration, expected, now);
     }
 
@@ -170,6 +181,21 @@
         self.trackers.len()
     }
 
+    /// Returns whether an engine has loaded `target`.
+    pub fn has_target(&self, upstream: &UpstreamId, target: &TargetId) -> bool {
+        self.trackers.get(upstream).is_some_and(|tracker| tracker.has_target(target))
+    }
+
+    /// Returns how many loads the weight store is taken to serve at full speed.
+    pub fn store_places(&self) -> usize {
+        self.store_limiter.max_concurrent()
+    }
+
+    /// Returns copies and loads as of the last check for further copies.
+    pub fn figures(&self) -> PlacementFigures {
+        self.figures
+    }
+
     /// Returns whether `upstream` is a tracked engine.
     pub fn has_engine(&self, upstream: &UpstreamId) -> bool {
         self.trackers.contains_key(upstream)
@@ -196,6 +222,11 @@
         let Some(fence) = fence else { return calls };
         let config = Arc::clone(&self.config);
         let scales_out = now.since(self.last_scale_out_check) >= SCALE_OUT_INTERVAL;
+        if scales_out {
+            self.figures = PlacementFigures::default();
+        }
+        let first_round = *self.first_round.get_or_insert(now);
+        let is_idle = uses.is_empty() && now.since(first_round) >= MIN_IDLE_START;
         for (service, engine) in engine_services(&config) {
             let rows: FastMap<&UpstreamId, &UpstreamRow> = table
                 .rows()
@@ -209,6 +240,9 @@
             for (model, usage) in &mut models {
                 usage.wanted = usage.wanted_copies(model, engine);
             }
+            if scales_out {
+                self.figures.add_models(&models);
+            }
             let mut round = PlanRound::new(self, service, engine, uses, rows, models)
                 .with_fence_and_time(fence, now);
             let mut waiting: Vec<_> =
@@ -220,10 +254,14 @@
             if scales_out {
                 calls.extend(round.add_copies().into_iter().map(EngineCall::Order));
                 calls.extend(round.add_adapter_copies().into_iter().map(EngineCall::Order));
+                if is_idle {
+                    calls.extend(round.fill_free_memory().into_iter().map(EngineCall::Order));
+                }
             }
         }
         if scales_out {
             self.last_scale_out_check = now;
+            self.figures.update_store(&self.store_limiter);
         }
         self.record_orders(&calls[due_count..], now);
         calls
--- a/crates/gentian-decide/src/orders/model_use.rs
+++ b/crates/gentian-decide/src/orders/model_use.rs
@@ -37,6 +37,9 @@
 /// Requests per second from which a model counts as in regular use, so that it gets a copy when it has
 /// lost its last one although no request waits yet: two requests in five seconds.
 const REGULAR_RATE: f64 = 0.3;
+/// Requests per second below which a model without waiting and running requests counts as unused: its
+/// last request came 7 s ago or earlier.
+const MIN_RATE_IN_USE: f64 = 0.05;
 /// Probability that an engine is lost while a spare copy stays, which weighs spare copies.
 const LOSS_PROBABILITY: f64 = 0.05;
 
@@ -82,6 +85,11 @@
 }
 
 impl ModelUse {
+    /// Returns whether it has requests.
+    pub(super) fn is_in_use(&self) -> bool {
+        self.rate >= MIN_RATE_IN_USE || self.requests() > 0.0
+    }
+
     /// Returns why a further copy is wanted, and how many requests will be served in time thanks to it
     /// while it stays. `None` if none is wanted. Requests that wait count if they can still be served
     /// after a load of `load_time`.
--- a/crates/gentian-decide/src/orders/placement_choice.rs
+++ b/crates/gentian-decide/src/orders/placement_choice.rs
@@ -1,5 +1,7 @@
 //! Chooses the engine on which to load a model, and the models to unload for it.
 
+use std::cmp::Ordering;
+
 use gentian_config::serving::{CatalogueModel, EngineSpec};
 use gentian_core::{ByteSize, FastMap, FastSet, ModelId, MonoTime, TimeSpan, UpstreamId};
 
@@ -59,6 +61,14 @@
     pub(super) cost_micros: f64,
 }
 
+impl LoadOption {
+    /// Orders options by their cost.
+    pub(super) fn compare(&self, other: &Self) -> Ordering {
+        let by_cost = self.cost_micros.total_cmp(&other.cost_micros);
+        by_cost.then_with(|| self.upstream.cmp(&other.upstream))
+    }
+}
+
 /// Returns how long an engine with this confirmed state takes to load `model`, and whether the
 /// weights come from the weight store.
 pub(super) fn load_time(confirmed: &ConfirmedState, model: &CatalogueModel) -> (TimeSpan, bool) {
--- a/crates/gentian-decide/src/orders/plan_round.rs
+++ b/crates/gentian-decide/src/orders/plan_round.rs
@@ -1,7 +1,5 @@
 //! One planning round over the engines of one service.
 
-use std::cmp::Ordering;
-
 use gentian_config::serving::EngineSpec;
 use gentian_core::peer::TargetId;
 use gentian_core::{
@@ -10,6 +8,7 @@
 };
 
 use super::fleet_planner::{ModelUses, TargetUses};
+use super::idle_fill::{count_holders, select_fills};
 use super::model_use::SCALE_OUT_FRACTION;
 use super::placement_choice::{LoadOption, LoadReason, WantedLoad, find_option};
 use super::store_schedule::{LoadClass, WantedPlace, select_loads};
@@ -138,7 +137,7 @@
         let rate = self.engine.store_loads_per_second;
         let capacity = limiter.window_capacity(rate, self.planner.load_window, self.now);
         let places = limiter.max_concurrent().min(limiter.open_count() + capacity);
-        self.planner.store_queue = wanted.len();
+        self.planner.figures.store_queue += wanted.len();
         // Engines may be executing loads of an earlier holder. It is not known of which models, so
         // further copies wait for their end.
         let unknown = self.trackers().filter(|(_, tracker)| tracker.is_busy_unknown()).count();
@@ -153,9 +152,9 @@
             // A place is not kept for an engine that is busy.
             let options = self.load_options(&load.model, self.reason(&load)).into_iter();
             let best =
-                options.filter(|it| self.accepts_order(&it.upstream)).min_by(compare_options);
+                options.filter(|it| self.accepts_order(&it.upstream)).min_by(LoadOption::compare);
             let order = best.and_then(|best| self.order_best(best, &load.model, load.class));
-            self.planner.store_queue -= usize::from(order.is_some());
+            self.planner.figures.store_queue -= usize::from(order.is_some());
             orders.extend(order);
         }
     }
@@ -168,6 +167,26 @@
         }
     }
 
+    /// Orders loads into memory that is free before the first request.
+    pub(super) fn fill_free_memory(&mut self) -> Vec<EngineOrder> {
+        let states = self.trackers().filter_map(|(_, tracker)| {
+            let loading = tracker.loading_target().map(|target| &target.model);
+            Some((tracker.confirmed()?, loading))
+        });
+        let held = count_holders(states);
+        let free = self.trackers().filter(|(id, _)| self.accepts_order(id));
+        let engines = free.filter_map(|(id, tracker)| {
+            Some((id.clone(), tracker.confirmed()?, tracker.free_memory(self.engine)))
+        });
+        let fills = select_fills(engines.collect(), self.engine, held).into_iter();
+        let order = |(upstream, model): (UpstreamId, ModelId)| {
+            let (victims, cost_micros) = (Vec::new(), 0.0);
+            let option = LoadOption { upstream, victims, is_from_store: false, cost_micros };
+            self.order_best(option, &model, LoadClass::Spare)
+        };
+        fills.filter_map(order).collect()
+    }
+
     /// Orders adapters that are in use on further engines that have loaded their models and run
     /// fewer requests than every engine with the adapter.
     pub(super) fn add_adapter_copies(&mut self) -> Vec<EngineOrder> {
@@ -234,13 +253,13 @@
     /// Orders the load of a model that requests wait for on an engine that has its weights.
     fn load_from_engine(&mut self, model: &ModelId) -> Option<EngineOrder> {
         let options = self.load_options(model, LoadReason::Waiting).into_iter();
-        let best = options.filter(|option| !option.is_from_store).min_by(compare_options)?;
+        let best = options.filter(|option| !option.is_from_store).min_by(LoadOption::compare)?;
         self.order_best(best, model, LoadClass::Missing)
     }
 
     /// Returns the option to load `model` with the lowest expected delay.
     fn find_best(&self, model: &ModelId, reason: LoadReason) -> Option<LoadOption> {
-        self.load_options(model, reason).into_iter().min_by(compare_options)
+        self.load_options(model, reason).into_iter().min_by(LoadOption::compare)
     }
 
     fn load_options(&self, model: &ModelId, reason: LoadReason) -> Vec<LoadOption> {
@@ -256,13 +275,14 @@
             reason,
             now: self.now,
         };
+        let target = TargetId::new(model.clone());
         let mut options: Vec<LoadOption> = self
             .trackers()
             .filter(|(_, tracker)| {
                 tracker.confirmed().is_some_and(|it| !it.loaded.contains_key(model))
             })
             .filter(|(id, _)| {
-                failed_loads.is_empty() || !failed_loads.is_engine_paused(id, model, self.now)
+                failed_loads.is_empty() || !failed_loads.is_engine_paused(id, &target, self.now)
             })
             .filter_map(|(id, tracker)| find_option(tracker, id, self.is_limited(id), &load))
             .collect();
@@ -309,6 +329,7 @@
         let memory = self.engine.models.get(&target.model)?.adapter_memory;
         let mut free_engines: Vec<UpstreamId> =
             engines.iter().filter(|id| self.accepts_order(id)).cloned().collect();
+        free_engines.retain(|id| !self.planner.failed_loads.is_engine_paused(id, target, self.now));
         free_engines.sort_by_key(|id| {
             let adapters = self.planner.trackers[id].adapter_count();
             (self.is_limited(id), adapters, self.running_requests(id), id.clone())
@@ -376,7 +397,3 @@
         self.planner.trackers.iter().filter(|(id, _)| self.rows.contains_key(id))
     }
 }
-
-fn compare_options(a: &LoadOption, b: &LoadOption) -> Ordering {
-    a.cost_micros.total_cmp(&b.cost_micros).then_with(|| a.upstream.cmp(&b.upstream))
-}
--- a/crates/gentian-decide/tests/engine_fleet/replay_setup.rs
+++ b/crates/gentian-decide/tests/engine_fleet/replay_setup.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use gentian_core::{TimeSpan, UpstreamId};
-use gentian_decide::orders::FleetPlanner;
+use gentian_decide::orders::{FleetPlanner, PlacementFigures};
 use gentian_decide::serving::FleetHub;
 
 use super::{EngineFleet, HUB, LoadRecord, START, TICK, config, model, upstream};
@@ -20,6 +20,16 @@
         Self { shared_tokens, ..self }
     }
 
+    /// Leaves `loaded` of the loaded models on each engine; the others stay on its disk.
+    pub(crate) fn with_free_memory(mut self, loaded: usize) -> Self {
+        for engine in self.engines.values_mut() {
+            while engine.loaded.len() > loaded {
+                engine.loaded.pop_last();
+            }
+        }
+        self
+    }
+
     /// Sets the memory that an adapter takes.
     pub(crate) fn with_adapter_bytes(mut self, models: usize, adapter_bytes: u64) -> Self {
         let config = config(models, adapter_bytes);
@@ -50,6 +60,17 @@
         self
     }
 
+    /// Has every engine refuse all loads of adapters.
+    pub(crate) fn with_refused_adapters(mut self) -> Self {
+        self.engines.values_mut().for_each(|engine| engine.refuses_adapters = true);
+        self
+    }
+
+    /// Returns the figures of the placement.
+    pub(crate) fn figures(&self) -> PlacementFigures {
+        self.planner.figures()
+    }
+
     /// Replaces the hub by one that knows nothing of its orders.
     pub(crate) fn replace_hub(&mut self, models: usize) {
         self.planner = FleetPlanner::new(config(models, 0), TimeSpan::from_secs(5));
--- a/crates/gentian-decide/tests/engine_fleet/simulated_engine.rs
+++ b/crates/gentian-decide/tests/engine_fleet/simulated_engine.rs
@@ -58,6 +58,8 @@
     pub(crate) held_prefixes: BTreeSet<ModelId>,
     /// Memory that an adapter takes.
     pub(crate) adapter_bytes: u64,
+    /// Whether it refuses every load of an adapter.
+    pub(crate) refuses_adapters: bool,
     /// Models of which every load fails.
     pub(crate) failing: BTreeSet<ModelId>,
     open: Option<(ModelId, OrderAction, MonoTime)>,
@@ -86,7 +88,7 @@
         let model = order.target.model.clone();
         if let Some(adapter) = &order.target.adapter {
             let count: usize = self.loaded.values().map(BTreeSet::len).sum();
-            if !self.loaded.contains_key(&model) {
+            if !self.loaded.contains_key(&model) || self.refuses_adapters {
                 return Some(OrderReply::Refused);
             }
             match order.action {
--- a/crates/gentian-decide/tests/placement_replay.rs
+++ b/crates/gentian-decide/tests/placement_replay.rs
@@ -236,3 +236,60 @@
     print_outcome("leaving", &fleet);
     assert!(fleet.counts[0].late <= 17, "{:?}", fleet.counts[0]);
 }
+
+/// A refused adapter was ordered again as soon as the engine's state had been read.
+#[test]
+fn a_refused_adapter_is_not_ordered_again_at_once() {
+    let mut fleet = fleet(71).with_refused_adapters();
+    let kind = RequestKind { adapters: (1.0, 1), ..requests(4.0, vec![(4, 1.0)]) };
+    fleet.run(&[kind], TimeSpan::from_secs(10));
+    println!("refused adapter: orders {:?}", fleet.orders);
+    assert!(fleet.orders.1 <= 8, "{} refused orders", fleet.orders.1);
+}
+
+/// The metrics show which copies and loads are missing.
+#[test]
+fn figures_show_the_queue_of_the_weight_store() {
+    let mut fleet = fleet_with_rare_models(81, 4);
+    let mut kinds = calm_day(4);
+    kinds.push(rare_requests(5.0));
+    fleet.run(&kinds, TimeSpan::from_secs(5));
+    let figures = fleet.figures();
+    println!("figures: {figures:?}");
+    assert_eq!((figures.store_places, figures.store_loads), (2, 2));
+    assert!(figures.store_queue > 3, "{figures:?}");
+    assert!(figures.wanted_copies > figures.present_copies, "{figures:?}");
+}
+
+/// Memory that was free before traffic began stayed free, so that the first request for each model that
+/// fitted there waited for its load.
+#[test]
+fn free_memory_is_used_before_traffic_begins() {
+    let mut fleet = fleet(91).with_free_memory(2);
+    fleet.run(&[], TimeSpan::from_secs(12));
+    let loaded = (0..MODELS).filter(|number| fleet.copies(*number) > 0).count();
+    let store_loads = fleet.store_loads;
+    fleet.run(&calm_day(4), TimeSpan::from_secs(10));
+    print_outcome("before traffic", &fleet);
+    println!("before traffic: {loaded} of {MODELS} models loaded, {store_loads} from the store");
+    assert!(loaded >= 170, "{loaded} models loaded");
+    assert_eq!(store_loads, 0, "loads from the store before traffic");
+}
+
+/// Copies stayed with the models that had been busy, while those that had become busy got theirs from the
+/// weight store one after the other.
+#[rstest]
+#[case(101)]
+#[case(102)]
+fn copies_follow_a_shift_of_demand(#[case] seed: u64) {
+    let mut fleet = fleet(seed);
+    fleet.run(&calm_day(4), TimeSpan::from_secs(15));
+    fleet.reset_counts();
+    for busy in [60, 90, 120] {
+        fleet.run(&calm_day(busy), TimeSpan::from_secs(12));
+        println!("shift: copies of the busy models {} and {}", fleet.copies(4), fleet.copies(busy));
+    }
+    print_outcome("shift", &fleet);
+    assert!(on_time(fleet.counts[0]) > 0.7, "{:?}", fleet.counts[0]);
+    assert!(on_time(fleet.counts[2]) > 0.8, "{:?}", fleet.counts[2]);
+}
--- a/crates/gentian-gateway/src/control/hub_controller.rs
+++ b/crates/gentian-gateway/src/control/hub_controller.rs
@@ -5,8 +5,9 @@
     UseTrace,
 };
 use gentian_core::{EventCode, FenceNumber, MonoTime, TimeSpan, VmId};
-use gentian_decide::orders::EngineCall;
+use gentian_decide::orders::{EngineCall, OrderAction, PlacementFigures};
 use gentian_decide::serving::UpstreamRegistration;
+use log::Level;
 
 use super::fleet_broadcast::send_to_vm;
 use super::lease_controller::receive_handover;
@@ -134,7 +135,10 @@
 
 /// Plans orders and sends calls to engines while this process is the hub.
 pub(super) fn run_hub(state: &mut ControlState, event: &ControlEvent, now: MonoTime) {
-    let Some(hub) = &mut state.hub else { return };
+    let Some(hub) = &mut state.hub else {
+        state.metrics.record_placement(PlacementFigures::default());
+        return;
+    };
     match event {
         ControlEvent::OrderEnded(order, reply) => {
             if *reply == gentian_decide::orders::OrderReply::Fenced {
@@ -144,14 +148,22 @@
             hub.planner.handle_reply(order, *reply, now);
         }
         ControlEvent::EngineReport(upstream, report) => {
+            let places = hub.planner.store_places();
             if let Some((order, after)) = hub.planner.handle_report(upstream, report.clone(), now) {
-                log::info!(
-                    "{} upstream={upstream} action={} target={} after={after}",
-                    EventCode::LOAD_DONE,
-                    order.action,
-                    order.target
+                let is_missing = order.action == OrderAction::Load
+                    && !hub.planner.has_target(upstream, &order.target);
+                let code = if is_missing { EventCode::LOAD_MISSING } else { EventCode::LOAD_DONE };
+                let (action, target) = (order.action, order.target);
+                let level = if is_missing { Level::Warn } else { Level::Info };
+                log::log!(
+                    level,
+                    "{code} upstream={upstream} action={action} target={target} after={after}"
                 );
             }
+            let new_places = hub.planner.store_places();
+            if new_places != places {
+                log::info!("{} from={places} to={new_places}", EventCode::STORE_PLACES);
+            }
         }
         _ => {}
     }
@@ -170,6 +182,7 @@
     let uses = hub.fleet_hub.target_uses(now);
     let calls = hub.planner.decide(&uses, &state.table, fence, now);
     let is_changed = hub.fleet_hub.update_resident_models(hub.planner.resident_models(now));
+    state.metrics.record_placement(hub.planner.figures());
     start_engine_calls(state, calls);
     if is_changed {
         push_summaries(state, now);
--- a/crates/gentian-gateway/src/gateway_metrics.rs
+++ b/crates/gentian-gateway/src/gateway_metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of a gateway.
 
+use gentian_decide::orders::PlacementFigures;
 use prometheus::{
     Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
@@ -28,6 +29,16 @@
     pub(crate) quarantined_parts: IntGauge,
     /// Number of upstreams that name a limit of requests.
     pub(crate) limited_upstreams: IntGauge,
+    /// Number of copies that the models with requests need, at the hub.
+    pub(crate) wanted_copies: IntGauge,
+    /// Number of those copies that are loaded or being loaded, at the hub.
+    pub(crate) present_copies: IntGauge,
+    /// Number of loads that the weight store is taken to serve at full speed, at the hub.
+    pub(crate) store_places: IntGauge,
+    /// Number of loads from the weight store that run, at the hub.
+    pub(crate) store_loads: IntGauge,
+    /// Number of loads that wait for a place at the weight store, at the hub.
+    pub(crate) store_queue: IntGauge,
     /// Number of open requests.
     pub(crate) open_requests: IntGauge,
     /// Version of the configuration in force.
@@ -81,6 +92,26 @@
                 "gentian_gateway_limited_upstreams",
                 "Upstreams that name a limit of requests.",
             )?,
+            wanted_copies: IntGauge::new(
+                "gentian_gateway_copies_wanted",
+                "Copies that the models with requests need, at the hub.",
+            )?,
+            present_copies: IntGauge::new(
+                "gentian_gateway_copies_present",
+                "Copies of the models with requests that are loaded or being loaded, at the hub.",
+            )?,
+            store_places: IntGauge::new(
+                "gentian_gateway_store_places",
+                "Loads that the weight store is taken to serve at full speed, at the hub.",
+            )?,
+            store_loads: IntGauge::new(
+                "gentian_gateway_store_loads",
+                "Loads from the weight store that run, at the hub.",
+            )?,
+            store_queue: IntGauge::new(
+                "gentian_gateway_store_queue",
+                "Loads that wait for a place at the weight store, at the hub.",
+            )?,
             open_requests: IntGauge::new(
                 "gentian_gateway_open_requests",
                 "Requests that are open.",
@@ -98,11 +129,26 @@
         metrics.registry.register(Box::new(metrics.upstream_crashes.clone()))?;
         metrics.registry.register(Box::new(metrics.quarantined_parts.clone()))?;
         metrics.registry.register(Box::new(metrics.limited_upstreams.clone()))?;
+        metrics.registry.register(Box::new(metrics.wanted_copies.clone()))?;
+        metrics.registry.register(Box::new(metrics.present_copies.clone()))?;
+        metrics.registry.register(Box::new(metrics.store_places.clone()))?;
+        metrics.registry.register(Box::new(metrics.store_loads.clone()))?;
+        metrics.registry.register(Box::new(metrics.store_queue.clone()))?;
         metrics.registry.register(Box::new(metrics.open_requests.clone()))?;
         metrics.registry.register(Box::new(metrics.config_version.clone()))?;
         Ok(metrics)
     }
 
+    /// Sets the figures of the placement; those of an entry that is not the hub are zero.
+    pub(crate) fn record_placement(&self, figures: PlacementFigures) {
+        let set = |gauge: &IntGauge, count: usize| gauge.set(i64::try_from(count).unwrap_or(0));
+        set(&self.wanted_copies, figures.wanted_copies);
+        set(&self.present_copies, figures.present_copies);
+        set(&self.store_places, figures.store_places);
+        set(&self.store_loads, figures.store_loads);
+        set(&self.store_queue, figures.store_queue);
+    }
+
     /// Returns all metrics as Prometheus text.
     pub(crate) fn text(&self) -> String {
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_else(|error| {
