Leave a place of the weight store free when copies bear their requests

Change: a copy takes the last place only if it is the second one or the present copies don't keep up; others are ordered like spare copies.

--- a/crates/gentian-decide/src/orders/model_use.rs
+++ b/crates/gentian-decide/src/orders/model_use.rs
@@ -25,6 +25,13 @@
 /// A model gets a further copy if its pending prompts take this long at each copy, in seconds: half of
 /// the shortest target latency that the deployments have.
 const MAX_BACKLOG_SECONDS: f64 = 0.25;
+/// Fraction of each copy's time that prompts take, time that the pending ones take at each copy in seconds,
+/// and fraction of the slots in use from which copies count as overloaded. At this load, prompts that
+/// arrive at random wait for one and a half others. With 0.6, a busy model took both places of the weight
+/// store for its fourth and fifth copy, and the next busy one waited for them.
+const OVERLOAD_PREFILL_LOAD: f64 = 0.75;
+const OVERLOAD_BACKLOG_SECONDS: f64 = 1.0;
+const OVERLOAD_SLOT_FRACTION: f64 = 0.5;
 /// Prompts that happen to arrive together need no further copy while the prompts of their model take
 /// less than this fraction of an engine's time.
 const MIN_LOAD_FOR_BACKLOG: f64 = 0.25;
@@ -113,7 +120,19 @@
             return Some((LoadClass::Spare, arriving * LOSS_PROBABILITY));
         }
         let unserved = 1.0 - self.copies as f64 / needed as f64;
-        Some((LoadClass::Overloaded, f64::from(self.waiting) + arriving * unserved))
+        let class = match self.copies == 1 || self.is_overloaded(engine) {
+            true => LoadClass::Overloaded,
+            false => LoadClass::Spare,
+        };
+        Some((class, f64::from(self.waiting) + arriving * unserved))
+    }
+
+    /// Returns whether its copies don't keep up with its requests.
+    fn is_overloaded(&self, engine: &EngineSpec) -> bool {
+        let copies = self.copies as f64;
+        self.prefill_load >= OVERLOAD_PREFILL_LOAD * copies
+            || self.backlog >= OVERLOAD_BACKLOG_SECONDS * copies
+            || self.requests() >= OVERLOAD_SLOT_FRACTION * engine.batch_slots.get() as f64 * copies
     }
 
     /// Returns the number of copies without which its requests are not served in time.
--- a/crates/gentian-decide/src/orders/store_schedule.rs
+++ b/crates/gentian-decide/src/orders/store_schedule.rs
@@ -8,9 +8,10 @@
 pub(super) enum LoadClass {
     /// No engine has loaded the model, and requests wait for it.
     Missing,
-    /// The copies of the model don't serve its requests in time.
+    /// The model has a single copy and needs a second one, or its copies don't keep up.
     Overloaded,
-    /// The copy would only serve requests after the loss of another one.
+    /// The copies of the model bear its requests; a further one would relieve them, or take over after the
+    /// loss of one.
     Spare,
 }
 
