Read which models are on disks once a second

Cause: every planning round looked up all models on the disks of all engines, a dozen each, to know which are cheap to bring back.

Change: the hub reads them once a second.

--- a/crates/gentian-decide/src/orders/fleet_planner.rs
+++ b/crates/gentian-decide/src/orders/fleet_planner.rs
@@ -22,6 +22,9 @@
 /// Interval between two checks for models that need more copies. The need changes slowly, and the
 /// CPU time of a check on the hub grows with the fleet.
 const SCALE_OUT_INTERVAL: TimeSpan = TimeSpan::from_millis(100);
+/// Interval at which the hub reads which models engines have on disk or in host memory. They change with
+/// loads from the weight store only, and there are a dozen for each engine.
+const STORED_MODELS_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
 /// Time for which a hub sees no request before it takes the fleet for one without traffic: entries of a
 /// large fleet report once a second.
 const MIN_IDLE_START: TimeSpan = TimeSpan::from_secs(2);
@@ -54,6 +57,10 @@
     pub(super) trackers: FastMap<UpstreamId, EngineTracker>,
     pub(super) store_limiter: StoreLoadLimiter,
     pub(super) figures: PlacementFigures,
+    /// Models that an engine has on disk or in host memory, bounded by the catalogue, and when they were
+    /// read.
+    stored_models: FastSet<ModelId>,
+    stored_models_time: MonoTime,
     follow_up_delay: FollowUpDelay,
     pub(super) failed_loads: FailedLoads,
     last_scale_out_check: MonoTime,
@@ -72,6 +79,8 @@
             trackers: FastMap::default(),
             store_limiter: StoreLoadLimiter::new(),
             figures: PlacementFigures::default(),
+            stored_models: FastSet::default(),
+            stored_models_time: MonoTime::ORIGIN,
             follow_up_delay: FollowUpDelay::new(),
             failed_loads: FailedLoads::default(),
             last_scale_out_check: MonoTime::ORIGIN,
@@ -225,6 +234,7 @@
         if scales_out {
             self.figures = PlacementFigures::default();
         }
+        self.update_stored_models(now);
         let first_round = *self.first_round.get_or_insert(now);
         let is_idle = uses.is_empty() && now.since(first_round) >= MIN_IDLE_START;
         for (service, engine) in engine_services(&config) {
@@ -322,15 +332,26 @@
                 models.entry(model.clone()).or_default().add_copy(share);
             }
         }
-        let confirmed = self.trackers.iter().filter(|(id, _)| rows.contains_key(id));
-        for state in confirmed.filter_map(|(_, tracker)| tracker.confirmed()) {
+        for (model, usage) in &mut models {
+            usage.is_stored = self.stored_models.contains(model);
+        }
+        models
+    }
+
+    /// Reads at intervals which models engines have on disk or in host memory.
+    fn update_stored_models(&mut self, now: MonoTime) {
+        if now.since(self.stored_models_time) < STORED_MODELS_INTERVAL {
+            return;
+        }
+        self.stored_models_time = now;
+        self.stored_models.clear();
+        for state in self.trackers.values().filter_map(|tracker| tracker.confirmed()) {
             for model in state.on_disk.iter().chain(&state.in_host_memory) {
-                if let Some(usage) = models.get_mut(model) {
-                    usage.is_stored = true;
+                if !self.stored_models.contains(model) {
+                    self.stored_models.insert(model.clone());
                 }
             }
         }
-        models
     }
 
     /// Counts the copies on engines to which a connection of this entry has just failed. They are not
