Bound the time for which an earlier hub's order holds back further copies

Cause: an order that a hub did not give counts as a load from the weight store and holds further copies back until it ends. One that never ended would have held them back for good.

Change: it counts for the time of two loads from the weight store.

--- a/crates/gentian-decide/src/orders/engine_tracker.rs
+++ b/crates/gentian-decide/src/orders/engine_tracker.rs
@@ -51,8 +51,8 @@
     activating: Vec<(TargetId, MonoTime)>,
     /// Models of the state that was discarded last, and when that was.
     discarded: Option<(Vec<ModelId>, MonoTime)>,
-    /// Whether the engine executes an order that this process did not give or no longer knows.
-    is_busy_unknown: bool,
+    /// Since when the engine executes an order that this process did not give or no longer knows.
+    busy_unknown_since: Option<MonoTime>,
 }
 
 impl EngineTracker {
@@ -70,7 +70,7 @@
             is_report_pending: false,
             activating: Vec::new(),
             discarded: None,
-            is_busy_unknown: false,
+            busy_unknown_since: None,
         }
     }
 
@@ -137,10 +137,10 @@
         confirmed.loaded.keys().filter(|model| !is_unloaded(model)).collect()
     }
 
-    /// Returns whether the engine executes an order that this process did not give or no longer knows.
-    /// It may be a load from the weight store.
-    pub(super) fn is_busy_unknown(&self) -> bool {
-        self.is_busy_unknown
+    /// Returns whether the engine executes an order that this process did not give or no longer knows,
+    /// and has not done so for longer than `limit`. It may be a load from the weight store.
+    pub(super) fn is_busy_unknown(&self, limit: TimeSpan, now: MonoTime) -> bool {
+        self.busy_unknown_since.is_some_and(|since| now.since(since) < limit)
     }
 
     /// Returns the models and adapters that requests can use, in sorted order.
@@ -293,7 +293,8 @@
         };
         let is_old =
             self.confirmed.as_ref().is_some_and(|confirmed| report.sequence < confirmed.sequence);
-        self.is_busy_unknown = report.is_busy && self.confirmed.is_none();
+        let is_unknown = report.is_busy && self.confirmed.is_none();
+        self.busy_unknown_since = is_unknown.then(|| self.busy_unknown_since.unwrap_or(now));
         if is_old || report.is_busy {
             self.next_report = now + self.report_interval;
             self.report_interval = (self.report_interval * 2).min(self.max_report_interval);
--- a/crates/gentian-decide/src/orders/plan_round.rs
+++ b/crates/gentian-decide/src/orders/plan_round.rs
@@ -11,7 +11,7 @@
 use super::idle_fill::{count_holders, select_fills};
 use super::model_use::SCALE_OUT_FRACTION;
 use super::placement_choice::{LoadOption, LoadReason, WantedLoad, find_option};
-use super::store_schedule::{LoadClass, WantedPlace, select_loads};
+use super::store_schedule::{LoadClass, WantedPlace, count_unknown_loads, select_loads};
 use super::{EngineOrder, EngineTracker, FleetPlanner, OrderAction};
 use crate::serving::UpstreamRow;
 
@@ -138,9 +138,9 @@
         let capacity = limiter.window_capacity(rate, self.planner.load_window, self.now);
         let places = limiter.max_concurrent().min(limiter.open_count() + capacity);
         self.planner.figures.store_queue += wanted.len();
-        // Engines may be executing loads of an earlier holder. It is not known of which models, so
-        // further copies wait for their end.
-        let unknown = self.trackers().filter(|(_, tracker)| tracker.is_busy_unknown()).count();
+        // It is not known which models an earlier holder's loads are of, so further copies wait for them.
+        let trackers = self.trackers().map(|it| it.1);
+        let unknown = count_unknown_loads(trackers, self.engine, self.now);
         let unknown_loads = std::iter::repeat_n(LoadClass::Missing, unknown);
         wanted.retain(|load| unknown == 0 || load.class == LoadClass::Missing);
         loop {
--- a/crates/gentian-decide/src/orders/store_schedule.rs
+++ b/crates/gentian-decide/src/orders/store_schedule.rs
@@ -1,7 +1,13 @@
 //! Order of the loads from the weight store, which serves few at a time. Load pattern: a model that
 //! needs a further copy while many rarely used models are requested that no engine has loaded.
 
-use gentian_core::ModelId;
+use gentian_config::serving::EngineSpec;
+use gentian_core::{ModelId, MonoTime, TimeSpan};
+
+use super::EngineTracker;
+
+/// Time, in units of a load from the weight store, for which an order of an earlier holder may be one.
+const UNKNOWN_LOAD_FACTOR: u64 = 2;
 
 /// Why a load wants a place at the weight store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -24,6 +30,17 @@
     pub(super) worth: f64,
 }
 
+/// Returns how many engines may be executing loads from the weight store that an earlier holder ordered.
+pub(super) fn count_unknown_loads<'a>(
+    trackers: impl Iterator<Item = &'a EngineTracker>,
+    engine: &EngineSpec,
+    now: MonoTime,
+) -> usize {
+    let load_times = engine.models.values().map(|model| model.store_load_time);
+    let limit = load_times.max().unwrap_or(TimeSpan::ZERO) * UNKNOWN_LOAD_FACTOR;
+    trackers.filter(|tracker| tracker.is_busy_unknown(limit, now)).count()
+}
+
 /// Returns the loads that may start, given the classes of the running ones, the number of places and
 /// the class of the load that was started last.
 ///
--- a/crates/gentian-decide/tests/engine_fleet/replay_setup.rs
+++ b/crates/gentian-decide/tests/engine_fleet/replay_setup.rs
@@ -60,6 +60,13 @@
         self
     }
 
+    /// Has an engine execute an order that no hub knows of, for `span`.
+    pub(crate) fn with_unknown_order(mut self, number: usize, span: TimeSpan) -> Self {
+        let engine = self.engines.get_mut(&upstream(number));
+        engine.into_iter().for_each(|engine| engine.start_unknown_order(span, START));
+        self
+    }
+
     /// Has every engine refuse all loads of adapters.
     pub(crate) fn with_refused_adapters(mut self) -> Self {
         self.engines.values_mut().for_each(|engine| engine.refuses_adapters = true);
--- a/crates/gentian-decide/tests/engine_fleet/simulated_engine.rs
+++ b/crates/gentian-decide/tests/engine_fleet/simulated_engine.rs
@@ -136,6 +136,12 @@
         self.open.is_some() && self.is_loading_from_store
     }
 
+    /// Starts an order that no hub knows of and that lasts for `span`.
+    pub(crate) fn start_unknown_order(&mut self, span: TimeSpan, now: MonoTime) {
+        let model = super::model(0);
+        self.open = Some((model, OrderAction::Unload, now + span));
+    }
+
     /// Delays the end of the open order.
     pub(crate) fn delay_order(&mut self, span: TimeSpan) {
         if let Some((_, _, end)) = &mut self.open {
--- a/crates/gentian-decide/tests/placement_replay.rs
+++ b/crates/gentian-decide/tests/placement_replay.rs
@@ -293,3 +293,15 @@
     assert!(on_time(fleet.counts[0]) > 0.7, "{:?}", fleet.counts[0]);
     assert!(on_time(fleet.counts[2]) > 0.8, "{:?}", fleet.counts[2]);
 }
+
+/// Further copies would wait for the end of an order that an earlier hub gave, also if it never ends.
+#[test]
+fn an_order_that_never_ends_does_not_stop_further_copies() {
+    let busy = 4;
+    let hour = TimeSpan::from_secs(3_600);
+    let mut fleet = fleet(111).with_disk_copies(busy, 0).with_unknown_order(30, hour);
+    fleet.run(&[], TimeSpan::from_secs(20));
+    fleet.run(&calm_day(busy), TimeSpan::from_secs(3));
+    println!("endless order: {} loads of the busy model", fleet.loads_of(busy).len());
+    assert!(!fleet.loads_of(busy).is_empty(), "no further copy");
+}
