Weigh a further copy by how many copies share its requests

Cause: the store's places went to the third and fourth copy of the busiest model while two others had one copy that was full: their worth was counted as all requests that the present copies don't serve, however many copies share them.

Change: the worth of a needed copy is divided by the square of the present copies, since a further one serves a smaller part of them.

--- a/crates/gentian-decide/src/orders/model_use.rs
+++ b/crates/gentian-decide/src/orders/model_use.rs
@@ -124,7 +124,9 @@
             true => LoadClass::Overloaded,
             false => LoadClass::Spare,
         };
-        Some((class, f64::from(self.waiting) + arriving * unserved))
+        // The requests that a further copy serves in time are fewer the more copies share them.
+        let in_time = f64::from(self.waiting) + arriving * unserved;
+        Some((class, in_time / (self.copies * self.copies) as f64))
     }
 
     /// Returns whether its copies don't keep up with its requests.
