Serve gentian-entry, admin pages and stand-ins on the own connection code, with a budget for bodies

Cause: the server library had no time-out, so a sender that stopped within its body kept its thread and what had arrived; a body that nobody had read was read to its end after the response, into a buffer of the announced length; bodies were read whole and copied by the HTTP client.

Change: - HttpServer serves connections with gentian-http::forward: a request has a time from its first byte to its end (30 s, setting request_timeout), an unread body ends the connection after at most 500 ms, receive buffers are bounded. Open requests beyond the limit get 503 as before; connections are limited to twice that number. tiny_http and rouille are no longer used. - HttpRequest::read_body_within reads into the budget and waits for room like gentianwheel; admit_body moved to gentian-http. - gentian-entry holds bodies in blocks (setting buffer_memory, 64 MiB for requests and responses) and sends them from there; texts parsed out of a body count until the tokens are counted. Without room: 503, run: no, Retry-After 5 s, GW1114. - metric gentian_entry_refused_bodies_total.

A 204 carries Content-Length: 0 as with the library: without it HttpClient took the response for cut short; seen as a failure of calls_continue_during_a_platform_outage on the way, whose caller loop then ran until it was stopped after 590 s.

--- a/crates/gentian-entry/src/chain/call_context.rs
+++ b/crates/gentian-entry/src/chain/call_context.rs
@@ -8,7 +8,7 @@
 use gentian_core::{RequestId, TokenCount, UpstreamId};
 use gentian_decide::request::RequestState;
 use gentian_http::HttpRequest;
-use gentian_http::forward::BufferBudget;
+use gentian_http::forward::{BodyBuffer, BufferBudget};
 use gentian_process::ProcessClock;
 
 use super::IntentStore;
@@ -25,7 +25,7 @@
     pub(crate) snapshot: Arc<ArcSwap<ConfigSnapshot>>,
     /// Records of non-idempotent calls.
     pub(crate) intents: IntentStore,
-    /// Memory for what is read of responses before it can be sent.
+    /// Memory for bodies of requests and for what is read of responses before it can be sent.
     pub(crate) buffers: BufferBudget,
     /// Metrics.
     pub(crate) metrics: EntryMetrics,
@@ -40,7 +40,7 @@
     /// The caller's connection; `None` once a response has been sent or begun.
     pub(crate) http: Option<HttpRequest>,
     /// Body of the request.
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: BodyBuffer,
     /// Whether the caller requested a streamed response.
     pub(crate) is_stream: bool,
     /// Claim on the record of a non-idempotent call.
@@ -55,11 +55,11 @@
 
 impl CallContext {
     /// Creates the context of a request before any filter has run.
-    pub(crate) fn new(request: RequestState, http: HttpRequest) -> Self {
+    pub(crate) fn new(request: RequestState, http: HttpRequest, budget: &BufferBudget) -> Self {
         Self {
             request,
             http: Some(http),
-            body: Vec::new(),
+            body: BodyBuffer::for_request(budget.reserve()),
             is_stream: false,
             claim: None,
             response: None,
--- a/crates/gentian-entry/src/chain/entry_chain.rs
+++ b/crates/gentian-entry/src/chain/entry_chain.rs
@@ -18,6 +18,7 @@
     let (keys, routes, freshness) = (snapshot(), snapshot(), snapshot());
     let (access, models) = (snapshot(), snapshot());
     let (dedupe, send, relay) = (handles.clone(), handles.clone(), handles.clone());
+    let facts = handles.clone();
     FilterChain::new()
         .with_filter(RequestFilter::new("key", move |call: &mut CallContext, _| {
             check_key(&keys.load().set, &mut call.request)
@@ -31,7 +32,9 @@
         .with_filter(RequestFilter::new("access", move |call: &mut CallContext, _| {
             check_access(&access.load().set, &mut call.request)
         }))
-        .with_filter(RequestFilter::new("facts", |call: &mut CallContext, _| read_attributes(call)))
+        .with_filter(RequestFilter::new("facts", move |call: &mut CallContext, _| {
+            read_attributes(&facts, call)
+        }))
         .with_filter(RequestFilter::new("model", move |call: &mut CallContext, _| {
             check_model(&models.load().set, &mut call.request)
         }))
--- a/crates/gentian-entry/src/chain/intent_store.rs
+++ b/crates/gentian-entry/src/chain/intent_store.rs
@@ -81,7 +81,11 @@
         let organisation = call.request.organisation.as_ref().map(|spec| &spec.id);
         let digest = blake3::hash(idempotency_key.as_bytes()).to_hex();
         let key = RecordKeys::intent(&route.id, organisation, &digest);
-        let body_digest = *blake3::hash(&call.body).as_bytes();
+        let mut hasher = blake3::Hasher::new();
+        for piece in call.body.pieces() {
+            hasher.update(piece);
+        }
+        let body_digest = *hasher.finalize().as_bytes();
         let record = IntentRecord { request: call.id(), body_digest, answer: None };
         match self.write(&key, &record, StoreRevision::default()) {
             Ok(Some(revision)) => IntentOutcome::New(IntentClaim { key, record, revision }),
--- a/crates/gentian-entry/src/chain/send_call.rs
+++ b/crates/gentian-entry/src/chain/send_call.rs
@@ -122,7 +122,7 @@
     let forwarded = forwarded.into_iter().chain([(IDEMPOTENCY_KEY, IDEMPOTENCY_KEY)]);
     headers.extend(forwarded.filter_map(|(name, sent)| Some((sent, http.header(name)?))));
     let client = HttpClient::new(address, time_left);
-    client.call(HttpRequest::method(http), &call.upstream_path(), &headers, &call.body)
+    client.call_with_buffer(HttpRequest::method(http), &call.upstream_path(), &headers, &call.body)
 }
 
 /// Returns whether an engine refused the request without running it, with status 404 or 503.
--- a/crates/gentian-entry/src/entry_metrics.rs
+++ b/crates/gentian-entry/src/entry_metrics.rs
@@ -13,6 +13,8 @@
     pub(crate) registry: Registry,
     /// Requests by route and outcome.
     pub(crate) requests: IntCounterVec,
+    /// Request bodies that were not read to their end, by cause.
+    pub(crate) refused_bodies: IntCounterVec,
     /// Requests that are open.
     pub(crate) open: IntGauge,
     /// Time from the arrival of a request to the first byte of its response.
@@ -29,6 +31,13 @@
             Opts::new("gentian_entry_requests_total", "Requests by route and outcome."),
             &["route", "outcome"],
         )?;
+        let refused_bodies = IntCounterVec::new(
+            Opts::new(
+                "gentian_entry_refused_bodies_total",
+                "Bodies of requests that were not read to their end, by cause.",
+            ),
+            &["cause"],
+        )?;
         let open = IntGauge::new("gentian_entry_open_requests", "Requests that are open.")?;
         let first_byte = Histogram::with_opts(
             HistogramOpts::new(
@@ -40,9 +49,10 @@
         let config_version =
             IntGauge::new("gentian_entry_config_version", "Configuration version in force.")?;
         registry.register(Box::new(requests.clone())).wrap_err("metric registered twice")?;
+        registry.register(Box::new(refused_bodies.clone())).wrap_err("metric registered twice")?;
         registry.register(Box::new(open.clone())).wrap_err("metric registered twice")?;
         registry.register(Box::new(first_byte.clone())).wrap_err("metric registered twice")?;
         registry.register(Box::new(config_version.clone())).wrap_err("metric registered twice")?;
-        Ok(Self { registry, requests, open, first_byte, config_version })
+        Ok(Self { registry, requests, refused_bodies, open, first_byte, config_version })
     }
 }
--- a/crates/gentian-entry/src/entry_process.rs
+++ b/crates/gentian-entry/src/entry_process.rs
@@ -21,9 +21,6 @@
 use crate::entry_settings::EntrySettings;
 use crate::front::{AdminState, admin_pages, handle_request};
 
-/// Memory for what is read of responses before it can be sent.
-const MAX_BUFFERED_BYTES: usize = 32 << 20;
-
 /// Runs an entry until it receives a stop signal.
 ///
 /// # Errors
@@ -40,7 +37,10 @@
     let socket = PeerSocket::new(process.peer_address, process.cluster_key.clone())?;
     let signal = StopSignal::new(|| log::info!("{}", EventCode::PROCESS_STOPPING))?;
     let shutdown = Arc::new(AtomicBool::new(false));
-    let server = HttpServer::new(entry.listen, entry.call_limit, signal.flag())?;
+    let server = HttpServer::new(entry.listen, entry.call_limit, signal.flag())?
+        .with_request_timeout(entry.request_timeout);
+    let buffer_memory = usize::try_from(entry.buffer_memory.get()).unwrap_or(usize::MAX);
+    let buffers = BufferBudget::new(buffer_memory);
     let (control, events) = flume::unbounded();
 
     let (control_snapshot, control_socket) = (snapshot.clone(), socket.clone());
@@ -77,7 +77,6 @@
     );
 
     let intents = IntentStore::new(service);
-    let buffers = BufferBudget::new(MAX_BUFFERED_BYTES);
     let handles =
         CallHandles { control: control.clone(), snapshot, intents, buffers, metrics, clock };
     let chain = build_chain(&handles);
--- a/crates/gentian-entry/src/front/handle_request.rs
+++ b/crates/gentian-entry/src/front/handle_request.rs
@@ -27,7 +27,7 @@
     let key = http.header("Authorization").map(parse_key);
     let is_oversized = http.header_bytes() > MAX_HEADER_BYTES;
     let request = RequestState::new(id, received, attributes).with_key(key);
-    let mut call = CallContext::new(request, http);
+    let mut call = CallContext::new(request, http, &handles.buffers);
     let outcome = if is_oversized {
         let message = format!("the headers exceed {MAX_HEADER_BYTES} bytes");
         FilterOutcome::Refuse(Refusal::new(RefusalCode::TooLarge, message))
--- a/crates/gentian-gateway/src/front/caller_session.rs
+++ b/crates/gentian-gateway/src/front/caller_session.rs
@@ -7,12 +7,12 @@
 use gentian_core::{EventCode, MonoTime, RequestId, TimeSpan};
 use gentian_decide::request::{FilterChain, FilterOutcome, Refusal};
 use gentian_http::forward::{
-    BodyBuffer, BodyError, BodyFraming, BufferedStream, HeadError, RequestHead, ResponseHead,
-    read_body_into,
+    BodyAdmission, BodyBuffer, BodyError, BodyFraming, BufferedStream, HeadError, RequestHead,
+    ResponseHead, admit_body, read_body_into,
 };
 use gentian_process::{refusal_body, refusal_status};
 
-use super::body_admission::{BodyAdmission, admit_body, record_late_body, refuse_body};
+use super::body_refusal::{record_late_body, refuse_body};
 use crate::chain::{CallContext, CallHandles};
 
 /// Interval between checks at an idle connection whether the process is stopping.
@@ -119,7 +119,8 @@
     if matches!(framing, BodyFraming::Length(length) if length > limits.max_body_bytes as u64) {
         return NextRequest::Unreadable(413);
     }
-    let (mut body, waited) = match admit_body(&context.handles, stream, framing, deadline) {
+    let CallHandles { buffers, clock, .. } = &context.handles;
+    let (mut body, waited) = match admit_body(buffers, stream, framing, deadline, *clock) {
         BodyAdmission::Admitted(body, waited) => (body, waited),
         BodyAdmission::CallerGone => return NextRequest::Close,
         BodyAdmission::TooLarge => return NextRequest::Unreadable(413),
--- a/crates/gentian-gateway/src/front/mod.rs
+++ b/crates/gentian-gateway/src/front/mod.rs
@@ -1,6 +1,6 @@
 //! The ports on which a gateway serves callers and readiness checks.
 
-mod body_admission;
+mod body_refusal;
 mod caller_session;
 mod readiness_port;
 
--- a/crates/gentian-http/src/admin_port.rs
+++ b/crates/gentian-http/src/admin_port.rs
@@ -2,15 +2,17 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::thread::JoinHandle;
-use std::time::Duration;
 
-use eyre::eyre;
-use rouille::{Request, Response, Server};
+use gentian_core::TimeSpan;
 
-/// Interval at which the thread checks the stop flag.
-const POLL_INTERVAL: Duration = Duration::from_millis(200);
+use crate::{HttpRequest, HttpResponse, HttpServer};
+
+/// Number of requests that are handled at a time.
+const REQUEST_LIMIT: usize = 16;
+/// Time within which a request must arrive.
+const REQUEST_TIMEOUT: TimeSpan = TimeSpan::from_secs(5);
 
 type TextPage = Box<dyn Fn() -> String + Send + Sync>;
 
@@ -39,26 +41,31 @@
     ///
     /// Returns an error if the port cannot be opened.
     pub fn serve(self, address: SocketAddr, stop: Arc<AtomicBool>) -> eyre::Result<JoinHandle<()>> {
-        let server =
-            Server::new(address, move |request| self.respond(request)).map_err(|error| {
-                eyre!("cannot listen on {address}: {error}; choose a free port in the settings")
-            })?;
-        let work = move || {
-            while !stop.load(Ordering::Acquire) {
-                server.poll_timeout(POLL_INTERVAL);
-            }
-        };
+        let server = HttpServer::new(address, REQUEST_LIMIT, stop)?;
+        let server = server.with_request_timeout(REQUEST_TIMEOUT);
+        let work = move || server.serve(move |request| self.handle(request));
         Ok(std::thread::Builder::new().name("admin".into()).spawn(work)?)
     }
 
-    fn respond(&self, request: &Request) -> Response {
-        match request.url().as_str() {
-            "/healthz" => Response::text("ok\n"),
-            "/readyz" if (self.is_ready)() => Response::text("ready\n"),
-            "/readyz" => Response::text("not ready\n").with_status_code(503),
-            "/metrics" => Response::text((self.metrics)()),
-            "/status" => Response::from_data("application/json", (self.status)()),
-            _ => Response::empty_404(),
+    fn handle(&self, request: HttpRequest) {
+        let response = self.respond(request.path());
+        if let Err(error) = request.respond(response) {
+            log::debug!("admin page not sent: {error}");
+        }
+    }
+
+    fn respond(&self, path: &str) -> HttpResponse {
+        let text = |status, body: String| {
+            let response = HttpResponse::new(status).with_body(body);
+            response.with_header("Content-Type", "text/plain; charset=utf-8")
+        };
+        match path {
+            "/healthz" => text(200, "ok\n".to_owned()),
+            "/readyz" if (self.is_ready)() => text(200, "ready\n".to_owned()),
+            "/readyz" => text(503, "not ready\n".to_owned()),
+            "/metrics" => text(200, (self.metrics)()),
+            "/status" => HttpResponse::new(200).with_json((self.status)()),
+            _ => HttpResponse::new(404),
         }
     }
 }
--- a/crates/gentian-http/src/forward/connection_listener.rs
+++ b/crates/gentian-http/src/forward/connection_listener.rs
@@ -36,29 +36,43 @@
     serve: impl Fn(BufferedStream) + Send + Sync + 'static,
 ) -> eyre::Result<JoinHandle<()>> {
     let listener = listen(address).wrap_err_with(|| format!("cannot listen on {address}"))?;
-    listener.set_nonblocking(true)?;
+    let must_stop = move || stop.load(Ordering::Acquire);
+    let work = move || accept_connections(listener, limit, clock, must_stop, serve);
+    Ok(std::thread::Builder::new().name(name.to_owned()).spawn(work)?)
+}
+
+/// Serves each connection on its own thread, with `limit` connections at most, until `must_stop`
+/// returns `true`. Then the port closes, and the call returns once every connection has ended.
+pub(crate) fn accept_connections(
+    listener: TcpListener,
+    limit: usize,
+    clock: ProcessClock,
+    mut must_stop: impl FnMut() -> bool,
+    serve: impl Fn(BufferedStream) + Send + Sync + 'static,
+) {
+    if let Err(error) = listener.set_nonblocking(true) {
+        log::error!("connections can't be accepted: {error}");
+        return;
+    }
     let serve = Arc::new(serve);
-    let work = move || {
-        let mut pool = WorkerPool::new(limit);
-        while !stop.load(Ordering::Acquire) {
-            match accept(&listener, clock) {
-                Ok(Some(stream)) => {
-                    let serve = Arc::clone(&serve);
-                    if !pool.run(move || serve(stream)) {
-                        log::warn!("{} limit={limit}", EventCode::CONNECTION_REFUSED);
-                    }
-                }
-                Ok(None) => {}
-                Err(error) => {
-                    log::warn!("connection could not be accepted: {error}");
-                    std::thread::sleep(ACCEPT_RETRY_DELAY);
+    let mut pool = WorkerPool::new(limit);
+    while !must_stop() {
+        match accept(&listener, clock) {
+            Ok(Some(stream)) => {
+                let serve = Arc::clone(&serve);
+                if !pool.run(move || serve(stream)) {
+                    log::warn!("{} limit={limit}", EventCode::CONNECTION_REFUSED);
                 }
             }
+            Ok(None) => {}
+            Err(error) => {
+                log::warn!("connection could not be accepted: {error}");
+                std::thread::sleep(ACCEPT_RETRY_DELAY);
+            }
         }
-        drop(listener);
-        pool.join();
-    };
-    Ok(std::thread::Builder::new().name(name.to_owned()).spawn(work)?)
+    }
+    drop(listener);
+    pool.join();
 }
 
 fn accept(listener: &TcpListener, clock: ProcessClock) -> io::Result<Option<BufferedStream>> {
--- a/crates/gentian-http/src/forward/mod.rs
+++ b/crates/gentian-http/src/forward/mod.rs
@@ -2,6 +2,7 @@
 //! by the end of the connection, and pooled connections. Used to forward requests and for own
 //! calls.
 
+mod body_admission;
 mod body_buffer;
 mod body_framing;
 mod body_reader;
@@ -17,6 +18,7 @@
 mod request_head;
 mod response_head;
 
+pub use body_admission::{BodyAdmission, admit_body};
 pub use body_buffer::BodyBuffer;
 pub use body_framing::{BodyFraming, FramingError};
 pub use body_reader::{
@@ -26,6 +28,7 @@
 pub(crate) use buffered_stream::RECEIVE_BUFFER_BYTES;
 pub use buffered_stream::{BufferedStream, WaitOutcome};
 pub use chunk_decoder::{ChunkDecoder, ChunkError};
+pub(crate) use connection_listener::accept_connections;
 pub use connection_listener::serve_connections;
 pub use connection_pool::ConnectionPool;
 pub use event_splitter::{EventSplitter, EventTooLarge};
--- a/crates/gentian-http/src/http_client.rs
+++ b/crates/gentian-http/src/http_client.rs
@@ -1,14 +1,17 @@
 //! HTTP calls to other servers, each on a new connection.
 
 use std::fmt;
-use std::io::{self, Read};
+use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use attohttpc::header::{HeaderName, HeaderValue};
+use attohttpc::body::{Body, BodyKind};
+use attohttpc::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use attohttpc::{ErrorKind, Method, ProxySettings, RequestBuilder, Response};
 use gentian_core::TimeSpan;
 
+use crate::forward::BodyBuffer;
+
 /// Bytes of a body that are read before it is checked whether it may go on.
 const READ_BYTES: u64 = 64 * 1024;
 
@@ -58,16 +61,34 @@
         headers: &[(&str, &str)],
         body: &[u8],
     ) -> Result<Response, CallError> {
-        let mut builder = self.builder(method, path)?;
-        for (name, value) in headers {
-            let name = HeaderName::from_bytes(name.as_bytes()).map_err(not_sent)?;
-            let value = HeaderValue::from_str(value).map_err(not_sent)?;
-            builder.headers_mut().insert(name, value);
-        }
+        let builder = self.builder(method, path, headers)?;
         let sent = if body.is_empty() { builder.send() } else { builder.bytes(body).send() };
         sent.map_err(|error| classify_error(&error))
     }
 
+    /// Makes a call like [`Self::call`], with a body that is sent from where it is held.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError::NotSent`] only if no byte of the request was sent.
+    pub fn call_with_buffer(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &BodyBuffer,
+    ) -> Result<Response, CallError> {
+        let mut builder = self.builder(method, path, headers)?;
+        let sent = if body.is_empty() {
+            builder.send()
+        } else {
+            let default_type = HeaderValue::from_static("application/octet-stream");
+            builder.headers_mut().entry(CONTENT_TYPE).or_insert(default_type);
+            builder.body(BufferedBody(body)).send()
+        };
+        sent.map_err(|error| classify_error(&error))
+    }
+
     /// Calls the server and reads the whole body, of at most `limit` bytes.
     ///
     /// # Errors
@@ -87,15 +108,39 @@
         Ok((status, read_full_body(response, limit)?))
     }
 
-    fn builder(&self, method: &str, path: &str) -> Result<RequestBuilder, CallError> {
+    fn builder(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+    ) -> Result<RequestBuilder, CallError> {
         let method = Method::from_bytes(method.as_bytes()).map_err(not_sent)?;
         let url = format!("http://{}{path}", self.address);
         let builder = RequestBuilder::try_new(method, url).map_err(not_sent)?;
-        Ok(builder
+        let mut builder = builder
             .connect_timeout(self.timeout)
             .read_timeout(self.timeout)
             .follow_redirects(false)
-            .proxy_settings(ProxySettings::builder().build()))
+            .proxy_settings(ProxySettings::builder().build());
+        for (name, value) in headers {
+            let name = HeaderName::from_bytes(name.as_bytes()).map_err(not_sent)?;
+            let value = HeaderValue::from_str(value).map_err(not_sent)?;
+            builder.headers_mut().insert(name, value);
+        }
+        Ok(builder)
+    }
+}
+
+/// A body that is sent from the blocks in which it is held.
+struct BufferedBody<'a>(&'a BodyBuffer);
+
+impl Body for BufferedBody<'_> {
+    fn kind(&mut self) -> io::Result<BodyKind> {
+        Ok(BodyKind::KnownLength(self.0.len() as u64))
+    }
+
+    fn write<W: Write>(&mut self, mut writer: W) -> io::Result<()> {
+        self.0.pieces().try_for_each(|piece| writer.write_all(piece))
     }
 }
 
--- a/crates/gentian-http/src/http_response.rs
+++ b/crates/gentian-http/src/http_response.rs
@@ -1,8 +1,6 @@
 //! Complete HTTP responses.
 
-use std::io::Cursor;
-
-use tiny_http::{Header, Response};
+use crate::forward::ResponseHead;
 
 /// A complete HTTP response.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,13 +37,20 @@
         self.status
     }
 
-    pub(crate) fn into_response(self) -> Response<Cursor<Vec<u8>>> {
-        let mut response = Response::from_data(self.body).with_status_code(self.status);
+    /// Returns the head in wire format and the body to send after it.
+    pub(crate) fn encode(self, is_head: bool, keeps_connection: bool) -> (Vec<u8>, Vec<u8>) {
+        let mut head = ResponseHead::new(self.status);
         for (name, value) in self.headers {
-            if let Ok(header) = Header::from_bytes(name, value) {
-                response.add_header(header);
-            }
+            head.headers.push(name, value);
+        }
+        let has_body = self.status != 204 && self.status != 304;
+        let length = if has_body { self.body.len() } else { 0 };
+        // Clients may want a length even where the status says that there is no body.
+        head.headers.push("Content-Length", length.to_string());
+        if !keeps_connection {
+            head.headers.push("Connection", "close");
         }
-        response.with_chunked_threshold(usize::MAX)
+        let body = if has_body && !is_head { self.body } else { Vec::new() };
+        (head.to_bytes(), body)
     }
 }
--- a/crates/gentian-http/src/http_server.rs
+++ b/crates/gentian-http/src/http_server.rs
@@ -1,116 +1,58 @@
-//! HTTP server: one thread accepts requests, a bounded thread pool handles them.
+//! HTTP server: one thread accepts connections, each is served on a thread of a bounded pool.
 
-use std::io::{self, Read, Write};
+use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, PoisonError};
 
-use eyre::{WrapErr, eyre};
+use eyre::WrapErr;
+use gentian_core::{MonoTime, TimeSpan};
 use socket2::{Domain, Protocol, Socket, Type};
-use tiny_http::{Request, Server};
 
-use crate::forward::RECEIVE_BUFFER_BYTES;
-use crate::{EventStream, HttpResponse, WorkerPool};
-
-/// Interval at which the accepting thread checks the stop flag.
-const ACCEPT_POLL_INTERVAL: Duration = Duration::from_millis(200);
-/// Consecutive polls without a request, once the stop flag is set, before the server stops handling
-/// new requests. The port closes when the open requests have ended.
-const QUIET_POLLS_BEFORE_STOP: u32 = 3;
+use crate::forward::{
+    BodyFraming, BufferedStream, HeadError, RECEIVE_BUFFER_BYTES, RequestHead, accept_connections,
+};
+use crate::http_request::KeptStream;
+use crate::response_writer::write_response;
+use crate::{HttpRequest, HttpResponse, ProcessClock};
+
+/// Time without a new request, once the stop flag is set, before the port closes. Open requests end
+/// first.
+const QUIET_TIME_BEFORE_STOP: TimeSpan = TimeSpan::from_millis(600);
+/// Interval between checks at an idle connection whether the server is closing.
+const CLOSE_CHECK_INTERVAL: TimeSpan = TimeSpan::from_millis(200);
+/// Time after which an idle connection is closed.
+const IDLE_TIMEOUT: TimeSpan = TimeSpan::from_secs(60);
+/// Time from the first byte of a request to its end, unless it is set.
+const REQUEST_TIMEOUT: TimeSpan = TimeSpan::from_secs(30);
+/// Largest head of a request in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Connections for each request that may be open; most connections are idle.
+const CONNECTIONS_PER_REQUEST: usize = 2;
 
 /// Length of the listen queue; a client whose connection does not fit retries after a second.
 const BACKLOG: i32 = 1_024;
 
-/// An incoming HTTP request.
-pub struct HttpRequest {
-    inner: Request,
-}
-
-impl HttpRequest {
-    /// Returns the request method.
-    pub fn method(&self) -> &str {
-        self.inner.method().as_str()
-    }
-
-    /// Returns the path including the query.
-    pub fn url(&self) -> &str {
-        self.inner.url()
-    }
-
-    /// Returns the path without the query.
-    pub fn path(&self) -> &str {
-        self.url().split('?').next().unwrap_or("")
-    }
-
-    /// Returns the value of a query parameter.
-    pub fn query(&self, name: &str) -> Option<&str> {
-        let (_, query) = self.url().split_once('?')?;
-        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
-    }
-
-    /// Returns the first header with this name.
-    pub fn header(&self, name: &'static str) -> Option<&str> {
-        let mut headers = self.inner.headers().iter();
-        headers.find(|header| header.field.equiv(name)).map(|header| header.value.as_str())
-    }
-
-    /// Returns the total size of all header names and values in bytes.
-    pub fn header_bytes(&self) -> usize {
-        let headers = self.inner.headers().iter();
-        headers.map(|h| h.field.as_str().as_str().len() + h.value.as_str().len()).sum()
-    }
-
-    /// Reads the body, which may have at most `limit` bytes.
-    ///
-    /// # Errors
-    ///
-    /// Returns `FileTooLarge` if the body is larger, or the I/O error of the connection.
-    pub fn read_body(&mut self, limit: usize) -> io::Result<Vec<u8>> {
-        if self.inner.body_length().is_some_and(|length| length > limit) {
-            return Err(io::ErrorKind::FileTooLarge.into());
-        }
-        let mut body = Vec::new();
-        let max_bytes = u64::try_from(limit).unwrap_or(u64::MAX).saturating_add(1);
-        self.inner.as_reader().take(max_bytes).read_to_end(&mut body)?;
-        if body.len() > limit {
-            return Err(io::ErrorKind::FileTooLarge.into());
-        }
-        Ok(body)
-    }
-
-    /// Sends a complete response.
-    ///
-    /// # Errors
-    ///
-    /// Returns the I/O error of the connection.
-    pub fn respond(self, response: HttpResponse) -> io::Result<()> {
-        self.inner.respond(response.into_response())
-    }
-
-    /// Starts a streamed response.
-    ///
-    /// # Errors
-    ///
-    /// Returns the I/O error of the connection.
-    pub fn stream(self, content_type: &str, headers: &[(&str, &str)]) -> io::Result<EventStream> {
-        EventStream::start(self.inner.into_writer(), content_type, headers)
-    }
-
-    /// Returns the raw output, for responses that are malformed on purpose.
-    pub fn into_writer(self) -> Box<dyn Write + Send> {
-        self.inner.into_writer()
-    }
-}
-
 /// An HTTP server on one port.
 pub struct HttpServer {
-    server: Server,
-    pool: WorkerPool,
+    listener: TcpListener,
+    limit: usize,
+    request_timeout: TimeSpan,
     stop: Arc<AtomicBool>,
 }
 
+/// State that all connections share.
+struct ServerState {
+    limit: usize,
+    request_timeout: TimeSpan,
+    clock: ProcessClock,
+    closing: AtomicBool,
+    /// Number of requests that have arrived.
+    arrivals: AtomicUsize,
+    /// Number of requests that are handled.
+    open: AtomicUsize,
+}
+
 impl HttpServer {
     /// Opens the port; at most `limit` requests are handled at a time.
     ///
@@ -121,29 +63,40 @@
         let listener = listen(address).wrap_err_with(|| {
             format!("cannot listen on {address}; choose a free port in the settings")
         })?;
-        let server = Server::from_listener(listener, None)
-            .map_err(|error| eyre!("cannot serve on {address}: {error}"))?;
-        Ok(Self { server, pool: WorkerPool::new(limit), stop })
+        Ok(Self { listener, limit, request_timeout: REQUEST_TIMEOUT, stop })
+    }
+
+    /// Sets the time from the first byte of a request to its end.
+    pub fn with_request_timeout(self, request_timeout: TimeSpan) -> Self {
+        Self { request_timeout, ..self }
     }
 
     /// Handles requests with `handle` until the stop flag is set and no request has arrived for
     /// a while, then waits for the requests in progress.
     pub fn serve(self, handle: impl Fn(HttpRequest) + Send + Sync + 'static) {
-        let handle = Arc::new(handle);
-        let Self { server, mut pool, stop } = self;
-        let mut quiet_polls = 0;
-        while quiet_polls < QUIET_POLLS_BEFORE_STOP {
-            match server.recv_timeout(ACCEPT_POLL_INTERVAL) {
-                Ok(Some(inner)) => {
-                    quiet_polls = 0;
-                    dispatch_request(&mut pool, Arc::clone(&handle), HttpRequest { inner });
-                }
-                Ok(None) | Err(_) => {
-                    quiet_polls = if stop.load(Ordering::Acquire) { quiet_polls + 1 } else { 0 };
-                }
+        let state = Arc::new(ServerState {
+            limit: self.limit,
+            request_timeout: self.request_timeout,
+            clock: ProcessClock::new(),
+            closing: AtomicBool::new(false),
+            arrivals: AtomicUsize::new(0),
+            open: AtomicUsize::new(0),
+        });
+        let (stop, closing, clock) = (self.stop, Arc::clone(&state), state.clock);
+        let mut last_arrival = (0, clock.now());
+        let must_stop = move || {
+            let arrivals = closing.arrivals.load(Ordering::Acquire);
+            if !stop.load(Ordering::Acquire) || arrivals != last_arrival.0 {
+                last_arrival = (arrivals, clock.now());
             }
-        }
-        pool.join();
+            let is_quiet = clock.now().since(last_arrival.1) >= QUIET_TIME_BEFORE_STOP;
+            closing.closing.fetch_or(is_quiet, Ordering::AcqRel);
+            is_quiet
+        };
+        let connections = self.limit.saturating_mul(CONNECTIONS_PER_REQUEST);
+        accept_connections(self.listener, connections, clock, must_stop, move |stream| {
+            serve_connection(&state, stream, &handle);
+        });
     }
 }
 
@@ -157,29 +110,88 @@
     Ok(socket.into())
 }
 
-fn dispatch_request(
-    pool: &mut WorkerPool,
-    handle: Arc<impl Fn(HttpRequest) + Send + Sync + 'static>,
-    request: HttpRequest,
+/// Serves the requests on a connection until either side closes it.
+fn serve_connection(
+    state: &ServerState,
+    mut stream: BufferedStream,
+    handle: &impl Fn(HttpRequest),
 ) {
-    // The pool drops a job that it rejects, so the request is shared: it is still available here
-    // for the refusal.
-    let shared = Arc::new(Mutex::new(Some(request)));
-    let job_request = Arc::clone(&shared);
-    let job = move || {
-        if let Some(request) = take_request(&job_request) {
-            handle(request);
+    let kept = KeptStream::default();
+    while wait_for_request(state, &mut stream) {
+        let deadline = state.clock.now() + state.request_timeout;
+        let (head, framing) = match read_head(&mut stream, deadline) {
+            Ok(Some(request)) => request,
+            Ok(None) => return,
+            Err(status) => return refuse_unreadable(state, stream, status),
+        };
+        state.arrivals.fetch_add(1, Ordering::AcqRel);
+        let slot = Arc::clone(&kept);
+        let request = HttpRequest::new(head, framing, stream, slot, deadline, state.clock);
+        let is_within_limit = state.open.fetch_add(1, Ordering::AcqRel) < state.limit;
+        match is_within_limit {
+            true => handle(request),
+            false => refuse_overloaded(request),
+        }
+        state.open.fetch_sub(1, Ordering::AcqRel);
+        match kept.lock().unwrap_or_else(PoisonError::into_inner).take() {
+            Some(next) => stream = next,
+            None => return,
         }
-    };
-    if !pool.run(job)
-        && let Some(request) = take_request(&shared)
-    {
-        refuse_overloaded(request);
     }
 }
 
-fn take_request(shared: &Mutex<Option<HttpRequest>>) -> Option<HttpRequest> {
-    shared.lock().ok()?.take()
+/// Waits for the first byte of a request; returns `false` if the connection must be closed.
+fn wait_for_request(state: &ServerState, stream: &mut BufferedStream) -> bool {
+    let idle_until = state.clock.now() + IDLE_TIMEOUT;
+    while stream.buffered().is_empty() {
+        let now = state.clock.now();
+        if now >= idle_until || state.closing.load(Ordering::Acquire) {
+            return false;
+        }
+        match stream.fill(idle_until.min(now + CLOSE_CHECK_INTERVAL)) {
+            Ok(0) => return false,
+            Ok(_) => {}
+            Err(error) if error.kind() == io::ErrorKind::TimedOut => {}
+            Err(_) => return false,
+        }
+    }
+    true
+}
+
+/// Reads the head of a request; `None` if the connection ended.
+///
+/// # Errors
+///
+/// Returns the status of the refusal if the head can't be read.
+fn read_head(
+    stream: &mut BufferedStream,
+    deadline: MonoTime,
+) -> Result<Option<(RequestHead, BodyFraming)>, u16> {
+    loop {
+        match RequestHead::parse(stream.buffered(), MAX_HEAD_BYTES) {
+            Ok(Some((head, length))) => {
+                stream.consume(length);
+                let framing = BodyFraming::of_request(&head.headers).map_err(|_| 400_u16)?;
+                return Ok(Some((head, framing)));
+            }
+            Ok(None) => match stream.fill(deadline) {
+                Ok(0) => return Ok(None),
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::TimedOut => return Err(408),
+                Err(_) => return Ok(None),
+            },
+            Err(HeadError::TooLarge) => return Err(431),
+            Err(HeadError::Malformed) => return Err(400),
+        }
+    }
+}
+
+fn refuse_unreadable(state: &ServerState, mut stream: BufferedStream, status: u16) {
+    let (head, _) = HttpResponse::new(status).encode(false, false);
+    if let Err(error) = write_response(&mut stream, state.clock, &head) {
+        log::debug!("refusal could not be sent: {error}");
+    }
+    stream.close_gracefully(CLOSE_CHECK_INTERVAL);
 }
 
 fn refuse_overloaded(request: HttpRequest) {
