--- a/crates/gentian-decide/src/memory/memory_plan.rs
+++ b/crates/gentian-decide/src/memory/memory_plan.rs
@@ -4,10 +4,9 @@
 
 /// Memory that a process needs without callers: 32 MB for control are required at 370 entries.
 const REST_MEMORY: ByteSize = ByteSize::from_mib(32);
-/// Percentage of what remains that callers' connections may need.
-const CONNECTION_PERCENT: u64 = 45;
-/// Percentage of what remains for buffered bodies. What both leave is for the process itself and for
-/// what the allocator keeps.
+/// Percentage of the memory that callers' connections may need at most; few of them need all of theirs.
+const CONNECTION_PERCENT: u64 = 50;
+/// Percentage of what a process leaves for buffered bodies.
 const BUFFER_PERCENT: u64 = 40;
 /// Memory that an open connection may need: its thread, its head, what it has read and the kernel's
 /// receive buffer.
@@ -27,7 +26,7 @@
     pub fn new(memory: ByteSize) -> Self {
         let rest = REST_MEMORY.min(ByteSize::new(memory.get() / 2));
         let left = memory.saturating_sub(rest).get();
-        let connections = left / 100 * CONNECTION_PERCENT / CONNECTION_MEMORY.get();
+        let connections = memory.get() / 100 * CONNECTION_PERCENT / CONNECTION_MEMORY.get();
         Self {
             buffers: ByteSize::new(left / 100 * BUFFER_PERCENT),
             connections: usize::try_from(connections).unwrap_or(usize::MAX).max(1),
