Add case 8 of the independent review: crashes that are not noticed

Cause: the end of an upstream counts as one under an answer that has just begun only within 250 ms from the head of the answer, also if the first event comes later than that.

--- a/review/lib-2/engine.rs
+++ b/review/lib-2/engine.rs
@@ -4,6 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -12,6 +13,8 @@
 /// Places for adapters and models, as in the configuration.
 pub const ADAPTER_SLOTS: usize = 8;
 pub const MODEL_SLOTS: usize = 3;
+/// Time for which a replica is down after a crash.
+const DOWN_TIME: Duration = Duration::from_millis(2_000);
 /// Stands for an order on which the replica crashes, so that nobody gets an answer.
 const CRASHED: u16 = 0;
 
@@ -22,6 +25,8 @@
     Whole,
     /// In the middle of this event, with the end of the chunked body.
     InsideEvent(u64),
+    /// The replica crashes once it has written this event.
+    Crash(u64),
 }
 
 #[derive(Default)]
@@ -40,17 +45,25 @@
     over_limit: Vec<String>,
     /// Rises when the replica crashes, which ends its runs.
     crashes: u64,
-    run_tokens: Vec<(Instant, String, u64)>,
-    is_dark: bool,
+    /// Since a crash, until the replica is back.
+    down_until: Option<Instant>,
+    /// Models that lie on the disk.
+    on_disk: BTreeSet<String>,
+    /// When the replica crashed.
+    crash_times: Vec<Instant>,
+    /// Requests that began to run: when, their ids and their parts.
+    arrivals: Vec<(Instant, String, String)>,
 }
 
 pub struct Engine {
     pub id: String,
     pub address: SocketAddr,
     zone: &'static str,
-    born: u128,
+    born: AtomicU64,
     events: u64,
     event_time: Duration,
+    /// Time from the head of an answer to its first event.
+    prefill_time: Duration,
     record: Record,
     state: Mutex<State>,
     end: Mutex<Box<dyn Fn(&ReplicaRequest) -> StreamEnd + Send + Sync>>,
@@ -64,36 +77,97 @@
         models: &[&str],
         events: u64,
         event_time: Duration,
+    ) -> Arc<Engine> {
+        Engine::start_with_prefill(rig, number, models, events, event_time, event_time)
+    }
+
+    /// Starts a replica that writes the head of an answer when it takes the request up, and the first
+    /// event `prefill_time` later.
+    pub fn start_with_prefill(
+        rig: &Rig,
+        number: u8,
+        models: &[&str],
+        events: u64,
+        event_time: Duration,
+        prefill_time: Duration,
     ) -> Arc<Engine> {
         let mut state = State::default();
         for model in models {
             state.models.insert((*model).to_owned(), BTreeSet::new());
+            state.on_disk.insert((*model).to_owned());
         }
         let engine = Arc::new(Engine {
             id: format!("i-mind-{number}"),
             address: rig::free_address(rig.ip(100 + number)),
             zone: ["palermo", "catania", "agrigento"][usize::from(number) % 3],
-            born: rig::unix_millis(),
+            born: AtomicU64::new(rig::unix_millis() as u64),
             events,
             event_time,
+            prefill_time,
             record: rig.record.clone(),
             state: Mutex::new(state),
             end: Mutex::new(Box::new(|_| StreamEnd::Whole)),
         });
-        let shared = Arc::clone(&engine);
-        rig::serve(engine.address, move |request, stream| shared.serve(request, stream));
+        let (watched, shared) = (Arc::clone(&engine), Arc::clone(&engine));
+        rig::serve_while_up(
+            engine.address,
+            move || watched.is_up(),
+            move |request, stream| shared.serve(request, stream),
+        );
         let (beating, store) = (Arc::clone(&engine), rig.store());
         std::thread::spawn(move || {
             loop {
-                if !beating.lock().is_dark {
+                let born = beating.born.load(Ordering::Relaxed);
+                if beating.is_up() {
                     rig::put_item(store, &format!("servers/{}", beating.id), &beating.beat());
                 }
-                std::thread::sleep(Duration::from_millis(1_200));
+                // A replica that is back says so at once.
+                for _ in 0..60 {
+                    if beating.born.load(Ordering::Relaxed) != born && beating.is_up() {
+                        break;
+                    }
+                    std::thread::sleep(Duration::from_millis(20));
+                }
             }
         });
         engine
     }
 
+    /// Returns whether the replica is up; brings it back after a crash if it is time.
+    fn is_up(&self) -> bool {
+        let mut state = self.lock();
+        let Some(until) = state.down_until else { return true };
+        if until > Instant::now() {
+            return false;
+        }
+        state.down_until = None;
+        self.born.store(rig::unix_millis() as u64, Ordering::Relaxed);
+        self.record.line(format!("{} is back", self.id));
+        true
+    }
+
+    fn crash(&self, cause: &str) {
+        let mut state = self.lock();
+        if state.down_until.is_none() {
+            state.crash();
+            self.record.line(format!("{} crashes: {cause}", self.id));
+        }
+    }
+
+    /// The end of a process closes its port before anybody can notice that its connections are closed.
+    fn wait_for_closed_port(&self) {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+
+    pub fn crash_times(&self) -> Vec<Instant> {
+        self.lock().crash_times.clone()
+    }
+
+    /// Returns when each request began to run, with its id and the parts of its prompt.
+    pub fn arrivals(&self) -> Vec<(Instant, String, String)> {
+        self.lock().arrivals.clone()
+    }
+
     /// Sets how streams end.
     pub fn set_end(&self, end: impl Fn(&ReplicaRequest) -> StreamEnd + Send + Sync + 'static) {
         *self.end.lock().unwrap_or_else(|it| it.into_inner()) = Box::new(end);
@@ -129,7 +203,7 @@
             self.address,
             self.zone,
             self.lock().sequence,
-            self.born
+            self.born.load(Ordering::Relaxed)
         )
     }
 
@@ -145,7 +219,7 @@
                     state.open.is_some(),
                     state.sequence,
                     state.runs.values().sum::<usize>(),
-                    self.born
+                    self.born.load(Ordering::Relaxed)
                 );
                 drop(state);
                 respond(stream, 200, &[("Content-Type", "application/json")], report.as_bytes())
@@ -207,9 +281,8 @@
                 return respond(stream, 421, &[not_run, named], b"");
             }
             *state.runs.entry(key.clone()).or_default() += 1;
-            let tokens = request.field("x-gentianwheel-token-count");
-            let tokens = tokens.split(',').filter_map(|it| it.parse::<u64>().ok()).sum();
-            state.run_tokens.push((Instant::now(), id.clone(), tokens));
+            let parts = request.field("x-gentianwheel-prompt-prefix").to_owned();
+            state.arrivals.push((Instant::now(), id.clone(), parts));
             state.crashes
         };
         let after: u64 = request.field("last-event-id").parse().unwrap_or(0);
@@ -219,7 +292,7 @@
             (*end)(request)
         };
         let sent = self.send_stream(&id, after, end, crashes, stream);
-        self.lock().end_run(&key);
+        self.lock().end_run(&key, crashes);
         self.record.line(format!("{} {sent} {id}", self.id));
         sent == "ended"
     }
@@ -243,8 +316,10 @@
             return "lost its caller for";
         }
         for event in after + 1..=self.events {
-            std::thread::sleep(self.event_time);
+            let is_first = event == after + 1;
+            std::thread::sleep(if is_first { self.prefill_time } else { self.event_time });
             if self.lock().crashes != crashes {
+                self.wait_for_closed_port();
                 return "crashed under";
             }
             if is_closed(stream) {
@@ -263,6 +338,12 @@
             if stream.write_all(chunk.as_bytes()).is_err() {
                 return "lost its caller for";
             }
+            if end == StreamEnd::Crash(event - after) {
+                std::thread::sleep(Duration::from_millis(3));
+                self.crash(id);
+                self.wait_for_closed_port();
+                return "crashed under";
+            }
         }
         match stream.write_all(b"0\r\n\r\n") {
             Ok(()) => "ended",
@@ -289,10 +370,10 @@
             format!("{{\"name\":\"{name}\",\"version\":1,\"adapters\":[{adapters}]}}")
         };
         let models: Vec<String> = self.models.iter().map(model).collect();
-        let names: Vec<String> = self.models.keys().map(|it| format!("\"{it}\"")).collect();
+        let names: Vec<String> = self.on_disk.iter().map(|it| format!("\"{it}\"")).collect();
         let (models, names) = (models.join(","), names.join(","));
         format!(
-            "\"models\":[{models}],\"available\":{{\"in_memory\":[{names}],\"on_disk\":[{names}]}}"
+            "\"models\":[{models}],\"available\":{{\"in_memory\":[],\"on_disk\":[{names}]}}"
         )
     }
 
@@ -303,7 +384,8 @@
             ("load", None) if self.models.contains_key(model) => 200,
             ("load", None) => {
                 if self.models.len() >= MODEL_SLOTS {
-                    self.crash(format!("load {model} beside {} models", self.models.len()));
+                    self.over_limit.push(format!("{model} beside {} models", self.models.len()));
+                    self.crash();
                     return CRASHED;
                 }
                 self.begin(model, true)
@@ -316,7 +398,8 @@
 
     fn begin(&mut self, model: &str, is_load: bool) -> u16 {
         self.sequence += 1;
-        let time = Duration::from_millis(if is_load { 6_000 } else { 50 });
+        let load_time = if self.on_disk.contains(model) { 1_300 } else { 6_000 };
+        let time = Duration::from_millis(if is_load { load_time } else { 50 });
         self.open = Some((model.to_owned(), is_load, Instant::now() + time));
         202
     }
@@ -329,7 +412,8 @@
             return 200;
         }
         if !adapters.contains(&adapter) && held >= ADAPTER_SLOTS {
-            self.crash(format!("load {model}/{adapter} beside {held} adapters"));
+            self.over_limit.push(format!("{model}/{adapter} beside {held} adapters"));
+            self.crash();
             return CRASHED;
         }
         adapters.insert(adapter);
@@ -355,8 +439,9 @@
         200
     }
 
-    fn end_run(&mut self, key: &(String, String)) {
-        if let Some(count) = self.runs.get_mut(key) {
+    fn end_run(&mut self, key: &(String, String), crashes: u64) {
+        if crashes == self.crashes
+            && let Some(count) = self.runs.get_mut(key) {
             *count -= 1;
             if *count == 0 {
                 self.runs.remove(key);
@@ -369,10 +454,17 @@
         }
     }
 
-    /// Ends all runs; the replica restarts empty but for its models, which the case needs no more.
-    fn crash(&mut self, cause: String) {
-        self.over_limit.push(cause);
+    /// Ends all runs. The replica restarts empty; its disk stays.
+    fn crash(&mut self) {
         self.crashes += 1;
+        self.crash_times.push(Instant::now());
+        self.down_until = Some(Instant::now() + DOWN_TIME);
+        self.models.clear();
+        self.unloading.clear();
+        self.runs.clear();
+        self.open = None;
+        self.sequence = 0;
+        self.fence = 0;
     }
 
     fn complete_orders(&mut self) {
@@ -383,7 +475,10 @@
         }
         self.open = None;
         match is_load {
-            true => self.models.insert(model, BTreeSet::new()),
+            true => {
+                self.on_disk.insert(model.clone());
+                self.models.insert(model, BTreeSet::new())
+            }
             false => self.models.remove(&model),
         };
     }
--- a/review/lib-2/rig.rs
+++ b/review/lib-2/rig.rs
@@ -534,15 +534,44 @@
     address: SocketAddr,
     serve: impl Fn(&ReplicaRequest, &mut TcpStream) -> bool + Send + Sync + 'static,
 ) {
-    let listener = TcpListener::bind(address).unwrap_or_else(|error| {
-        eprintln!("cannot listen: {error}");
-        std::process::exit(NOT_RUN);
-    });
+    serve_while_up(address, || true, serve);
+}
+
+/// Serves requests on `address` while `is_up`; the port is closed otherwise, and so are its connections.
+pub fn serve_while_up(
+    address: SocketAddr,
+    is_up: impl Fn() -> bool + Send + Sync + 'static,
+    serve: impl Fn(&ReplicaRequest, &mut TcpStream) -> bool + Send + Sync + 'static,
+) {
+    let bind = move || {
+        let listener = TcpListener::bind(address).unwrap_or_else(|error| {
+            eprintln!("cannot listen: {error}");
+            end_all();
+            std::process::exit(NOT_RUN);
+        });
+        let _ = listener.set_nonblocking(true);
+        listener
+    };
+    let mut listener = Some(bind());
     let serve = Arc::new(serve);
     std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let serve = Arc::clone(&serve);
-            std::thread::spawn(move || serve_connection(stream, &*serve));
+        let mut streams: Vec<TcpStream> = Vec::new();
+        loop {
+            if !is_up() {
+                listener = None;
+                streams.drain(..).for_each(|it| drop(it.shutdown(Shutdown::Both)));
+                std::thread::sleep(Duration::from_millis(2));
+                continue;
+            }
+            match listener.get_or_insert_with(bind).accept() {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nonblocking(false);
+                    streams.extend(stream.try_clone());
+                    let serve = Arc::clone(&serve);
+                    std::thread::spawn(move || serve_connection(stream, &*serve));
+                }
+                Err(_) => std::thread::sleep(Duration::from_millis(2)),
+            }
         }
     });
 }
