--- a/review/lib-2/engine.rs
+++ b/review/lib-2/engine.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -13,8 +13,10 @@
 /// Places for adapters and models, as in the configuration.
 pub const ADAPTER_SLOTS: usize = 8;
 pub const MODEL_SLOTS: usize = 3;
-/// Time for which a replica is down after a crash.
-const DOWN_TIME: Duration = Duration::from_millis(2_000);
+/// Interval of the heartbeats, as in the settings.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// Time in ms for which a replica is down after a crash, unless it is set.
+const DOWN_MS: u64 = 2_000;
 /// Stands for an order on which the replica crashes, so that nobody gets an answer.
 const CRASHED: u16 = 0;
 
@@ -59,7 +61,14 @@
     pub id: String,
     pub address: SocketAddr,
     zone: &'static str,
+    service: &'static str,
     born: AtomicU64,
+    /// Version of the software, and those of the next starts.
+    version: Mutex<String>,
+    next_versions: Mutex<Vec<String>>,
+    /// Whether a replica that starts again writes its entry at once, or a heartbeat later.
+    beats_at_start: AtomicBool,
+    down_ms: AtomicU64,
     events: u64,
     event_time: Duration,
     /// Time from the head of an answer to its first event.
@@ -81,6 +90,11 @@
         Engine::start_with_prefill(rig, number, models, events, event_time, event_time)
     }
 
+    /// Starts a replica of the service `talk`, which streams and has no models.
+    pub fn start_plain(rig: &Rig, number: u8, events: u64, event_time: Duration) -> Arc<Engine> {
+        Engine::start_service(rig, ("talk", number), &[], events, (event_time, event_time))
+    }
+
     /// Starts a replica that writes the head of an answer when it takes the request up, and the first
     /// event `prefill_time` later.
     pub fn start_with_prefill(
@@ -90,6 +104,16 @@
         events: u64,
         event_time: Duration,
         prefill_time: Duration,
+    ) -> Arc<Engine> {
+        Engine::start_service(rig, ("mind", number), models, events, (event_time, prefill_time))
+    }
+
+    fn start_service(
+        rig: &Rig,
+        (service, number): (&'static str, u8),
+        models: &[&str],
+        events: u64,
+        (event_time, prefill_time): (Duration, Duration),
     ) -> Arc<Engine> {
         let mut state = State::default();
         for model in models {
@@ -97,10 +121,15 @@
             state.on_disk.insert((*model).to_owned());
         }
         let engine = Arc::new(Engine {
-            id: format!("i-mind-{number}"),
+            id: format!("i-{service}-{number}"),
+            service,
             address: rig::free_address(rig.ip(100 + number)),
             zone: ["palermo", "catania", "agrigento"][usize::from(number) % 3],
             born: AtomicU64::new(rig::unix_millis() as u64),
+            version: Mutex::new("v1".to_owned()),
+            next_versions: Mutex::default(),
+            beats_at_start: AtomicBool::new(true),
+            down_ms: AtomicU64::new(DOWN_MS),
             events,
             event_time,
             prefill_time,
@@ -121,12 +150,17 @@
                 if beating.is_up() {
                     rig::put_item(store, &format!("servers/{}", beating.id), &beating.beat());
                 }
-                // A replica that is back says so at once.
-                for _ in 0..60 {
-                    if beating.born.load(Ordering::Relaxed) != born && beating.is_up() {
+                let is_new = || beating.born.load(Ordering::Relaxed) != born && beating.is_up();
+                let mut waited = Duration::ZERO;
+                while waited < HEARTBEAT {
+                    std::thread::sleep(Duration::from_millis(20));
+                    waited += Duration::from_millis(20);
+                    if is_new() {
+                        if !beating.beats_at_start.load(Ordering::Relaxed) {
+                            std::thread::sleep(HEARTBEAT);
+                        }
                         break;
                     }
-                    std::thread::sleep(Duration::from_millis(20));
                 }
             }
         });
@@ -141,15 +175,38 @@
             return false;
         }
         state.down_until = None;
+        let mut next_versions = self.next_versions.lock().unwrap_or_else(|it| it.into_inner());
+        if !next_versions.is_empty() {
+            *self.version.lock().unwrap_or_else(|it| it.into_inner()) = next_versions.remove(0);
+        }
         self.born.store(rig::unix_millis() as u64, Ordering::Relaxed);
-        self.record.line(format!("{} is back", self.id));
+        self.record.line(format!("{} is back with software {}", self.id, self.version()));
         true
     }
 
-    fn crash(&self, cause: &str) {
+    fn down_time(&self) -> Duration {
+        Duration::from_millis(self.down_ms.load(Ordering::Relaxed))
+    }
+
+    /// Returns the version of the software that runs now.
+    pub fn version(&self) -> String {
+        self.version.lock().unwrap_or_else(|it| it.into_inner()).clone()
+    }
+
+    /// Sets the versions of the next starts, that each of them writes its entry a heartbeat later, and how
+    /// long the replica is down before it.
+    pub fn set_next_versions(&self, versions: &[&str], down_time: Duration) {
+        self.down_ms.store(down_time.as_millis() as u64, Ordering::Relaxed);
+        let versions = versions.iter().map(|it| (*it).to_owned()).collect();
+        *self.next_versions.lock().unwrap_or_else(|it| it.into_inner()) = versions;
+        self.beats_at_start.store(false, Ordering::Relaxed);
+    }
+
+    pub fn crash(&self, cause: &str) {
         let mut state = self.lock();
         if state.down_until.is_none() {
             state.crash();
+            state.down_until = Some(Instant::now() + self.down_time());
             self.record.line(format!("{} crashes: {cause}", self.id));
         }
     }
@@ -195,13 +252,18 @@
     }
 
     fn beat(&self) -> String {
-        let models = self.lock().describe_models();
+        let models = match self.service {
+            "mind" => format!("{},", self.lock().describe_models()),
+            _ => String::new(),
+        };
         format!(
-            "{{\"service\":\"mind\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\
              \"slots\":64,\"state\":\"ready\",\"cold_remaining_ms\":0,\"stage\":\"combined\",\
-             {models},\"sequence\":{},\"born\":{}}}",
+             {models}\"sequence\":{},\"born\":{}}}",
+            self.service,
             self.address,
             self.zone,
+            self.version(),
             self.lock().sequence,
             self.born.load(Ordering::Relaxed)
         )
@@ -226,6 +288,9 @@
             }
             "/-/order" => {
                 let status = self.take_order(&String::from_utf8_lossy(&request.body));
+                if status == CRASHED {
+                    self.lock().down_until = Some(Instant::now() + self.down_time());
+                }
                 status != CRASHED && respond(stream, status, &[], b"")
             }
             _ => self.run(request, stream),
@@ -277,7 +342,7 @@
             if state.unloading.contains(&key) {
                 return respond(stream, 503, &[not_run, named], b"");
             }
-            if !state.holds(&key) {
+            if self.service == "mind" && !state.holds(&key) {
                 return respond(stream, 421, &[not_run, named], b"");
             }
             *state.runs.entry(key.clone()).or_default() += 1;
@@ -306,6 +371,7 @@
         stream: &mut TcpStream,
     ) -> &'static str {
         use std::io::Write;
+        let version = self.version();
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
              Transfer-Encoding: chunked\r\nX-Gentianwheel-Request-Id: {id}\r\n\
@@ -325,7 +391,7 @@
             if is_closed(stream) {
                 return "lost its caller for";
             }
-            let mut text = event_text(event);
+            let mut text = event_text(event, &version);
             if end == StreamEnd::InsideEvent(event) {
                 text.truncate(text.len() / 2);
                 let last = format!("{:x}\r\n{text}\r\n0\r\n\r\n", text.len());
@@ -353,8 +419,8 @@
 }
 
 /// Returns an event of a stream.
-pub fn event_text(event: u64) -> String {
-    format!("id: {event}\ndata: piece {event} of the answer, which has some more words\n\n")
+pub fn event_text(event: u64, version: &str) -> String {
+    format!("id: {event}\ndata: {version} piece {event} of the answer with some more words\n\n")
 }
 
 impl State {
@@ -458,7 +524,6 @@
     fn crash(&mut self) {
         self.crashes += 1;
         self.crash_times.push(Instant::now());
-        self.down_until = Some(Instant::now() + DOWN_TIME);
         self.models.clear();
         self.unloading.clear();
         self.runs.clear();
--- a/review/lib-2/rig.rs
+++ b/review/lib-2/rig.rs
@@ -661,7 +661,7 @@
     text
 }
 
-/// Returns a configuration: an engine service `mind`, a plain one `desk`, and a route of each kind. The
+/// Returns a configuration: an engine service `mind`, the plain ones `talk` and `desk`, and their routes. The
 /// figures are those of the sheet of vitale-piste.
 pub fn config(version: u64, rate_per_s: u64, burst: u64, models: usize) -> String {
     let route = |name: &str, kind: &str, service: &str, timeout: u64, target: u64, more: &str| {
@@ -678,6 +678,7 @@
     let routes = [
         route("chat", "streaming", "mind", 15_000, 500, stream),
         route("season", "streaming", "mind", 20_000, 3_000, whole),
+        route("talk", "streaming", "talk", 15_000, 500, stream),
         route("book", "unsafe", "desk", 2_000, 300, ",\"priority\":2,\"attempts\":1"),
         route("look", "safe", "desk", 2_000, 300, ",\"priority\":2,\"attempts\":2"),
     ];
@@ -699,7 +700,9 @@
     format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"mind\",\
          \"health_path\":\"/health\",\"connection_limit\":370,\"protocol\":\"h1\",\"tls\":false,\
-         \"cold_start_s\":0.0,\"cold_per_s\":0.0,\"engine\":{engine}}},{{\"name\":\"desk\",\
+         \"cold_start_s\":0.0,\"cold_per_s\":0.0,\"engine\":{engine}}},{{\"name\":\"talk\",\
+         \"health_path\":\"/health\",\"connection_limit\":370,\"protocol\":\"h1\",\"tls\":false,\
+         \"cold_start_s\":0.0,\"cold_per_s\":0.0}},{{\"name\":\"desk\",\
          \"health_path\":\"/health\",\"connection_limit\":110,\"protocol\":\"h1\",\"tls\":false,\
          \"cold_start_s\":0.0,\"cold_per_s\":0.0}}],\"limits\":{{\"header_bytes\":16384,\
          \"body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
