--- a/review/lib-2/rig.rs
+++ b/review/lib-2/rig.rs
@@ -9,14 +9,22 @@
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn signal(number: i32, handler: extern "C" fn(i32)) -> usize;
+    fn _exit(code: i32) -> !;
 }
 
+/// Time after which a script gives up.
+const LONGEST_RUN: Duration = Duration::from_secs(115);
+
+const SIGHUP: i32 = 1;
+const SIGINT: i32 = 2;
+
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
 pub const SIGSTOP: i32 = 19;
@@ -47,16 +55,57 @@
     }
 }
 
-/// Ids of the processes that were started and may still run.
-static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// Ids of the processes that were started and may still run; zero where there is none.
+static RUNNING: [AtomicU32; 16] = [const { AtomicU32::new(0) }; 16];
+
+fn add_running(pid: u32) {
+    for place in &RUNNING {
+        if place.compare_exchange(0, pid, Ordering::SeqCst, Ordering::SeqCst).is_ok() {
+            return;
+        }
+    }
+}
+
+fn remove_running(pid: u32) {
+    for place in &RUNNING {
+        let _ = place.compare_exchange(pid, 0, Ordering::SeqCst, Ordering::SeqCst);
+    }
+}
 
-/// Ends all processes that the script started.
+/// Ends all processes that the script started, by their ids.
 pub fn end_all() {
-    for pid in RUNNING.lock().unwrap_or_else(|it| it.into_inner()).drain(..) {
-        unsafe { kill(pid as i32, SIGKILL) };
+    for place in &RUNNING {
+        let pid = place.swap(0, Ordering::SeqCst);
+        if pid > 0 {
+            unsafe { kill(pid as i32, SIGKILL) };
+        }
     }
 }
 
+/// Ends the script on a signal, with all that it started.
+extern "C" fn end_on_signal(_signal: i32) {
+    end_all();
+    unsafe { _exit(NOT_RUN) };
+}
+
+/// Ends the script with all that it started if it is stopped, fails, or takes too long.
+fn guard() {
+    for number in [SIGHUP, SIGINT, SIGTERM] {
+        unsafe { signal(number, end_on_signal) };
+    }
+    std::panic::set_hook(Box::new(|cause| {
+        eprintln!("the case couldn't run: {cause}");
+        end_all();
+        std::process::exit(NOT_RUN);
+    }));
+    std::thread::spawn(|| {
+        std::thread::sleep(LONGEST_RUN);
+        eprintln!("the case couldn't run: it took too long");
+        end_all();
+        std::process::exit(NOT_RUN);
+    });
+}
+
 /// A process that the script started.
 pub struct Process {
     pub name: String,
@@ -81,8 +130,7 @@
         self.signal(SIGCONT);
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let pid = self.child.id();
-        RUNNING.lock().unwrap_or_else(|it| it.into_inner()).retain(|other| *other != pid);
+        remove_running(self.child.id());
     }
 }
 
@@ -104,6 +152,7 @@
 impl Rig {
     /// Prepares a run of the case in `folder`, which gets the record.
     pub fn new(folder: &str) -> Rig {
+        guard();
         let start = Instant::now();
         let file = File::create(Path::new(folder).join("record.txt")).unwrap_or_else(|error| {
             eprintln!("cannot write the record: {error}");
@@ -160,7 +209,7 @@
         }
         match command.spawn() {
             Ok(child) => {
-                RUNNING.lock().unwrap_or_else(|it| it.into_inner()).push(child.id());
+                add_running(child.id());
                 Process { name: name.to_owned(), child }
             }
             Err(error) => self.give_up(&format!("cannot start {program}: {error}")),
@@ -172,11 +221,6 @@
         put_item(self.store, key, value)
     }
 
-    pub fn remove(&self, key: &str) -> bool {
-        let body = format!("{{\"expected\":[],\"writes\":[],\"remove\":[\"{key}\"]}}");
-        post(self.store, "/-/kv-txn", &body) == Some(200)
-    }
-
     /// Waits until `check` returns true; the case can't run otherwise.
     pub fn wait_until(&self, what: &str, seconds: f64, mut check: impl FnMut() -> bool) {
         let end = Instant::now() + Duration::from_secs_f64(seconds);
@@ -281,6 +325,7 @@
     let listener = TcpListener::bind((ip, 0)).and_then(|listener| listener.local_addr());
     listener.unwrap_or_else(|error| {
         eprintln!("no free port: {error}");
+        end_all();
         std::process::exit(NOT_RUN);
     })
 }
@@ -292,6 +337,11 @@
     post(store, "/-/kv-txn", &body) == Some(200)
 }
 
+pub fn remove_item(store: SocketAddr, key: &str) -> bool {
+    let body = format!("{{\"expected\":[],\"writes\":[],\"remove\":[\"{key}\"]}}");
+    post(store, "/-/kv-txn", &body) == Some(200)
+}
+
 fn post(address: SocketAddr, path: &str, body: &str) -> Option<u16> {
     let length = body.len();
     let head = format!(
