Refuse responses whose status code doesn't exist

What callers saw (MIXED, on the users' machines): a response with the status 000 reached the client with the upstream's signature and body.

Cause: the parser takes any three digits for a status code, and nothing asked whether the code exists. As no success and no 5xx it was relayed as a refusal. A report with the status 000 also confirmed the end of an unframed response.

Change: `ResponseHead::parse` takes codes from 100 to 599 for every reader; the check is `status-line`.

--- a/crates/gentian-http/src/forward/response_head.rs
+++ b/crates/gentian-http/src/forward/response_head.rs
@@ -1,5 +1,7 @@
 //! Response heads.
 
+use std::ops::RangeInclusive;
+
 use gentian_core::TimeSpan;
 
 use super::request_head::MAX_HEADER_FIELDS;
@@ -7,6 +9,8 @@
 
 /// Largest accepted response head.
 pub(super) const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Status codes that a response may have (RFC 9110, section 15).
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 
 /// Status line and header fields of a response.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -46,7 +50,8 @@
             Ok(httparse::Status::Partial) => return Err(ResponseFault::HeadTooLarge),
             Err(error) => return Err(parse_fault(error)),
         };
-        let status = response.code.ok_or(ResponseFault::StatusLine)?;
+        let status = response.code.filter(|code| STATUS_CODES.contains(code));
+        let status = status.ok_or(ResponseFault::StatusLine)?;
         let headers = response.headers.iter().copied().collect();
         Ok(Some((Self { status, headers, is_http11: response.version == Some(1) }, length)))
     }
--- a/crates/gentian-http/tests/responses.rs
+++ b/crates/gentian-http/tests/responses.rs
@@ -32,6 +32,26 @@
     Ok((status, body, reader.end(connection).judge()))
 }
 
+/// Responses whose status doesn't exist. Those with the status 000 were passed on.
+#[rstest]
+#[case::status_000(
+    b"HTTP/1.1 000 Nothing\r\nContent-Length: 2\r\n\r\nok",
+    ResponseFault::StatusLine
+)]
+#[case::status_099(b"HTTP/1.1 099 Low\r\nContent-Length: 2\r\n\r\nok", ResponseFault::StatusLine)]
+#[case::status_600(b"HTTP/1.1 600 High\r\nContent-Length: 2\r\n\r\nok", ResponseFault::StatusLine)]
+#[case::status_999(b"HTTP/1.1 999 High\r\nContent-Length: 2\r\n\r\nok", ResponseFault::StatusLine)]
+#[case::two_digits(b"HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nok", ResponseFault::StatusLine)]
+#[case::four_digits(b"HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\nok", ResponseFault::StatusLine)]
+#[case::signed(b"HTTP/1.1 +20 OK\r\nContent-Length: 2\r\n\r\nok", ResponseFault::StatusLine)]
+fn a_status_that_does_not_exist_counted_as_a_response(
+    #[case] bytes: &[u8],
+    #[case] fault: ResponseFault,
+    #[values(1, 7, 1_000)] step: usize,
+) {
+    assert_eq!(read_response("GET", bytes, step, ConnectionEnd::Closed), Err(fault));
+}
+
 /// Sound responses of each kind go on to be whole.
 #[rstest]
 #[case::length("GET", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 200, "ok")]
@@ -119,6 +139,19 @@
         prop_assert!(!matches!(read, Ok((_, _, EndVerdict::Whole))), "{:?}", read);
     }
 
+    /// Nothing makes a reader panic, and it consumes no more than there is.
+    #[test]
+    fn no_bytes_make_a_reader_panic(
+        bytes in proptest::collection::vec(any::<u8>(), 0..300),
+        is_after_head in any::<bool>(),
+        step in 1_usize..20,
+    ) {
+        let head: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let head = if is_after_head { head } else { b"" };
+        let read = read_response("GET", &[head, &bytes].concat(), step, ConnectionEnd::Closed);
+        prop_assert!(read.is_err() || read.is_ok_and(|(status, ..)| (200..600).contains(&status)));
+    }
+
     /// A stream that lost the end of an event is not between two.
     #[test]
     fn no_stream_that_was_cut_is_between_events(
--- a/crates/gentian-soak/src/soak_fault.rs
+++ b/crates/gentian-soak/src/soak_fault.rs
@@ -13,7 +13,7 @@
 pub(crate) const PLAIN_REPLICAS: usize = 2;
 
 /// Faults of answers that the stand-in of a replica knows.
-const ANSWER_FAULTS: [&str; 20] = [
+const ANSWER_FAULTS: [&str; 21] = [
     "unframed-answer",
     "unframed-cut",
     "endless-head",
@@ -28,6 +28,7 @@
     "stalled-head",
     "stalled-body",
     "cut-head",
+    "zero-status",
     "chunked-event-cut",
     "length-event-cut",
     "failed-resume",
--- a/crates/gentian-soak/tests/faulty_answers.rs
+++ b/crates/gentian-soak/tests/faulty_answers.rs
@@ -92,10 +92,11 @@
     run_clean(&settings(200).with_size(2, 8).with_answer_fault("failed-resume"));
 }
 
-/// Bodies that end inside an event by each framing.
+/// Answers that are none, and bodies that end inside an event by each framing.
 #[rstest]
+#[case::status_000("zero-status", 186)]
 #[case::last_chunk_inside_an_event("chunked-event-cut", 189)]
 #[case::length_inside_an_event("length-event-cut", 190)]
-fn an_answer_that_ends_inside_an_event_was_passed_on(#[case] fault: &str, #[case] seed: u64) {
+fn an_answer_that_is_none_or_not_whole_was_passed_on(#[case] fault: &str, #[case] seed: u64) {
     run_clean(&settings(seed).with_size(2, 8).with_answer_fault(fault));
 }
--- a/crates/gentian-soak/tests/invalid_responses.rs
+++ b/crates/gentian-soak/tests/invalid_responses.rs
@@ -25,6 +25,10 @@
 const CHUNKED_EVENT: &str = "11\r\nid: 1\ndata: one\n\n\r\n";
 const CHUNKED_PART: &str = "9\r\nid: 2\ndat\r\n";
 
+fn invalid(fleet: &ResponseFleet, check: &str) -> u64 {
+    fleet.metric(&format!("{INVALID}call=\"request\",check=\"{check}\"}}"))
+}
+
 /// A safe request is answered by another upstream; the check has its event and its metric, and the upstream
 /// doesn't count as crashed.
 fn assert_goes_on(fleet: &ResponseFleet, call: &RawCall, steps: &[ResponseStep]) {
@@ -45,6 +49,44 @@
     response
 }
 
+/// Guards against responses whose status doesn't exist or whose fields are none: those with the status 000
+/// were passed on to the client.
+#[test]
+fn a_client_got_bytes_that_are_no_response() {
+    let cases: [(&str, &[ResponseStep]); 2] = [
+        (
+            "status-line",
+            &[
+                ReadRequest,
+                Write(
+                    "HTTP/1.1 000 Nothing\r\nX-Gentianwheel-Request-Id: {id}\r\nX-Gentianwheel-Server-Stamp: s\r\nContent-Length: 3\r\n\r\nbad",
+                ),
+            ],
+        ),
+        (
+            "status-line",
+            &[
+                ReadRequest,
+                Write(
+                    "HTTP/1.1 700 High\r\nX-Gentianwheel-Request-Id: {id}\r\nX-Gentianwheel-Server-Stamp: s\r\nContent-Length: 3\r\n\r\nbad",
+                ),
+            ],
+        ),
+    ];
+    let fleet = ResponseFleet::start();
+    for (check, steps) in cases {
+        let before = invalid(&fleet, check);
+        assert_goes_on(&fleet, &RawCall::get("/look/1"), steps);
+        let response = assert_ends(&fleet, &RawCall::post("/book/1", 100), steps);
+        assert_eq!(response.status, 502, "{check}: {response:?}");
+        assert_eq!(invalid(&fleet, check), before + 2, "{check}");
+        let streamed = assert_ends(&fleet, &RawCall::post("/season/1", 100), steps);
+        assert!(streamed.status == 502 || !streamed.is_whole, "{check}: {streamed:?}");
+    }
+    fleet.wait_for_log_lines("GW1119", 3 * cases.len());
+    assert_eq!(fleet.metric(CRASHES), 0, "no upstream has crashed");
+}
+
 /// Guards against parts that count as whole when the connection is reset in other ways.
 #[test]
 fn a_response_that_is_reset_is_not_whole() {
@@ -99,6 +141,18 @@
     assert_eq!(fleet.metric(CRASHES), 0, "no upstream has crashed");
 }
 
+/// Guards against a probe that takes bytes which are no response for a reply: the end of an unframed response
+/// was confirmed by a report with the status 000.
+#[test]
+fn a_report_that_is_no_response_confirmed_an_end() {
+    let fleet = ResponseFleet::start();
+    fleet.script_reports(&[Write("HTTP/1.1 000 Nothing\r\nContent-Length: 2\r\n\r\n{}"), Close]);
+    let steps = [ReadRequest, WriteHead(""), Write("bad"), Close];
+    let response = assert_ends(&fleet, &RawCall::post("/book/1", 100), &steps);
+    assert_eq!(response.status, 502, "{response:?}");
+    assert_eq!(fleet.metric(&format!("{INVALID}call=\"start\",check=\"status-line\"}}")), 1);
+}
+
 /// Sound responses go on to be passed on, by each kind of end.
 #[test]
 fn sound_responses_are_passed_on() {
--- a/crates/gentian-soak/tests/response_fleet/mod.rs
+++ b/crates/gentian-soak/tests/response_fleet/mod.rs
@@ -83,6 +83,11 @@
         self.upstreams.script(steps);
     }
 
+    /// Has all reports of the upstreams be answered by these steps from now on.
+    pub(crate) fn script_reports(&self, steps: &[ResponseStep]) {
+        self.upstreams.script_reports(steps);
+    }
+
     /// Makes a call as a client of the entry.
     pub(crate) fn call(&self, call: &RawCall) -> RawResponse {
         call.send(self.address(10, 7_100))
@@ -103,6 +108,15 @@
         values.map(|value| value.parse::<u64>().unwrap()).sum()
     }
 
+    /// Waits until the entry has logged this many lines with this text.
+    pub(crate) fn wait_for_log_lines(&self, text: &str, count: usize) {
+        let log = self.folder.join("1-gentianwheel.log");
+        self.wait_until(&format!("{count} lines with {text}"), |_| {
+            let log = std::fs::read_to_string(&log).unwrap();
+            log.lines().filter(|line| line.contains(text)).count() == count
+        });
+    }
+
     fn address(&self, host: u8, port: u16) -> SocketAddr {
         SocketAddr::from(([127, 79, self.subnet, host], port))
     }
--- a/crates/gentian-soak/tests/response_fleet/scripted_upstream.rs
+++ b/crates/gentian-soak/tests/response_fleet/scripted_upstream.rs
@@ -48,6 +48,7 @@
 #[derive(Default)]
 struct SharedScripts {
     next: VecDeque<Vec<ResponseStep>>,
+    reports: Option<Vec<ResponseStep>>,
     arrivals: Vec<Arrival>,
 }
 
@@ -88,6 +89,10 @@
         self.lock().next.push_back(steps.to_vec());
     }
 
+    pub(crate) fn script_reports(&self, steps: &[ResponseStep]) {
+        self.lock().reports = Some(steps.to_vec());
+    }
+
     pub(crate) fn take_arrivals(&self) -> Vec<Arrival> {
         std::mem::take(&mut self.lock().arrivals)
     }
@@ -99,7 +104,7 @@
     fn serve(&self, address: SocketAddr, mut peer: TcpStream) {
         while let Some(mut request) = read_request(&mut peer) {
             let steps = if request.path == "/-/report" {
-                None
+                self.lock().reports.clone()
             } else {
                 let (upstream, id, after) = (address, request.id.clone(), request.after);
                 let mut scripts = self.lock();
--- a/crates/gentian-standin/src/fleet/faulty_response.rs
+++ b/crates/gentian-standin/src/fleet/faulty_response.rs
@@ -48,7 +48,7 @@
     pub(crate) const REFUSALS: [FaultName; 3] =
         [FaultName::RepeatedRefusal, FaultName::RepeatedBareRefusal, FaultName::TurnedAway];
     /// Faults of the response to a request that was executed.
-    pub(crate) const RESPONSES: [FaultName; 16] = [
+    pub(crate) const RESPONSES: [FaultName; 17] = [
         FaultName::EndlessHead,
         FaultName::EndlessBody,
         FaultName::EndlessTrailer,
@@ -62,6 +62,7 @@
         FaultName::UnframedResponse,
         FaultName::UnframedTruncation,
         FaultName::TruncatedHead,
+        FaultName::ZeroStatus,
         FaultName::ChunkedEventCut,
         FaultName::LengthEventCut,
         FaultName::FailedResume,
@@ -117,6 +118,7 @@
             FaultName::UnframedTruncation if self.events.is_none() => self.send_unframed(stream, 0),
             FaultName::UnframedTruncation => self.send_unframed(stream, TRUNCATED_BYTES),
             FaultName::TruncatedHead => self.send_truncated_head(stream),
+            FaultName::ZeroStatus => self.send_bad_head(stream, "HTTP/1.1 000 Nothing\r\n"),
             FaultName::ChunkedEventCut => {
                 let body = encode_chunk(&self.cut_body());
                 self.write(stream, format!("{}{body}0\r\n\r\n", self.chunked_head()).as_bytes())
@@ -197,6 +199,15 @@
         body
     }
 
+    /// Sends a whole response whose head begins with these lines.
+    fn send_bad_head(&self, stream: &mut BufferedStream, start: &str) -> bool {
+        let body = self.body();
+        let head = self.head().with_header("Content-Length", body.len().to_string()).to_bytes();
+        let head = String::from_utf8_lossy(&head).into_owned();
+        let fields = head.split_once("\r\n").map_or("", |(_, fields)| fields);
+        self.write(stream, format!("{start}{fields}{body}").as_bytes())
+    }
+
     /// Closes the connection after a part of the head, with the length of the body as its last line.
     fn send_truncated_head(&self, stream: &mut BufferedStream) -> bool {
         let head = self.head().with_header("Content-Length", self.body().len().to_string());
--- a/crates/gentian-standin/src/shared/fault_switch.rs
+++ b/crates/gentian-standin/src/shared/fault_switch.rs
@@ -47,6 +47,8 @@
     StalledBody,
     /// The connection ends inside the head of a response.
     TruncatedHead,
+    /// The status code of a response is 000.
+    ZeroStatus,
     /// The last chunk of a body comes inside an event.
     ChunkedEventCut,
     /// The length of a body ends inside an event.
@@ -89,6 +91,7 @@
             Self::StalledHead => "stalled-head",
             Self::StalledBody => "stalled-body",
             Self::TruncatedHead => "cut-head",
+            Self::ZeroStatus => "zero-status",
             Self::ChunkedEventCut => "chunked-event-cut",
             Self::LengthEventCut => "length-event-cut",
             Self::FailedResume => "failed-resume",
@@ -125,6 +128,7 @@
             Self::StalledHead,
             Self::StalledBody,
             Self::TruncatedHead,
+            Self::ZeroStatus,
             Self::ChunkedEventCut,
             Self::LengthEventCut,
             Self::FailedResume,
@@ -143,7 +147,7 @@
                 "one of down, slow, lost-answer, cut-answer, unframed-answer, unframed-cut, \
                  endless-head, endless-body, endless-trailer, endless-status-line, \
                  endless-field, endless-chunk-size, endless-length, endless-unframed, \
-                 endless-report, stalled-head, stalled-body, cut-head, chunked-event-cut, length-event-cut, failed-resume, \
+                 endless-report, stalled-head, stalled-body, cut-head, zero-status, chunked-event-cut, length-event-cut, failed-resume, \
                  repeated-refusal, repeated-bare-refusal, turned-away, leaving, crossed-answer, \
                  failed-load",
             )
