--- a/crates/gentian-ctl/src/commands/call.rs
+++ b/crates/gentian-ctl/src/commands/call.rs
@@ -40,17 +40,16 @@
     let body = command.body.unwrap_or_default();
     let method = if body.is_empty() { "GET" } else { "POST" };
     let client = HttpClient::new(command.target, command.timeout);
-    let response = client.call(method, &command.path, &headers, body.as_bytes())?;
+    let mut response = client.call(method, &command.path, &headers, body.as_bytes())?;
     let is_success = response.is_success();
-    println!("status {}", response.status().as_u16());
-    if let Some(id) = response.headers().get("X-Request-Id").and_then(|id| id.to_str().ok()) {
+    println!("status {}", response.status());
+    if let Some(id) = response.header("X-Request-Id") {
         println!("request {id}");
     }
-    let mut reader = response.split().2;
     let mut output = std::io::stdout();
     let mut buffer = [0; 4096];
     loop {
-        let length = reader.read(&mut buffer)?;
+        let length = response.read(&mut buffer)?;
         if length == 0 {
             break;
         }
--- a/crates/gentian-entry/src/chain/call_context.rs
+++ b/crates/gentian-entry/src/chain/call_context.rs
@@ -3,12 +3,11 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use attohttpc::Response;
 use flume::Sender;
 use gentian_core::{RequestId, TokenCount, UpstreamId};
 use gentian_decide::request::RequestState;
-use gentian_http::HttpRequest;
 use gentian_http::forward::{BodyBuffer, BufferBudget};
+use gentian_http::{CallResponse, HttpRequest};
 use gentian_process::ProcessClock;
 
 use super::IntentStore;
@@ -46,7 +45,7 @@
     /// Claim on the record of a non-idempotent call.
     pub(crate) claim: Option<IntentClaim>,
     /// Response of the upstream.
-    pub(crate) response: Option<Response>,
+    pub(crate) response: Option<CallResponse>,
     /// Upstream of the latest attempt.
     pub(crate) upstream: Option<UpstreamId>,
     /// Tokens that the request has used.
--- a/crates/gentian-entry/src/chain/relay_response.rs
+++ b/crates/gentian-entry/src/chain/relay_response.rs
@@ -2,11 +2,10 @@
 
 use std::io::{BufRead, BufReader};
 
-use attohttpc::Response;
 use gentian_core::{EventCode, TokenCount};
 use gentian_decide::entry::CallOutcome;
 use gentian_decide::request::{FilterOutcome, Refusal, RefusalCode};
-use gentian_http::{EventStream, HttpResponse, read_body_while, read_line_within};
+use gentian_http::{CallResponse, EventStream, HttpResponse, read_line_within};
 use gentian_wire::REQUEST_ID;
 use gentian_wire::generated::completion::{CompletionAnswer, CompletionUsage};
 
@@ -43,14 +42,14 @@
 fn relay_complete_response(
     handles: &CallHandles,
     call: &mut CallContext,
-    response: Response,
+    response: CallResponse,
 ) -> FilterOutcome {
-    let status = response.status().as_u16();
-    let content_type = header(&response, "content-type").unwrap_or("application/octet-stream");
+    let status = response.status();
+    let content_type = response.header("content-type").unwrap_or("application/octet-stream");
     let content_type = content_type.to_owned();
     let mut reservation = handles.buffers.reserve();
     let has_room = |length| reservation.resize_within_share(length);
-    let body = match read_body_while(response, MAX_RESPONSE_BYTES, has_room) {
+    let body = match response.read_body_while(MAX_RESPONSE_BYTES, has_room) {
         Ok(body) => body,
         Err(error) => {
             let refusal = Refusal::new(RefusalCode::UpstreamFailed, error.to_string());
@@ -81,12 +80,12 @@
 fn relay_stream(
     handles: &CallHandles,
     call: &mut CallContext,
-    response: Response,
+    response: CallResponse,
 ) -> FilterOutcome {
     let Some(http) = call.http.take() else { return FilterOutcome::Responded };
     let id = call.id().to_string();
-    let content_type = header(&response, "content-type").unwrap_or("text/event-stream").to_owned();
-    let mut reader = BufReader::new(response.split().2);
+    let content_type = response.header("content-type").unwrap_or("text/event-stream").to_owned();
+    let mut reader = BufReader::new(response);
     let outcome = match http.stream(&content_type, &[(REQUEST_ID, &id)]) {
         Ok(mut stream) => relay_events(handles, call, &mut reader, &mut stream),
         Err(_) => RelayOutcome::CallerGone,
@@ -157,10 +156,6 @@
     TokenCount::new(usage.total_tokens)
 }
 
-fn header<'a>(response: &'a Response, name: &str) -> Option<&'a str> {
-    response.headers().get(name).and_then(|value| value.to_str().ok())
-}
-
 fn observe_first_byte(handles: &CallHandles, call: &CallContext) {
     let span = handles.clock.now().since(call.request.received);
     handles.metrics.first_byte.observe(span.as_secs_f64());
--- a/crates/gentian-entry/src/chain/send_call.rs
+++ b/crates/gentian-entry/src/chain/send_call.rs
@@ -3,19 +3,20 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use attohttpc::Response;
 use flume::Receiver;
 use gentian_config::RouteKind;
 use gentian_core::{EventCode, MonoTime, TimeSpan};
 use gentian_decide::entry::{CallOutcome, WaitingCall};
 use gentian_decide::request::{FilterOutcome, Refusal, RefusalCode};
-use gentian_http::{CallError, HttpClient, HttpRequest};
+use gentian_http::{CallError, CallResponse, HttpClient, HttpRequest};
 use gentian_wire::{IDEMPOTENCY_KEY, REQUEST_ID};
 
 use super::call_completion::{refuse_not_run, refuse_possibly_run, report_outcome};
 use super::{CallContext, CallHandles};
 use crate::control::{CallAssignment, ControlEvent};
 
+/// Kind of these calls in logs and metrics.
+const CALL_NAME: &str = "request";
 /// How long past the request's deadline to wait for the control thread's assignment.
 const ASSIGNMENT_MARGIN: Duration = Duration::from_millis(500);
 /// Shortest timeout of a connection attempt or of a read.
@@ -111,7 +112,7 @@
     handles: &CallHandles,
     call: &CallContext,
     address: SocketAddr,
-) -> Result<Response, CallError> {
+) -> Result<CallResponse, CallError> {
     let Some(http) = &call.http else {
         return Err(CallError::NotSent("the caller disconnected".into()));
     };
@@ -121,21 +122,22 @@
     let forwarded = [("Content-Type", "Content-Type"), ("Accept", "Accept")];
     let forwarded = forwarded.into_iter().chain([(IDEMPOTENCY_KEY, IDEMPOTENCY_KEY)]);
     headers.extend(forwarded.filter_map(|(name, sent)| Some((sent, http.header(name)?))));
-    let client = HttpClient::new(address, time_left);
+    let client = HttpClient::new(address, time_left)
+        .with_invalid_responses(CALL_NAME, handles.metrics.invalid_responses.clone());
     client.call_with_buffer(HttpRequest::method(http), &call.upstream_path(), &headers, &call.body)
 }
 
 /// Returns whether an engine refused the request without running it, with status 404 or 503.
-fn is_refused_by_engine(call: &CallContext, response: &Response) -> bool {
+fn is_refused_by_engine(call: &CallContext, response: &CallResponse) -> bool {
     let is_engine =
         call.request.route.as_ref().is_some_and(|route| route.kind == RouteKind::Engine);
-    is_engine && matches!(response.status().as_u16(), 404 | 503)
+    is_engine && matches!(response.status(), 404 | 503)
 }
 
 /// Returns whether the response belongs to this request: a successful one must echo the request id,
 /// any other one is accepted without it.
-fn is_matching_response(call: &CallContext, response: &Response) -> bool {
-    let echoed_id = response.headers().get(REQUEST_ID).and_then(|value| value.to_str().ok());
+fn is_matching_response(call: &CallContext, response: &CallResponse) -> bool {
+    let echoed_id = response.header(REQUEST_ID);
     !response.is_success() || echoed_id == Some(call.id().to_string().as_str())
 }
 
--- a/crates/gentian-entry/src/entry_metrics.rs
+++ b/crates/gentian-entry/src/entry_metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of an entry.
 
 use eyre::WrapErr;
+use gentian_http::forward::InvalidResponses;
 use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
 
 const LATENCY_BUCKETS_SECS: [f64; 12] =
@@ -15,6 +16,8 @@
     pub(crate) requests: IntCounterVec,
     /// Request bodies that were not read to their end, by cause.
     pub(crate) refused_bodies: IntCounterVec,
+    /// Invalid responses of upstreams by check.
+    pub(crate) invalid_responses: InvalidResponses,
     /// Requests that are open.
     pub(crate) open: IntGauge,
     /// Time from the arrival of a request to the first byte of its response.
@@ -38,6 +41,7 @@
             ),
             &["cause"],
         )?;
+        let invalid_responses = InvalidResponses::new()?;
         let open = IntGauge::new("gentian_entry_open_requests", "Requests that are open.")?;
         let first_byte = Histogram::with_opts(
             HistogramOpts::new(
@@ -50,9 +54,20 @@
             IntGauge::new("gentian_entry_config_version", "Configuration version in force.")?;
         registry.register(Box::new(requests.clone())).wrap_err("metric registered twice")?;
         registry.register(Box::new(refused_bodies.clone())).wrap_err("metric registered twice")?;
+        registry
+            .register(Box::new(invalid_responses.counts()))
+            .wrap_err("metric registered twice")?;
         registry.register(Box::new(open.clone())).wrap_err("metric registered twice")?;
         registry.register(Box::new(first_byte.clone())).wrap_err("metric registered twice")?;
         registry.register(Box::new(config_version.clone())).wrap_err("metric registered twice")?;
-        Ok(Self { registry, requests, refused_bodies, open, first_byte, config_version })
+        Ok(Self {
+            registry,
+            requests,
+            refused_bodies,
+            invalid_responses,
+            open,
+            first_byte,
+            config_version,
+        })
     }
 }
--- a/crates/gentian-http/src/forward/chunk_decoder.rs
+++ b/crates/gentian-http/src/forward/chunk_decoder.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use super::field_line::{is_chunk_extension, is_field_line};
+
 /// Longest accepted chunk-size or trailer line.
 const MAX_LINE_BYTES: usize = 4_096;
 /// Largest accepted trailer in bytes.
@@ -16,7 +18,7 @@
     Size,
     /// The data of a chunk are not followed by the end of a line.
     DataEnd,
-    /// The trailer is too long, or has a line without its end.
+    /// The trailer has a line that is no field, or is too long.
     Trailer,
 }
 
@@ -97,7 +99,9 @@
             },
             ChunkState::DataEnd if line.is_empty() => Ok(ChunkState::Size),
             ChunkState::Trailer(_) if line.is_empty() => Ok(ChunkState::Done),
-            ChunkState::Trailer(length) if length + line.len() <= MAX_TRAILER_BYTES => {
+            ChunkState::Trailer(length)
+                if length + line.len() <= MAX_TRAILER_BYTES && is_field_line(line) =>
+            {
                 Ok(ChunkState::Trailer(length + line.len()))
             }
             _ => Err(self.line_error()),
@@ -135,10 +139,9 @@
 }
 
 fn parse_size(line: &[u8]) -> Result<u64, ChunkError> {
-    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii();
-    let is_size = !digits.is_empty()
-        && digits.len() <= MAX_SIZE_DIGITS
-        && digits.iter().all(u8::is_ascii_hexdigit);
+    let end = line.iter().position(|byte| !byte.is_ascii_hexdigit()).unwrap_or(line.len());
+    let (digits, extension) = line.split_at(end);
+    let is_size = (1..=MAX_SIZE_DIGITS).contains(&digits.len()) && is_chunk_extension(extension);
     let text = std::str::from_utf8(digits).ok().filter(|_| is_size).ok_or(ChunkError::Size)?;
     u64::from_str_radix(text, 16).map_err(|_| ChunkError::Size)
 }
--- a/crates/gentian-http/src/forward/response_fault.rs
+++ b/crates/gentian-http/src/forward/response_fault.rs
@@ -19,6 +19,8 @@
     HeadTooLarge,
     /// There are too many interim responses.
     TooManyInterim,
+    /// The server changes the protocol, which no request asks for.
+    ProtocolChange,
     /// The framing is malformed or ambiguous.
     Framing(FramingError),
     /// The chunks are malformed.
@@ -52,6 +54,7 @@
             Self::LineEnd => "line-end",
             Self::HeadTooLarge => "head-size",
             Self::TooManyInterim => "interim-count",
+            Self::ProtocolChange => "protocol-change",
             Self::Framing(_) => "framing",
             Self::Chunks(error) => return write!(f, "{error}"),
             Self::TooLarge => "body-size",
--- a/crates/gentian-http/src/forward/response_head.rs
+++ b/crates/gentian-http/src/forward/response_head.rs
@@ -44,12 +44,17 @@
     pub fn parse(bytes: &[u8]) -> Result<Option<(Self, usize)>, ResponseFault> {
         let mut fields = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
         let mut response = httparse::Response::new(&mut fields);
-        let length = match response.parse(bytes) {
-            Ok(httparse::Status::Complete(length)) => length,
-            Ok(httparse::Status::Partial) if bytes.len() < MAX_HEAD_BYTES => return Ok(None),
+        let parsed = response.parse(bytes);
+        // The parser also takes empty lines before the status line, and lines that end without a
+        // carriage return.
+        let length = match parsed {
+            Ok(httparse::Status::Complete(length)) => Some(length),
+            Ok(httparse::Status::Partial) if bytes.len() < MAX_HEAD_BYTES => None,
             Ok(httparse::Status::Partial) => return Err(ResponseFault::HeadTooLarge),
             Err(error) => return Err(parse_fault(error)),
         };
+        check_line_ends(&bytes[..length.unwrap_or(bytes.len())])?;
+        let Some(length) = length else { return Ok(None) };
         let status = response.code.filter(|code| STATUS_CODES.contains(code));
         let status = status.ok_or(ResponseFault::StatusLine)?;
         let headers = response.headers.iter().copied().collect();
@@ -89,6 +94,22 @@
     }
 }
 
+/// Checks that the first line of a head isn't empty, and that each line ends with a carriage return and
+/// a line feed.
+fn check_line_ends(head: &[u8]) -> Result<(), ResponseFault> {
+    if head.first().is_some_and(|byte| matches!(byte, b'\r' | b'\n')) {
+        return Err(ResponseFault::StatusLine);
+    }
+    let mut previous = 0;
+    for byte in head {
+        if *byte == b'\n' && previous != b'\r' {
+            return Err(ResponseFault::LineEnd);
+        }
+        previous = *byte;
+    }
+    Ok(())
+}
+
 fn reason_phrase(status: u16) -> &'static str {
     match status {
         200 => "OK",
--- a/crates/gentian-http/src/forward/response_reader.rs
+++ b/crates/gentian-http/src/forward/response_reader.rs
@@ -7,6 +7,7 @@
 
 /// Maximum number of interim responses before the response itself.
 const MAX_INTERIM_RESPONSES: u32 = 16;
+const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// Reads the response to one request from bytes that may be split anywhere. All readers of responses use it,
 /// so that they agree on what is one.
@@ -46,6 +47,7 @@
             used += length;
             self.head_parser = HeadParser::new();
             match head.status {
+                SWITCHING_PROTOCOLS => return Err(ResponseFault::ProtocolChange),
                 100..200 => self.interim_count += 1,
                 _ => {
                     self.begin_body(&head)?;
--- a/crates/gentian-http/src/http_client.rs
+++ b/crates/gentian-http/src/http_client.rs
@@ -1,19 +1,19 @@
 //! HTTP calls to other servers, each on a new connection.
 
 use std::fmt;
-use std::io::{self, Read, Write};
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use attohttpc::body::{Body, BodyKind};
-use attohttpc::header::{CONTENT_TYPE, HeaderName, HeaderValue};
-use attohttpc::{ErrorKind, Method, ProxySettings, RequestBuilder, Response};
-use gentian_core::TimeSpan;
+use gentian_core::{MonoTime, TimeSpan};
 
-use crate::forward::BodyBuffer;
+use crate::forward::{
+    BodyBuffer, BufferedStream, HeaderList, InvalidResponses, RequestHead, ResponseError,
+    ResponseHead, ResponseReader, is_field_value, is_token, log_invalid_response,
+    read_response_head,
+};
+use crate::{CallResponse, ProcessClock};
 
-/// Bytes of a body that are read before it is checked whether it may go on.
-const READ_BYTES: u64 = 64 * 1024;
+/// Kind of the calls in logs and metrics, unless it is set.
+const CALL_NAME: &str = "call";
 
 /// Why a call failed.
 #[derive(Debug)]
@@ -39,14 +39,27 @@
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     address: SocketAddr,
-    timeout: Duration,
+    timeout: TimeSpan,
+    call_name: &'static str,
+    invalid_responses: Option<InvalidResponses>,
+    clock: ProcessClock,
 }
 
 impl HttpClient {
     /// Creates a client for the server at `address`; `timeout` limits the wait for the connection
     /// and for each read of a response.
     pub fn new(address: SocketAddr, timeout: TimeSpan) -> Self {
-        Self { address, timeout: timeout.into() }
+        let clock = ProcessClock::new();
+        Self { address, timeout, call_name: CALL_NAME, invalid_responses: None, clock }
+    }
+
+    /// Counts invalid responses as those to calls of this kind.
+    pub fn with_invalid_responses(
+        self,
+        call_name: &'static str,
+        invalid_responses: InvalidResponses,
+    ) -> Self {
+        Self { call_name, invalid_responses: Some(invalid_responses), ..self }
     }
 
     /// Calls the server and returns the response with its body still to be read.
@@ -60,10 +73,9 @@
         path: &str,
         headers: &[(&str, &str)],
         body: &[u8],
-    ) -> Result<Response, CallError> {
-        let builder = self.builder(method, path, headers)?;
-        let sent = if body.is_empty() { builder.send() } else { builder.bytes(body).send() };
-        sent.map_err(|error| classify_error(&error))
+    ) -> Result<CallResponse, CallError> {
+        let head = self.encode_head(method, path, headers, body.len())?;
+        self.send(head, std::iter::once(body))
     }
 
     /// Makes a call like [`Self::call`], with a body that is sent from where it is held.
@@ -77,16 +89,14 @@
         path: &str,
         headers: &[(&str, &str)],
         body: &BodyBuffer,
-    ) -> Result<Response, CallError> {
-        let mut builder = self.builder(method, path, headers)?;
-        let sent = if body.is_empty() {
-            builder.send()
-        } else {
-            let default_type = HeaderValue::from_static("application/octet-stream");
-            builder.headers_mut().entry(CONTENT_TYPE).or_insert(default_type);
-            builder.body(BufferedBody(body)).send()
-        };
-        sent.map_err(|error| classify_error(&error))
+    ) -> Result<CallResponse, CallError> {
+        let mut headers = headers.to_vec();
+        let has_type = headers.iter().any(|(name, _)| name.eq_ignore_ascii_case("content-type"));
+        if !body.is_empty() && !has_type {
+            headers.push(("Content-Type", "application/octet-stream"));
+        }
+        let head = self.encode_head(method, path, &headers, body.len())?;
+        self.send(head, body.pieces())
     }
 
     /// Calls the server and reads the whole body, of at most `limit` bytes.
@@ -104,104 +114,102 @@
     ) -> Result<(u16, Vec<u8>), CallError> {
         let headers = [("Content-Type", "application/json")];
         let response = self.call(method, path, &headers, body)?;
-        let status = response.status().as_u16();
-        Ok((status, read_full_body(response, limit)?))
+        let status = response.status();
+        Ok((status, response.read_full_body(limit)?))
     }
 
-    fn builder(
+    /// Returns the head of a request whose connection serves no other one.
+    fn encode_head(
         &self,
         method: &str,
         path: &str,
         headers: &[(&str, &str)],
-    ) -> Result<RequestBuilder, CallError> {
-        let method = Method::from_bytes(method.as_bytes()).map_err(not_sent)?;
-        let url = format!("http://{}{path}", self.address);
-        let builder = RequestBuilder::try_new(method, url).map_err(not_sent)?;
-        let mut builder = builder
-            .connect_timeout(self.timeout)
-            .read_timeout(self.timeout)
-            .follow_redirects(false)
-            .proxy_settings(ProxySettings::builder().build());
+        body_bytes: usize,
+    ) -> Result<RequestHead, CallError> {
+        let invalid = |text: &str| CallError::NotSent(format!("{text:?} can't be sent"));
+        let is_path = path.starts_with('/') && path.bytes().all(|byte| byte > b' ' && byte != 0x7f);
+        if !is_path {
+            return Err(invalid(path));
+        }
+        let mut list = HeaderList::new().with("Host", self.address.to_string());
         for (name, value) in headers {
-            let name = HeaderName::from_bytes(name.as_bytes()).map_err(not_sent)?;
-            let value = HeaderValue::from_str(value).map_err(not_sent)?;
-            builder.headers_mut().insert(name, value);
+            if !is_token(name.as_bytes()) || !is_field_value(value.as_bytes()) {
+                return Err(invalid(name));
+            }
+            list.push(*name, *value);
+        }
+        let has_body = body_bytes > 0 || !matches!(method, "GET" | "HEAD");
+        if has_body {
+            list.push("Content-Length", body_bytes.to_string());
+        }
+        list.push("Connection", "close");
+        match is_token(method.as_bytes()) {
+            true => Ok(RequestHead {
+                method: method.to_owned(),
+                target: path.to_owned(),
+                is_http11: true,
+                headers: list,
+            }),
+            false => Err(invalid(method)),
         }
-        Ok(builder)
     }
-}
-
-/// A body that is sent from the blocks in which it is held.
-struct BufferedBody<'a>(&'a BodyBuffer);
 
-impl Body for BufferedBody<'_> {
-    fn kind(&mut self) -> io::Result<BodyKind> {
-        Ok(BodyKind::KnownLength(self.0.len() as u64))
+    fn send<'a>(
+        &self,
+        head: RequestHead,
+        body: impl Iterator<Item = &'a [u8]>,
+    ) -> Result<CallResponse, CallError> {
+        let connected = BufferedStream::connect(self.address, self.timeout, self.clock);
+        let mut stream = connected.map_err(|error| CallError::NotSent(error.to_string()))?;
+        let response = self.exchange(&mut stream, &head, body);
+        let (response_head, reader, is_request_sent) =
+            response.map_err(|error| self.record_error(error))?;
+        let client = self.clone();
+        Ok(CallResponse::new(client, stream, response_head, reader)
+            .with_request_sent(is_request_sent))
     }
 
-    fn write<W: Write>(&mut self, mut writer: W) -> io::Result<()> {
-        self.0.pieces().try_for_each(|piece| writer.write_all(piece))
+    /// Sends a request and reads the head of its response; returns also whether the whole request was sent
+    /// before it came.
+    fn exchange<'a>(
+        &self,
+        stream: &mut BufferedStream,
+        head: &RequestHead,
+        mut body: impl Iterator<Item = &'a [u8]>,
+    ) -> Result<(ResponseHead, ResponseReader, bool), ResponseError> {
+        // One write takes the head and what most bodies need.
+        let mut start = head.to_bytes();
+        start.extend_from_slice(body.next().unwrap_or_default());
+        let mut is_request_sent = stream.write_request(&start, self.deadline())? == start.len();
+        while let Some(piece) = body.next().filter(|_| is_request_sent) {
+            is_request_sent = stream.write_request(piece, self.deadline())? == piece.len();
+        }
+        let mut reader = ResponseReader::new(head.method.clone());
+        let response_head = read_response_head(&mut reader, stream, |stream| self.wait(stream))?;
+        Ok((response_head, reader, is_request_sent))
     }
-}
 
-/// Reads a whole body of at most `limit` bytes and checks it against its content length.
-///
-/// # Errors
-///
-/// Returns [`CallError::Unknown`] if the body is truncated or too large, or if the response has
-/// neither a content length nor chunks, because then truncation cannot be detected.
-pub fn read_full_body(response: Response, limit: usize) -> Result<Vec<u8>, CallError> {
-    read_body_while(response, limit, |_| true)
-}
+    /// Waits for further bytes of a response.
+    pub(crate) fn wait(&self, stream: &mut BufferedStream) -> Result<(), ResponseError> {
+        stream.fill(self.deadline())?;
+        Ok(())
+    }
 
-/// Reads a body like [`read_full_body`], as long as `has_room` returns `true` for the bytes so far.
-///
-/// # Errors
-///
-/// Returns the errors of [`read_full_body`], of which one that is too large is also one without room.
-pub fn read_body_while(
-    response: Response,
-    limit: usize,
-    mut has_room: impl FnMut(usize) -> bool,
-) -> Result<Vec<u8>, CallError> {
-    let header = |name: &str| response.headers().get(name).and_then(|value| value.to_str().ok());
-    let length: Option<usize> = header("content-length").and_then(|text| text.parse().ok());
-    let is_chunked = header("transfer-encoding").is_some_and(|text| text.contains("chunked"));
-    if length.is_none() && !is_chunked {
-        return Err(CallError::Unknown("the answer has neither a length nor chunks".into()));
+    /// Returns when a wait that begins now ends at the latest.
+    pub(crate) fn deadline(&self) -> MonoTime {
+        self.clock.now() + self.timeout
     }
-    let (mut body, mut reader) = (Vec::new(), response.split().2);
-    loop {
-        let read = reader.by_ref().take(READ_BYTES).read_to_end(&mut body);
-        let count = read.map_err(|error: io::Error| CallError::Unknown(error.to_string()))?;
-        if body.len() > limit || !has_room(body.len()) {
-            return Err(CallError::Unknown(format!("the answer is too large: {}", body.len())));
-        }
-        if count == 0 {
-            break;
+
+    /// Records an invalid response and returns the error of its call.
+    pub(crate) fn record_error(&self, error: ResponseError) -> CallError {
+        if let ResponseError::Invalid(fault) = error {
+            match &self.invalid_responses {
+                Some(invalid_responses) => {
+                    invalid_responses.record(self.call_name, self.address, fault);
+                }
+                None => log_invalid_response(self.call_name, self.address, fault),
+            }
         }
+        CallError::Unknown(error.to_string())
     }
-    if length.is_some_and(|length| length != body.len()) {
-        return Err(CallError::Unknown("the answer was cut".into()));
-    }
-    Ok(body)
-}
-
-fn not_sent(error: impl fmt::Display) -> CallError {
-    CallError::NotSent(error.to_string())
-}
-
-fn classify_error(error: &attohttpc::Error) -> CallError {
-    let is_unconnected = matches!(
-        error.kind(),
-        ErrorKind::Io(io) if matches!(
-            io.kind(),
-            io::ErrorKind::ConnectionRefused
-                | io::ErrorKind::HostUnreachable
-                | io::ErrorKind::NetworkUnreachable
-                | io::ErrorKind::AddrNotAvailable
-        )
-    );
-    let cause = error.to_string();
-    if is_unconnected { CallError::NotSent(cause) } else { CallError::Unknown(cause) }
 }
--- a/crates/gentian-http/src/lib.rs
+++ b/crates/gentian-http/src/lib.rs
@@ -2,6 +2,7 @@
 //! after each event, and calls to other servers.
 
 mod admin_port;
+mod call_response;
 mod event_stream;
 pub mod forward;
 mod http_client;
@@ -15,8 +16,9 @@
 mod worker_pool;
 
 pub use admin_port::AdminPages;
+pub use call_response::CallResponse;
 pub use event_stream::EventStream;
-pub use http_client::{CallError, HttpClient, read_body_while, read_full_body};
+pub use http_client::{CallError, HttpClient};
 pub use http_request::HttpRequest;
 pub use http_response::HttpResponse;
 pub use http_server::HttpServer;
--- a/crates/gentian-http/tests/responses.rs
+++ b/crates/gentian-http/tests/responses.rs
@@ -1,12 +1,30 @@
-//! What is a response and when it is whole, by the reader without I/O.
+//! What is a response and when it is whole, for each reader of this crate: the grammar by the reader
+//! without I/O, the ends by calls to servers on loopback.
 
 #![allow(clippy::unwrap_used)]
 
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use gentian_core::TimeSpan;
 use gentian_decide::responses::{ConnectionEnd, EndFault, EndVerdict, EventPosition};
-use gentian_http::forward::{EventSplitter, ResponseFault, ResponseReader};
+use gentian_http::forward::{
+    CallLimits, ChunkError, ConnectionPool, EventSplitter, FramingError, HeaderList,
+    PooledCallError, PooledClient, RequestHead, ResponseFault, ResponseReader,
+};
+use gentian_http::{CallError, HttpClient, ProcessClock};
 use proptest::prelude::*;
 use rstest::rstest;
 
+const TIMEOUT: TimeSpan = TimeSpan::from_secs(3);
+const MAX_BODY_BYTES: usize = 1 << 20;
+/// More than the buffers of two sockets hold.
+const LONG_REQUEST_BYTES: usize = 12 << 20;
+/// Size of the receive buffers of the servers.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+
 /// Reads a whole response that comes in pieces of `step` bytes, before the connection ends like this.
 fn read_response(
     method: &str,
@@ -32,7 +50,11 @@
     Ok((status, body, reader.end(connection).judge()))
 }
 
-/// Responses whose status doesn't exist. Those with the status 000 were passed on.
+fn read_whole(bytes: &[u8]) -> Result<(u16, Vec<u8>, EndVerdict), ResponseFault> {
+    read_response("GET", bytes, 7, ConnectionEnd::Closed)
+}
+
+/// Responses whose head breaks the grammar. Those with the status 000 were passed on.
 #[rstest]
 #[case::status_000(
     b"HTTP/1.1 000 Nothing\r\nContent-Length: 2\r\n\r\nok",
@@ -44,7 +66,77 @@
 #[case::two_digits(b"HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nok", ResponseFault::StatusLine)]
 #[case::four_digits(b"HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\nok", ResponseFault::StatusLine)]
 #[case::signed(b"HTTP/1.1 +20 OK\r\nContent-Length: 2\r\n\r\nok", ResponseFault::StatusLine)]
-fn a_status_that_does_not_exist_counted_as_a_response(
+#[case::version(b"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok", ResponseFault::StatusLine)]
+#[case::empty_line_before(
+    b"\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    ResponseFault::StatusLine
+)]
+#[case::control_in_reason(
+    b"HTTP/1.1 200 O\x01K\r\nContent-Length: 2\r\n\r\nok",
+    ResponseFault::StatusLine
+)]
+#[case::bare_line_feed(b"HTTP/1.1 200 OK\nContent-Length: 2\r\n\r\nok", ResponseFault::LineEnd)]
+#[case::bare_feed_in_field(b"HTTP/1.1 200 OK\r\nContent-Length: 2\n\r\nok", ResponseFault::LineEnd)]
+#[case::bare_feed_at_end(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\nok", ResponseFault::LineEnd)]
+#[case::blank_in_name(
+    b"HTTP/1.1 200 OK\r\nA b: 1\r\nContent-Length: 2\r\n\r\nok",
+    ResponseFault::FieldLine
+)]
+#[case::blank_after_name(
+    b"HTTP/1.1 200 OK\r\nAb : 1\r\nContent-Length: 2\r\n\r\nok",
+    ResponseFault::FieldLine
+)]
+#[case::tab_in_name(
+    b"HTTP/1.1 200 OK\r\nA\tb: 1\r\nContent-Length: 2\r\n\r\nok",
+    ResponseFault::FieldLine
+)]
+#[case::nul_in_name(
+    b"HTTP/1.1 200 OK\r\nA\0b: 1\r\nContent-Length: 2\r\n\r\nok",
+    ResponseFault::FieldLine
+)]
+#[case::control_in_name(
+    b"HTTP/1.1 200 OK\r\nA\x01b: 1\r\nContent-Length: 2\r\n\r\nok",
+    ResponseFault::FieldLine
+)]
+#[case::delete_in_name(
+    b"HTTP/1.1 200 OK\r\nA\x7fb: 1\r\nContent-Length: 2\r\n\r\nok",
+    ResponseFault::FieldLine
+)]
+#[case::high_byte_in_name(
+    b"HTTP/1.1 200 OK\r\nA\xe4b: 1\r\nContent-Length: 2\r\n\r\nok",
+    ResponseFault::FieldLine
+)]
+#[case::no_name(b"HTTP/1.1 200 OK\r\n: 1\r\nContent-Length: 2\r\n\r\nok", ResponseFault::FieldLine)]
+#[case::no_colon(b"HTTP/1.1 200 OK\r\nAb\r\nContent-Length: 2\r\n\r\nok", ResponseFault::FieldLine)]
+#[case::folded(
+    b"HTTP/1.1 200 OK\r\nA: 1\r\n b\r\nContent-Length: 2\r\n\r\nok",
+    ResponseFault::FieldLine
+)]
+#[case::nul_in_value(
+    b"HTTP/1.1 200 OK\r\nA: 1\x002\r\nContent-Length: 2\r\n\r\nok",
+    ResponseFault::FieldLine
+)]
+#[case::delete_in_value(
+    b"HTTP/1.1 200 OK\r\nA: 1\x7f\r\nContent-Length: 2\r\n\r\nok",
+    ResponseFault::FieldLine
+)]
+#[case::upgrade(
+    b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+    ResponseFault::ProtocolChange
+)]
+#[case::two_lengths(
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+    ResponseFault::Framing(FramingError::BadLength)
+)]
+#[case::length_and_chunks(
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nok",
+    ResponseFault::Framing(FramingError::Ambiguous)
+)]
+#[case::encoding(
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok",
+    ResponseFault::Framing(FramingError::UnknownEncoding)
+)]
+fn bytes_that_are_no_head_counted_as_a_response(
     #[case] bytes: &[u8],
     #[case] fault: ResponseFault,
     #[values(1, 7, 1_000)] step: usize,
@@ -52,6 +144,27 @@
     assert_eq!(read_response("GET", bytes, step, ConnectionEnd::Closed), Err(fault));
 }
 
+/// Chunked bodies that break the grammar. Trailers and extensions of any bytes were accepted.
+#[rstest]
+#[case::no_size(b"\r\nok\r\n0\r\n\r\n", ChunkError::Size)]
+#[case::blank_before(b" 2\r\nok\r\n0\r\n\r\n", ChunkError::Size)]
+#[case::blank_after(b"2 \r\nok\r\n0\r\n\r\n", ChunkError::Size)]
+#[case::no_digit(b"2x\r\nok\r\n0\r\n\r\n", ChunkError::Size)]
+#[case::bare_line_feed(b"2\nok\r\n0\r\n\r\n", ChunkError::Size)]
+#[case::nul_in_extension(b"2;a\0\r\nok\r\n0\r\n\r\n", ChunkError::Size)]
+#[case::no_extension_name(b"2;\r\nok\r\n0\r\n\r\n", ChunkError::Size)]
+#[case::open_quote(b"2;a=\"b\r\nok\r\n0\r\n\r\n", ChunkError::Size)]
+#[case::long_data(b"2\r\noks\r\n0\r\n\r\n", ChunkError::DataEnd)]
+#[case::blank_in_trailer(b"2\r\nok\r\n0\r\nA b: 1\r\n\r\n", ChunkError::Trailer)]
+#[case::control_in_trailer(b"2\r\nok\r\n0\r\nA\x01: 1\r\n\r\n", ChunkError::Trailer)]
+#[case::no_colon_in_trailer(b"2\r\nok\r\n0\r\nAb\r\n\r\n", ChunkError::Trailer)]
+#[case::no_name_in_trailer(b"2\r\nok\r\n0\r\n: 1\r\n\r\n", ChunkError::Trailer)]
+#[case::nul_in_trailer_value(b"2\r\nok\r\n0\r\nA: \0\r\n\r\n", ChunkError::Trailer)]
+fn bytes_that_are_no_chunks_counted_as_a_body(#[case] body: &[u8], #[case] error: ChunkError) {
+    let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assert_eq!(read_whole(&[head, body].concat()), Err(ResponseFault::Chunks(error)));
+}
+
 /// Sound responses of each kind go on to be whole.
 #[rstest]
 #[case::length("GET", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 200, "ok")]
@@ -123,7 +236,7 @@
 }
 
 proptest! {
-    /// A response that lost its end, doesn't count as whole.
+    /// A response that lost its end, or one byte of its grammar, doesn't count as whole.
     #[test]
     fn no_damaged_response_is_whole(
         framing in 0_usize..3,
@@ -139,6 +252,22 @@
         prop_assert!(!matches!(read, Ok((_, _, EndVerdict::Whole))), "{:?}", read);
     }
 
+    #[test]
+    fn no_response_with_a_damaged_byte_of_its_grammar_is_whole(
+        is_chunked in any::<bool>(),
+        body in proptest::collection::vec(any::<u8>(), 1..60),
+        position in any::<prop::sample::Index>(),
+        // No byte of a token, a number, a blank or the end of a line.
+        damage in prop::sample::select(vec![0_u8, 1, 0x0b, 0x1f, 0x7f]),
+        step in 1_usize..50,
+    ) {
+        let mut bytes = encode(usize::from(is_chunked), &body);
+        let grammar: Vec<usize> = grammar_positions(&bytes, is_chunked, body.len());
+        bytes[grammar[position.index(grammar.len())]] = damage;
+        let read = read_response("GET", &bytes, step, ConnectionEnd::Closed);
+        prop_assert!(!matches!(read, Ok((_, _, EndVerdict::Whole))), "{:?}", read);
+    }
+
     /// Nothing makes a reader panic, and it consumes no more than there is.
     #[test]
     fn no_bytes_make_a_reader_panic(
@@ -190,3 +319,161 @@
     };
     [b"HTTP/1.1 200 OK\r\n", field.as_bytes(), b"\r\n", &coded].concat()
 }
+
+/// Returns the positions of the bytes that are not part of the body.
+fn grammar_positions(bytes: &[u8], is_chunked: bool, length: usize) -> Vec<usize> {
+    let head = bytes.windows(4).position(|quad| quad == b"\r\n\r\n").unwrap() + 4;
+    let start = match is_chunked {
+        true => head + bytes[head..].iter().position(|byte| *byte == b'\n').unwrap() + 1,
+        false => head,
+    };
+    (0..start).chain(start + length..bytes.len()).collect()
+}
+
+/// How a server goes on after its response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ServerEnd {
+    /// Closes the connection.
+    Close,
+    /// Resets the connection.
+    Reset,
+}
+
+/// Responses one request with `bytes` at once, after the head or after all of the request.
+fn serve(
+    bytes: &'static [u8],
+    end: ServerEnd,
+    reads_request: bool,
+) -> (SocketAddr, JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    // Connections inherit the size, so that they don't take long requests unread.
+    socket2::SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
+    let thread = std::thread::spawn(move || {
+        let (mut peer, _) = listener.accept().unwrap();
+        let mut buffer = vec![0; 64 << 10];
+        let mut received = peer.read(&mut buffer).unwrap();
+        while reads_request && received < LONG_REQUEST_BYTES {
+            received += peer.read(&mut buffer).unwrap();
+        }
+        peer.write_all(bytes).unwrap();
+        finish(peer, end);
+    });
+    (address, thread)
+}
+
+fn finish(peer: TcpStream, end: ServerEnd) {
+    match end {
+        ServerEnd::Close => {}
+        ServerEnd::Reset => reset(peer),
+    }
+}
+
+fn reset(peer: TcpStream) {
+    socket2::SockRef::from(&peer).set_linger(Some(Duration::ZERO)).unwrap();
+}
+
+fn call_pooled(address: SocketAddr, body: &[u8]) -> Result<(u16, Vec<u8>), PooledCallError> {
+    let clock = ProcessClock::new();
+    let client = PooledClient::new(ConnectionPool::new(clock), clock);
+    let headers =
+        HeaderList::new().with("Host", "a").with("Content-Length", body.len().to_string());
+    let (method, target) = ("POST".to_owned(), "/".to_owned());
+    let head = RequestHead { method, target, is_http11: true, headers };
+    let limits =
+        CallLimits { connect: TIMEOUT, response: TIMEOUT, body: TIMEOUT, send_until: None };
+    client.call(address, &head, body, limits).map(|(head, body)| (head.status, body))
+}
+
+fn call_client(address: SocketAddr, body: &[u8]) -> Result<(u16, Vec<u8>), CallError> {
+    HttpClient::new(address, TIMEOUT).call_and_read("POST", "/", body, MAX_BODY_BYTES)
+}
+
+/// Reads a body as streams are read, which may be without a length.
+fn stream_client(address: SocketAddr, body: &[u8]) -> Result<Vec<u8>, String> {
+    let response = HttpClient::new(address, TIMEOUT).call("POST", "/", &[], body);
+    let mut response = response.map_err(|error| error.to_string())?;
+    let mut text = Vec::new();
+    response.read_to_end(&mut text).map_err(|error| error.to_string())?;
+    Ok(text)
+}
+
+const UNFRAMED: &[u8] = b"HTTP/1.1 200 OK\r\n\r\n20 of 43 bytes of it";
+const FRAMED: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+#[rstest]
+#[case::unframed(UNFRAMED)]
+#[case::with_length(b"HTTP/1.1 200 OK\r\nContent-Length: 60\r\n\r\n43 bytes")]
+#[case::in_a_chunk(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20\r\n43 bytes")]
+fn a_response_that_is_reset_is_not_whole(#[case] bytes: &'static [u8]) {
+    for call in [
+        |address| call_pooled(address, b"x").is_err(),
+        |address| call_client(address, b"x").is_err(),
+        |address| stream_client(address, b"x").is_err(),
+    ] {
+        let (address, thread) = serve(bytes, ServerEnd::Reset, false);
+        assert!(call(address));
+        thread.join().unwrap();
+    }
+}
+
+/// Bytes that are no response are refused by each client.
+#[rstest]
+#[case::status_000(b"HTTP/1.1 000 Nothing\r\nContent-Length: 2\r\n\r\nok")]
+#[case::status_600(b"HTTP/1.1 600 High\r\nContent-Length: 2\r\n\r\nok")]
+#[case::blank_in_name(b"HTTP/1.1 200 OK\r\nA b: 1\r\nContent-Length: 2\r\n\r\nok")]
+#[case::control_in_name(b"HTTP/1.1 200 OK\r\nA\x01: 1\r\nContent-Length: 2\r\n\r\nok")]
+#[case::bare_line_feed(b"HTTP/1.1 200 OK\nContent-Length: 2\n\nok")]
+#[case::length_and_chunks(
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+)]
+#[case::two_lengths(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok")]
+#[case::chunk_size(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2 x\r\nok\r\n0\r\n\r\n")]
+#[case::chunk_end(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nok\r\n0\r\n\r\n")]
+#[case::trailer(
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA b: 1\r\n\r\n"
+)]
+#[case::no_last_chunk(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n")]
+#[case::no_trailer_end(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n")]
+#[case::short(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok")]
+#[case::upgrade(b"HTTP/1.1 101 Switching\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")]
+fn each_client_refuses_bytes_that_are_no_response(#[case] bytes: &'static [u8]) {
+    for call in [
+        |address| call_pooled(address, b"x").is_err(),
+        |address| call_client(address, b"x").is_err(),
+        |address| stream_client(address, b"x").is_err(),
+    ] {
+        let (address, thread) = serve(bytes, ServerEnd::Close, false);
+        assert!(call(address));
+        thread.join().unwrap();
+    }
+}
+
+#[rstest]
+#[case::interim(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")]
+#[case::chunks(
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n"
+)]
+#[case::length(FRAMED)]
+fn each_client_takes_a_sound_response(#[case] bytes: &'static [u8]) {
+    let (address, thread) = serve(bytes, ServerEnd::Close, false);
+    assert_eq!(call_pooled(address, b"x").unwrap(), (200, b"ok".to_vec()));
+    thread.join().unwrap();
+    let (address, thread) = serve(bytes, ServerEnd::Close, false);
+    assert_eq!(call_client(address, b"x").unwrap(), (200, b"ok".to_vec()));
+    thread.join().unwrap();
+    let (address, thread) = serve(bytes, ServerEnd::Close, false);
+    assert_eq!(stream_client(address, b"x").unwrap(), b"ok");
+    thread.join().unwrap();
+}
+
+/// A text without a length, as an operator's call may get it.
+#[test]
+fn an_unframed_body_is_read_to_its_end_but_not_taken_for_a_value() {
+    let (address, thread) = serve(UNFRAMED, ServerEnd::Close, false);
+    assert_eq!(stream_client(address, b"x").unwrap(), b"20 of 43 bytes of it");
+    thread.join().unwrap();
+    let (address, thread) = serve(UNFRAMED, ServerEnd::Close, false);
+    assert!(matches!(call_client(address, b"x"), Err(CallError::Unknown(_))));
+    thread.join().unwrap();
+}
--- a/crates/gentian-process/src/etcd_gateway.rs
+++ b/crates/gentian-process/src/etcd_gateway.rs
@@ -114,7 +114,7 @@
     };
     let body = serde_json::to_vec(&WatchMessage { create_request }).map_err(malformed)?;
     let response = client.call("POST", "/v3/watch", &[], &body).map_err(convert_error)?;
-    let lines = BufReader::new(response.split().2).lines();
+    let lines = BufReader::new(response).lines();
     let mut has_response = false;
     for line in lines {
         match line {
--- a/crates/gentian-proof/tests/fleet/caller.rs
+++ b/crates/gentian-proof/tests/fleet/caller.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use gentian_core::TimeSpan;
-use gentian_http::{HttpClient, read_full_body};
+use gentian_http::HttpClient;
 use serde_json::{Value, json};
 
 const TIMEOUT: TimeSpan = TimeSpan::from_secs(25);
@@ -46,10 +46,10 @@
     let Ok(response) = client.call(method, path, headers, body.as_bytes()) else {
         return CallResult { elapsed: started.elapsed(), ..CallResult::default() };
     };
-    let status = response.status().as_u16();
-    let request = response.headers().get("X-Request-Id").and_then(|id| id.to_str().ok());
+    let status = response.status();
+    let request = response.header("X-Request-Id");
     let request = request.unwrap_or("").to_owned();
-    let (is_complete, body) = match read_full_body(response, MAX_RESPONSE_BYTES) {
+    let (is_complete, body) = match response.read_full_body(MAX_RESPONSE_BYTES) {
         Ok(body) => (true, String::from_utf8_lossy(&body).into_owned()),
         Err(_) => (false, String::new()),
     };
@@ -74,11 +74,11 @@
     let Ok(response) = client.call("POST", path, &headers, body.to_string().as_bytes()) else {
         return CallResult { elapsed: started.elapsed(), ..CallResult::default() };
     };
-    let mut result = CallResult { status: response.status().as_u16(), ..CallResult::default() };
-    let request = response.headers().get("X-Request-Id").and_then(|id| id.to_str().ok());
+    let mut result = CallResult { status: response.status(), ..CallResult::default() };
+    let request = response.header("X-Request-Id");
     result.request = request.unwrap_or("").to_owned();
     let is_success = response.is_success();
-    for line in BufReader::new(response.split().2).lines() {
+    for line in BufReader::new(response).lines() {
         let Ok(line) = line else { break };
         if line.starts_with("data: {\"choices") {
             result.events.push(started.elapsed());
--- a/crates/gentian-soak/src/soak_fault.rs
+++ b/crates/gentian-soak/src/soak_fault.rs
@@ -13,7 +13,7 @@
 pub(crate) const PLAIN_REPLICAS: usize = 2;
 
 /// Faults of answers that the stand-in of a replica knows.
-const ANSWER_FAULTS: [&str; 21] = [
+const ANSWER_FAULTS: [&str; 23] = [
     "unframed-answer",
     "unframed-cut",
     "endless-head",
@@ -29,6 +29,8 @@
     "stalled-body",
     "cut-head",
     "zero-status",
+    "bad-field",
+    "bad-trailer",
     "chunked-event-cut",
     "length-event-cut",
     "failed-resume",
--- a/crates/gentian-soak/tests/faulty_answers.rs
+++ b/crates/gentian-soak/tests/faulty_answers.rs
@@ -95,6 +95,8 @@
 /// Answers that are none, and bodies that end inside an event by each framing.
 #[rstest]
 #[case::status_000("zero-status", 186)]
+#[case::name_of_a_field("bad-field", 187)]
+#[case::trailer("bad-trailer", 188)]
 #[case::last_chunk_inside_an_event("chunked-event-cut", 189)]
 #[case::length_inside_an_event("length-event-cut", 190)]
 fn an_answer_that_is_none_or_not_whole_was_passed_on(#[case] fault: &str, #[case] seed: u64) {
--- a/crates/gentian-soak/tests/invalid_responses.rs
+++ b/crates/gentian-soak/tests/invalid_responses.rs
@@ -53,7 +53,7 @@
 /// were passed on to the client.
 #[test]
 fn a_client_got_bytes_that_are_no_response() {
-    let cases: [(&str, &[ResponseStep]); 2] = [
+    let cases: [(&str, &[ResponseStep]); 9] = [
         (
             "status-line",
             &[
@@ -72,6 +72,33 @@
                 ),
             ],
         ),
+        ("field-line", &[ReadRequest, WriteHead("A b: 1\r\nContent-Length: 3\r\n"), Write("bad")]),
+        (
+            "field-line",
+            &[ReadRequest, WriteHead("Ab\x01: 1\r\nContent-Length: 3\r\n"), Write("bad")],
+        ),
+        ("field-line", &[ReadRequest, WriteHead(": 1\r\nContent-Length: 3\r\n"), Write("bad")]),
+        ("line-end", &[ReadRequest, WriteHead("A: 1\nContent-Length: 3\r\n"), Write("bad")]),
+        (
+            "framing",
+            &[ReadRequest, WriteHead("Content-Length: 3\r\nContent-Length: 4\r\n"), Write("bad")],
+        ),
+        (
+            "chunk-size",
+            &[
+                ReadRequest,
+                WriteHead("Transfer-Encoding: chunked\r\n"),
+                Write("3 x\r\nbad\r\n0\r\n\r\n"),
+            ],
+        ),
+        (
+            "trailer",
+            &[
+                ReadRequest,
+                WriteHead("Transfer-Encoding: chunked\r\n"),
+                Write("3\r\nbad\r\n0\r\nA b: 1\r\n\r\n"),
+            ],
+        ),
     ];
     let fleet = ResponseFleet::start();
     for (check, steps) in cases {
--- a/crates/gentian-standin/src/fleet/faulty_response.rs
+++ b/crates/gentian-standin/src/fleet/faulty_response.rs
@@ -48,7 +48,7 @@
     pub(crate) const REFUSALS: [FaultName; 3] =
         [FaultName::RepeatedRefusal, FaultName::RepeatedBareRefusal, FaultName::TurnedAway];
     /// Faults of the response to a request that was executed.
-    pub(crate) const RESPONSES: [FaultName; 17] = [
+    pub(crate) const RESPONSES: [FaultName; 19] = [
         FaultName::EndlessHead,
         FaultName::EndlessBody,
         FaultName::EndlessTrailer,
@@ -63,6 +63,8 @@
         FaultName::UnframedTruncation,
         FaultName::TruncatedHead,
         FaultName::ZeroStatus,
+        FaultName::BadFieldName,
+        FaultName::BadTrailer,
         FaultName::ChunkedEventCut,
         FaultName::LengthEventCut,
         FaultName::FailedResume,
@@ -119,6 +121,15 @@
             FaultName::UnframedTruncation => self.send_unframed(stream, TRUNCATED_BYTES),
             FaultName::TruncatedHead => self.send_truncated_head(stream),
             FaultName::ZeroStatus => self.send_bad_head(stream, "HTTP/1.1 000 Nothing\r\n"),
+            FaultName::BadFieldName => {
+                let name = if self.is_even() { "Bad Name" } else { "Bad\x01Name" };
+                self.send_bad_head(stream, &format!("HTTP/1.1 200 OK\r\n{name}: x\r\n"))
+            }
+            FaultName::BadTrailer => {
+                let body = encode_chunk(&self.body());
+                let text = format!("{}{body}0\r\nBad Name: x\r\n\r\n", self.chunked_head());
+                self.write(stream, text.as_bytes())
+            }
             FaultName::ChunkedEventCut => {
                 let body = encode_chunk(&self.cut_body());
                 self.write(stream, format!("{}{body}0\r\n\r\n", self.chunked_head()).as_bytes())
@@ -208,13 +219,17 @@
         self.write(stream, format!("{start}{fields}{body}").as_bytes())
     }
 
+    /// Returns whether the id of the request ends with an even digit.
+    fn is_even(&self) -> bool {
+        self.request.ends_with(['0', '2', '4', '6', '8', 'a', 'c', 'e'])
+    }
+
     /// Closes the connection after a part of the head, with the length of the body as its last line.
     fn send_truncated_head(&self, stream: &mut BufferedStream) -> bool {
         let head = self.head().with_header("Content-Length", self.body().len().to_string());
         let bytes = head.to_bytes();
         // Every second one ends with a whole line.
-        let is_whole_line = self.request.ends_with(['0', '2', '4', '6', '8', 'a', 'c', 'e']);
-        let missing_bytes = if is_whole_line { "\r\n".len() } else { TRUNCATED_BYTES };
+        let missing_bytes = if self.is_even() { "\r\n".len() } else { TRUNCATED_BYTES };
         self.write(stream, &bytes[..bytes.len() - missing_bytes]);
         false
     }
--- a/crates/gentian-standin/src/shared/fault_switch.rs
+++ b/crates/gentian-standin/src/shared/fault_switch.rs
@@ -49,6 +49,10 @@
     TruncatedHead,
     /// The status code of a response is 000.
     ZeroStatus,
+    /// The name of a field of a response holds a blank or a control byte.
+    BadFieldName,
+    /// A trailer holds a line that is no field.
+    BadTrailer,
     /// The last chunk of a body comes inside an event.
     ChunkedEventCut,
     /// The length of a body ends inside an event.
@@ -92,6 +96,8 @@
             Self::StalledBody => "stalled-body",
             Self::TruncatedHead => "cut-head",
             Self::ZeroStatus => "zero-status",
+            Self::BadFieldName => "bad-field",
+            Self::BadTrailer => "bad-trailer",
             Self::ChunkedEventCut => "chunked-event-cut",
             Self::LengthEventCut => "length-event-cut",
             Self::FailedResume => "failed-resume",
@@ -129,6 +135,8 @@
             Self::StalledBody,
             Self::TruncatedHead,
             Self::ZeroStatus,
+            Self::BadFieldName,
+            Self::BadTrailer,
             Self::ChunkedEventCut,
             Self::LengthEventCut,
             Self::FailedResume,
@@ -147,7 +155,8 @@
                 "one of down, slow, lost-answer, cut-answer, unframed-answer, unframed-cut, \
                  endless-head, endless-body, endless-trailer, endless-status-line, \
                  endless-field, endless-chunk-size, endless-length, endless-unframed, \
-                 endless-report, stalled-head, stalled-body, cut-head, zero-status, chunked-event-cut, length-event-cut, failed-resume, \
+                 endless-report, stalled-head, stalled-body, cut-head, zero-status, bad-field, \
+                 bad-trailer, chunked-event-cut, length-event-cut, failed-resume, \
                  repeated-refusal, repeated-bare-refusal, turned-away, leaving, crossed-answer, \
                  failed-load",
             )
