--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -1,11 +1,12 @@
 //! One attempt to serve a request at one upstream.
 
 use gentian_core::TimeSpan;
-use gentian_decide::responses::{EndVerdict, EventPosition, ResponseEnd};
+use gentian_decide::responses::{EndFault, EndVerdict, EventPosition, ResponseEnd};
 use gentian_decide::selection::LoadReading;
 use gentian_decide::serving::{AttemptOutcome, AttemptProgress, UpstreamNotice, UpstreamPick};
 use gentian_http::forward::{
-    BufferedStream, EventSplitter, ResponseFault, ResponseHead, read_response_piece,
+    BufferedStream, EventSplitter, RequestUpload, ResponseFault, ResponseHead, complete_request,
+    read_response_piece,
 };
 
 use super::call_context::{SavedResponse, record_run};
@@ -103,16 +104,16 @@
     if !pick.is_current(handles.clock.now()) {
         return AttemptResult::OutOfDate;
     }
-    let head = encode_head(handles, call, pick);
+    let mut start = encode_head(handles, call, pick);
+    start.extend_from_slice(call.body.pieces().next().unwrap_or_default());
+    let further_bytes = further_pieces(call).map(<[u8]>::len).sum();
+    let mut upload = RequestUpload::new(start, further_bytes);
     call.progress = AttemptProgress::Sent;
-    let is_request_complete = match write_request(call, &mut stream, head) {
-        Ok(is_request_complete) => is_request_complete,
-        Err(error) => {
-            let cause = format!("not sent whole: {error}");
-            return AttemptResult::Failed(AttemptOutcome::Broken, cause);
-        }
-    };
-    let response = match read_head(handles, call, &mut stream, is_request_complete) {
+    if let Err(error) = upload.write(&mut stream, further_pieces(call), call.deadline) {
+        let cause = format!("not sent whole: {error}");
+        return AttemptResult::Failed(AttemptOutcome::Broken, cause);
+    }
+    let response = match read_head(handles, call, &mut stream, &mut upload) {
         Ok(response) => response,
         Err(error) => return error.into(),
     };
@@ -128,10 +129,15 @@
         load: metadata.load.map(|load| LoadReading { load, time: read }),
         notices: read_notices(metadata),
     });
-    let upstream_response = UpstreamResponse { response, time_to_head, is_request_complete };
+    let upstream_response = UpstreamResponse { response, upload, time_to_head };
     handle_response(handles, call, pick, stream, upstream_response)
 }
 
+/// Returns the pieces of the body that follow the first one.
+pub(super) fn further_pieces(call: &CallContext) -> impl Iterator<Item = &[u8]> {
+    call.body.pieces().skip(1)
+}
+
 /// Returns whether the request goes on with a stream that only upstreams of one version may go on with.
 fn is_take_up(call: &CallContext, pick: &UpstreamPick) -> bool {
     call.is_resuming() && pick.version.is_some()
@@ -145,8 +151,8 @@
 
 struct UpstreamResponse {
     response: BegunResponse,
+    upload: RequestUpload,
     time_to_head: TimeSpan,
-    is_request_complete: bool,
 }
 
 fn encode_head(handles: &CallHandles, call: &CallContext, pick: &UpstreamPick) -> Vec<u8> {
@@ -170,26 +176,6 @@
     (handles.codec.encode_request)(&call.head, &metadata).to_bytes()
 }
 
-/// Writes the request from where its body is held; returns whether all of it was written.
-fn write_request(
-    call: &CallContext,
-    stream: &mut BufferedStream,
-    mut head: Vec<u8>,
-) -> std::io::Result<bool> {
-    let mut pieces = call.body.pieces();
-    // One write takes the head and what most bodies need.
-    head.extend_from_slice(pieces.next().unwrap_or_default());
-    if stream.write_request(&head, call.deadline)? < head.len() {
-        return Ok(false);
-    }
-    for piece in pieces {
-        if stream.write_request(piece, call.deadline)? < piece.len() {
-            return Ok(false);
-        }
-    }
-    Ok(true)
-}
-
 fn handle_response(
     handles: &CallHandles,
     call: &mut CallContext,
@@ -217,7 +203,7 @@
     mut stream: BufferedStream,
     upstream_response: UpstreamResponse,
 ) -> AttemptResult {
-    let UpstreamResponse { response, time_to_head, is_request_complete } = upstream_response;
+    let UpstreamResponse { response, upload, time_to_head } = upstream_response;
     let BegunResponse { head, metadata, mut reader } = response;
     let is_success = (200..300).contains(&head.status);
     let is_stream = call.route.as_ref().is_some_and(|route| route.kind.is_stream());
@@ -229,11 +215,11 @@
         Ok(read) => read,
         Err(error) => return error.into(),
     };
-    if let Err(fault) = check_end(handles, call, pick, end) {
+    if let Err(fault) = check_end(handles, call, pick, &mut stream, &upload, end) {
         return fault.into();
     }
     // A faulty upstream may write a refusal once more with the next request on the connection.
-    if is_request_complete && !metadata.is_not_executed {
+    if upload.is_complete() && !metadata.is_not_executed {
         keep_connection(handles, pick, stream, &head);
     }
     if metadata.is_not_executed {
@@ -262,7 +248,7 @@
     mut stream: BufferedStream,
     upstream_response: UpstreamResponse,
 ) -> AttemptResult {
-    let UpstreamResponse { response, time_to_head, is_request_complete } = upstream_response;
+    let UpstreamResponse { response, upload, time_to_head } = upstream_response;
     let BegunResponse { head, mut reader, .. } = response;
     observe_first_byte(handles, call);
     if let Some(event_splitter) = &mut call.event_splitter {
@@ -294,12 +280,12 @@
         match step {
             Ok(Some(end)) => {
                 let end = end.with_position(event_position(call));
-                if let Err(fault) = check_end(handles, call, pick, end) {
+                if let Err(fault) = check_end(handles, call, pick, &mut stream, &upload, end) {
                     return fault.into();
                 }
                 call.progress = AttemptProgress::Complete;
                 end_stream(call, true);
-                if is_request_complete {
+                if upload.is_complete() {
                     keep_connection(handles, pick, stream, &head);
                 }
                 return AttemptResult::Responded(AttemptOutcome::Served(time_to_head));
@@ -324,17 +310,22 @@
 }
 
 /// Checks that a response which has ended is whole. Where only the end of the connection ends the body, it
-/// may have been the end of the upstream.
+/// may have been the end of the upstream, or the upstream may have stopped reading the request.
 fn check_end(
     handles: &CallHandles,
     call: &CallContext,
     pick: &UpstreamPick,
+    stream: &mut BufferedStream,
+    upload: &RequestUpload,
     end: ResponseEnd,
 ) -> Result<(), ResponseFault> {
+    let end = complete_request(end, stream, upload.rest(further_pieces(call)), call.deadline);
     match end.judge() {
         EndVerdict::Whole => Ok(()),
         EndVerdict::Broken(fault) => Err(fault.into()),
         EndVerdict::Unknown(fault) if !has_ended_whole(handles, call, pick) => Err(fault.into()),
+        // The connection may have been reset meanwhile.
+        EndVerdict::Unknown(_) if stream.is_lost() => Err(EndFault::Reset.into()),
         EndVerdict::Unknown(_) => Ok(()),
     }
 }
--- a/crates/gentian-gateway/src/chain/response_reader.rs
+++ b/crates/gentian-gateway/src/chain/response_reader.rs
@@ -5,10 +5,11 @@
 use gentian_core::MonoTime;
 use gentian_decide::responses::{EndFault, ResponseEnd};
 use gentian_http::forward::{
-    BodyBuffer, BufferedStream, ResponseFault, ResponseHead, ResponseReader, WaitOutcome,
-    read_response_head, read_response_piece,
+    BodyBuffer, BufferedStream, RequestUpload, ResponseFault, ResponseHead, ResponseReader,
+    WaitOutcome, read_response_head, read_response_piece,
 };
 
+use super::attempt::further_pieces;
 use super::{CallContext, CallHandles};
 use crate::ResponseMetadata;
 
@@ -47,7 +48,7 @@
     handles: &CallHandles,
     call: &CallContext,
     stream: &mut BufferedStream,
-    is_request_complete: bool,
+    upload: &mut RequestUpload,
 ) -> Result<BegunResponse, ReadError> {
     let mut stray_count = 0;
     let mut reservation = handles.buffers.reserve();
@@ -57,6 +58,10 @@
             if !reservation.resize_within_share(stream.buffered().len()) {
                 return Err(ResponseFault::HeadTooLarge.into());
             }
+            // What has come so far may be an interim response, after which the upstream reads on.
+            if upload.write(stream, further_pieces(call), call.deadline).is_err() {
+                return Err(ReadError::TimedOut);
+            }
             wait_for_bytes(stream, &call.caller_stream, call.deadline)
         })?;
         let metadata = (handles.codec.decode_response)(&head);
@@ -68,7 +73,7 @@
             None => return Err(ResponseFault::Unnamed.into()),
             Some(_) => stray_count += 1,
         }
-        if stray_count > MAX_STRAY_RESPONSES || !is_request_complete {
+        if stray_count > MAX_STRAY_RESPONSES || !upload.is_complete() {
             return Err(ResponseFault::OtherRequest.into());
         }
         read_body(handles, call, stream, &mut reader)?;
--- a/crates/gentian-gateway/src/chain/start_probe.rs
+++ b/crates/gentian-gateway/src/chain/start_probe.rs
@@ -7,8 +7,8 @@
 use gentian_decide::serving::UpstreamPick;
 use gentian_decide::streams::{ReportedStart, TakeUpCheck};
 use gentian_http::forward::{
-    BufferedStream, ResponseError, ResponseReader, check_end, read_response_body,
-    read_response_head,
+    BufferedStream, RequestUpload, ResponseError, ResponseReader, check_end, complete_request,
+    read_response_body, read_response_head,
 };
 
 use super::{CallContext, CallHandles};
@@ -138,16 +138,20 @@
 ) -> Result<(ReportedStart, bool), ResponseError> {
     let deadline = handles.clock.now() + REPORT_TIMEOUT;
     let request = (handles.codec.encode_start_call)(&pick.upstream, pick.address);
-    stream.write_all(&request.to_bytes(), deadline)?;
+    let mut upload = RequestUpload::new(request.to_bytes(), 0);
     let wait = |stream: &mut BufferedStream| -> Result<(), ResponseError> {
         stream.fill(deadline)?;
         Ok(())
     };
     let mut reader = ResponseReader::new(request.method);
-    let head = read_response_head(&mut reader, stream, wait)?;
+    let head = read_response_head(&mut reader, stream, |stream| {
+        upload.write(stream, std::iter::empty(), deadline)?;
+        wait(stream)
+    })?;
     let mut reservation = handles.buffers.reserve();
     let has_room = |length| length <= MAX_REPORT_BYTES && reservation.resize_within_share(length);
     let (body, end) = read_response_body(&mut reader, stream, has_room, wait)?;
-    check_end(end)?;
-    Ok(((handles.codec.decode_start)(&head, &body), head.keeps_connection()))
+    check_end(complete_request(end, stream, upload.rest(std::iter::empty()), deadline))?;
+    let keeps_connection = upload.is_complete() && head.keeps_connection();
+    Ok(((handles.codec.decode_start)(&head, &body), keeps_connection))
 }
--- a/crates/gentian-http/src/call_response.rs
+++ b/crates/gentian-http/src/call_response.rs
@@ -6,7 +6,7 @@
 
 use crate::forward::{
     BufferedStream, ResponseError, ResponseFault, ResponseHead, ResponseReader, check_end,
-    read_response_piece,
+    complete_request, read_response_piece,
 };
 use crate::{CallError, HttpClient};
 
@@ -108,7 +108,10 @@
     /// has ended.
     fn read_piece(&mut self, output: &mut Vec<u8>) -> Result<bool, ResponseError> {
         if let Some(end) = read_response_piece(&mut self.reader, &mut self.stream, output)? {
-            check_end(end.with_request_sent(self.is_request_sent))?;
+            // The body of the request isn't kept, so that what is unsent of it can't be sent any more.
+            let deadline = self.client.deadline();
+            let end = complete_request(end, &mut self.stream, std::iter::empty(), deadline);
+            check_end(end.with_request_sent(end.is_request_sent && self.is_request_sent))?;
             return Ok(true);
         }
         self.client.wait(&mut self.stream)?;
--- a/crates/gentian-http/src/forward/body_buffer.rs
+++ b/crates/gentian-http/src/forward/body_buffer.rs
@@ -69,7 +69,7 @@
     }
 
     /// Returns the bytes, piece by piece.
-    pub fn pieces(&self) -> impl Iterator<Item = &[u8]> {
+    pub fn pieces(&self) -> impl Iterator<Item = &[u8]> + Clone {
         std::iter::once(self.small.as_slice()).chain(self.blocks.iter().map(Vec::as_slice))
     }
 }
--- a/crates/gentian-http/src/forward/buffered_stream.rs
+++ b/crates/gentian-http/src/forward/buffered_stream.rs
@@ -42,6 +42,9 @@
     buffer: Vec<u8>,
     start: usize,
     is_at_eof: bool,
+    /// Whether a write has shown that the connection is lost. The kernel reports that once, and a read
+    /// finds the end of the stream afterwards.
+    is_lost: bool,
     is_abortive: bool,
     is_reused: bool,
     clock: ProcessClock,
@@ -67,6 +70,7 @@
             buffer: Vec::new(),
             start: 0,
             is_at_eof: false,
+            is_lost: false,
             is_abortive: false,
             is_reused: false,
             clock,
@@ -103,6 +107,12 @@
         self.is_reused
     }
 
+    /// Returns whether the connection is known to be lost, without waiting.
+    pub fn is_lost(&mut self) -> bool {
+        self.is_lost |= matches!(self.socket.take_error(), Ok(Some(_)));
+        self.is_lost
+    }
+
     /// Returns the bytes that were read and not consumed yet.
     pub fn buffered(&self) -> &[u8] {
         &self.buffer[self.start..]
@@ -154,7 +164,8 @@
     ///
     /// # Errors
     ///
-    /// Returns `WouldBlock` if no byte has arrived, or the I/O error of the connection.
+    /// Returns `WouldBlock` if no byte has arrived, or the I/O error of the connection, also if an earlier
+    /// write has shown it.
     pub fn read_available(&mut self) -> io::Result<usize> {
         if self.is_at_eof {
             return Ok(0);
@@ -168,10 +179,14 @@
         self.buffer.resize(length + READ_CHUNK_BYTES, 0);
         let result = self.socket.read(&mut self.buffer[length..]);
         self.buffer.truncate(length + result.as_ref().copied().unwrap_or(0));
-        if let Ok(0) = result {
-            self.is_at_eof = true;
+        match result {
+            Ok(0) if self.is_lost => Err(io::ErrorKind::ConnectionReset.into()),
+            Ok(0) => {
+                self.is_at_eof = true;
+                Ok(0)
+            }
+            result => result,
         }
-        result
     }
 
     /// Writes all bytes before `deadline`.
@@ -215,16 +230,20 @@
         Ok(())
     }
 
-    /// Writes a request before `deadline` and stops if the peer responds early; returns how many bytes were
-    /// written.
+    /// Writes a request before `deadline` and stops if the peer responds early or the connection is
+    /// lost, which the next reads show; returns how many bytes were written.
     ///
     /// # Errors
     ///
-    /// Returns `TimedOut` at the deadline, or the I/O error of the connection.
+    /// Returns `TimedOut` at the deadline, or an error if the socket cannot be polled.
     pub fn write_request(&mut self, bytes: &[u8], deadline: MonoTime) -> io::Result<usize> {
         let mut total = 0;
         while total < bytes.len() {
-            let written = self.write_some(&bytes[total..])?;
+            let written = match self.write_some(&bytes[total..]) {
+                Ok(written) => written,
+                Err(_) if self.is_lost => return Ok(total),
+                Err(error) => return Err(error),
+            };
             total += written;
             if written > 0 {
                 continue;
@@ -239,6 +258,34 @@
         Ok(total)
     }
 
+    /// Writes the rest of a request whose response has ended, and waits until the kernel has sent all of
+    /// it, while the peer takes some of it at least every `max_pause`, until `end` at most. Returns whether
+    /// the connection took it without a loss.
+    pub fn finish_request<'a>(
+        &mut self,
+        rest: impl Iterator<Item = &'a [u8]>,
+        max_pause: TimeSpan,
+        end: MonoTime,
+    ) -> bool {
+        for piece in rest {
+            if let Err(error) = self.write_steadily(piece, max_pause, end) {
+                log::debug!("the rest of a request is not sent: {error}");
+                return false;
+            }
+        }
+        let sent = self.wait_until_sent(end.min(self.clock.now() + max_pause));
+        matches!(sent, Ok(true)) && !self.is_lost()
+    }
+
+    /// Waits until no byte that was written is unsent; returns whether that is so at the deadline.
+    fn wait_until_sent(&self, deadline: MonoTime) -> io::Result<bool> {
+        // From now on, the socket counts as writable only with nothing unsent.
+        if let Err(error) = SockRef::from(&self.socket).set_tcp_notsent_lowat(1) {
+            log::debug!("unsent bytes of a connection are not known: {error}");
+        }
+        self.wait(PollFlags::OUT, deadline)
+    }
+
     /// Waits until this stream has input or the peer of `other` closes its connection, until
     /// `deadline` at most.
     ///
@@ -278,11 +325,20 @@
         self.wait(PollFlags::IN, MonoTime::ORIGIN)
     }
 
+    /// Ends the sending side; the peer reads what was written and then the end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection has ended.
+    pub fn end_sending(&self) -> io::Result<()> {
+        self.socket.shutdown(Shutdown::Write)
+    }
+
     /// Shuts down the sending side, then reads and discards input until the peer closes its side or
     /// `linger` has passed. Closing with unread input would reset the connection, and the peer
     /// might not receive everything that was written.
     pub fn close_gracefully(mut self, linger: TimeSpan) {
-        if self.socket.shutdown(Shutdown::Write).is_err() {
+        if self.end_sending().is_err() {
             return;
         }
         let deadline = self.clock.now() + linger;
@@ -298,6 +354,10 @@
         match self.socket.write(bytes) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(0),
             Ok(0) => Err(io::ErrorKind::WriteZero.into()),
+            Err(error) => {
+                self.is_lost |= is_connection_loss(&error);
+                Err(error)
+            }
             result => result,
         }
     }
@@ -321,6 +381,12 @@
     }
 }
 
+/// Returns whether a write failed since the connection is lost.
+fn is_connection_loss(error: &io::Error) -> bool {
+    use io::ErrorKind::{BrokenPipe, ConnectionAborted, ConnectionReset, TimedOut};
+    matches!(error.kind(), BrokenPipe | ConnectionAborted | ConnectionReset | TimedOut)
+}
+
 impl Drop for BufferedStream {
     fn drop(&mut self) {
         if self.is_abortive
--- a/crates/gentian-http/src/forward/mod.rs
+++ b/crates/gentian-http/src/forward/mod.rs
@@ -20,6 +20,7 @@
 mod pooled_client;
 mod read_response;
 mod request_head;
+mod request_upload;
 mod response_error;
 mod response_fault;
 mod response_head;
@@ -44,8 +45,11 @@
 pub use invalid_responses::InvalidResponses;
 pub(crate) use invalid_responses::log_invalid_response;
 pub use pooled_client::{CallLimits, PooledCallError, PooledClient};
-pub use read_response::{check_end, read_response_body, read_response_head, read_response_piece};
+pub use read_response::{
+    check_end, complete_request, read_response_body, read_response_head, read_response_piece,
+};
 pub use request_head::{HeadError, RequestHead};
+pub use request_upload::RequestUpload;
 pub use response_error::ResponseError;
 pub use response_fault::ResponseFault;
 pub use response_head::ResponseHead;
--- a/crates/gentian-http/src/forward/pooled_client.rs
+++ b/crates/gentian-http/src/forward/pooled_client.rs
@@ -6,8 +6,9 @@
 use gentian_core::{MonoTime, TimeSpan};
 
 use super::{
-    BufferedStream, ConnectionPool, InvalidResponses, RequestHead, ResponseError, ResponseHead,
-    ResponseReader, check_end, log_invalid_response, read_response_body, read_response_head,
+    BufferedStream, ConnectionPool, InvalidResponses, RequestHead, RequestUpload, ResponseError,
+    ResponseHead, ResponseReader, check_end, complete_request, log_invalid_response,
+    read_response_body, read_response_head,
 };
 use crate::ProcessClock;
 
@@ -134,7 +135,7 @@
         }
         let mut bytes = head.to_bytes();
         bytes.extend_from_slice(body);
-        let response = self.exchange(&mut stream, &head.method, &bytes, limits, is_wanted);
+        let response = self.exchange(&mut stream, &head.method, bytes, limits, is_wanted);
         let response = response.inspect_err(|error| self.record_error(address, *error));
         let (head, body, is_request_sent) = response.map_err(|error| unknown(&error))?;
         let is_refusal = !(200..300).contains(&head.status);
@@ -152,14 +153,17 @@
         &self,
         stream: &mut BufferedStream,
         method: &str,
-        request: &[u8],
+        request: Vec<u8>,
         limits: CallLimits,
         is_wanted: impl Fn() -> bool,
     ) -> Result<(ResponseHead, Vec<u8>, bool), ResponseError> {
         let deadline = self.clock.now() + limits.response;
-        let sent = stream.write_request(request, deadline)?;
+        let mut upload = RequestUpload::new(request, 0);
         let mut reader = ResponseReader::new(method);
-        let wait = |stream: &mut BufferedStream| self.wait_for_head(stream, deadline, &is_wanted);
+        let wait = |stream: &mut BufferedStream| {
+            upload.write(stream, std::iter::empty(), deadline)?;
+            self.wait_for_head(stream, deadline, &is_wanted)
+        };
         let head = read_response_head(&mut reader, stream, wait)?;
         let end = self.clock.now() + limits.body;
         let wait = |stream: &mut BufferedStream| {
@@ -169,8 +173,9 @@
         };
         let has_room = |length| length <= self.max_response_bytes;
         let (body, response_end) = read_response_body(&mut reader, stream, has_room, wait)?;
-        check_end(response_end)?;
-        Ok((head, body, sent == request.len()))
+        let rest = upload.rest(std::iter::empty());
+        check_end(complete_request(response_end, stream, rest, end))?;
+        Ok((head, body, upload.is_complete()))
     }
 
     fn wait_for_head(
--- a/crates/gentian-http/src/forward/read_response.rs
+++ b/crates/gentian-http/src/forward/read_response.rs
@@ -1,9 +1,14 @@
 //! Reading of responses from connections.
 
-use gentian_decide::responses::{ConnectionEnd, EndFault, EndVerdict, ResponseEnd};
+use gentian_core::{MonoTime, TimeSpan};
+use gentian_decide::responses::{ConnectionEnd, EndFault, EndMark, EndVerdict, ResponseEnd};
 
 use super::{BufferedStream, ResponseFault, ResponseHead, ResponseReader};
 
+/// Longest pause of a server that takes the rest of a request after its response. One that has stopped
+/// reading resets the connection sooner or later.
+const MAX_REQUEST_PAUSE: TimeSpan = TimeSpan::from_millis(500);
+
 /// Reads the head of a response; `wait` waits for further bytes.
 ///
 /// # Errors
@@ -72,6 +77,23 @@
     }
 }
 
+/// Adds to the end of a response whether the request was sent whole, which counts if only the connection
+/// ends the body. What is unsent by then, `rest`, is sent until `deadline` at most, as a server that had
+/// stopped reading would show by a reset.
+pub fn complete_request<'a>(
+    end: ResponseEnd,
+    stream: &mut BufferedStream,
+    rest: impl Iterator<Item = &'a [u8]>,
+    deadline: MonoTime,
+) -> ResponseEnd {
+    match end.mark {
+        EndMark::Length | EndMark::LastChunk => end,
+        EndMark::Connection => {
+            end.with_request_sent(stream.finish_request(rest, MAX_REQUEST_PAUSE, deadline))
+        }
+    }
+}
+
 /// Checks the end of a response that nothing but its own format confirms, such as a JSON value.
 ///
 /// # Errors
--- a/crates/gentian-http/src/http_client.rs
+++ b/crates/gentian-http/src/http_client.rs
@@ -6,8 +6,8 @@
 use gentian_core::{MonoTime, TimeSpan};
 
 use crate::forward::{
-    BodyBuffer, BufferedStream, HeaderList, InvalidResponses, RequestHead, ResponseError,
-    ResponseHead, ResponseReader, is_field_value, is_token, log_invalid_response,
+    BodyBuffer, BufferedStream, HeaderList, InvalidResponses, RequestHead, RequestUpload,
+    ResponseError, ResponseHead, ResponseReader, is_field_value, is_token, log_invalid_response,
     read_response_head,
 };
 use crate::{CallResponse, ProcessClock};
@@ -157,7 +157,7 @@
     fn send<'a>(
         &self,
         head: RequestHead,
-        body: impl Iterator<Item = &'a [u8]>,
+        body: impl Iterator<Item = &'a [u8]> + Clone,
     ) -> Result<CallResponse, CallError> {
         let connected = BufferedStream::connect(self.address, self.timeout, self.clock);
         let mut stream = connected.map_err(|error| CallError::NotSent(error.to_string()))?;
@@ -175,18 +175,19 @@
         &self,
         stream: &mut BufferedStream,
         head: &RequestHead,
-        mut body: impl Iterator<Item = &'a [u8]>,
+        body: impl Iterator<Item = &'a [u8]> + Clone,
     ) -> Result<(ResponseHead, ResponseReader, bool), ResponseError> {
         // One write takes the head and what most bodies need.
         let mut start = head.to_bytes();
-        start.extend_from_slice(body.next().unwrap_or_default());
-        let mut is_request_sent = stream.write_request(&start, self.deadline())? == start.len();
-        while let Some(piece) = body.next().filter(|_| is_request_sent) {
-            is_request_sent = stream.write_request(piece, self.deadline())? == piece.len();
-        }
+        start.extend_from_slice(body.clone().next().unwrap_or_default());
+        let further = body.skip(1);
+        let mut upload = RequestUpload::new(start, further.clone().map(<[u8]>::len).sum());
         let mut reader = ResponseReader::new(head.method.clone());
-        let response_head = read_response_head(&mut reader, stream, |stream| self.wait(stream))?;
-        Ok((response_head, reader, is_request_sent))
+        let response_head = read_response_head(&mut reader, stream, |stream| {
+            upload.write(stream, further.clone(), self.deadline())?;
+            self.wait(stream)
+        })?;
+        Ok((response_head, reader, upload.is_complete()))
     }
 
     /// Waits for further bytes of a response.
--- a/crates/gentian-http/tests/responses.rs
+++ b/crates/gentian-http/tests/responses.rs
@@ -4,7 +4,7 @@
 #![allow(clippy::unwrap_used)]
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -337,6 +337,10 @@
     Close,
     /// Resets the connection.
     Reset,
+    /// Ends its side, and resets the connection after this time without reading the request.
+    CloseThenReset(Duration),
+    /// Ends its side and reads the request to its end.
+    CloseThenRead,
 }
 
 /// Responses one request with `bytes` at once, after the head or after all of the request.
@@ -362,10 +366,20 @@
     (address, thread)
 }
 
-fn finish(peer: TcpStream, end: ServerEnd) {
+fn finish(mut peer: TcpStream, end: ServerEnd) {
     match end {
         ServerEnd::Close => {}
         ServerEnd::Reset => reset(peer),
+        ServerEnd::CloseThenReset(pause) => {
+            peer.shutdown(Shutdown::Write).unwrap();
+            std::thread::sleep(pause);
+            reset(peer);
+        }
+        ServerEnd::CloseThenRead => {
+            peer.shutdown(Shutdown::Write).unwrap();
+            let mut buffer = vec![0; 64 << 10];
+            while peer.read(&mut buffer).is_ok_and(|count| count > 0) {}
+        }
     }
 }
 
@@ -400,6 +414,63 @@
 
 const UNFRAMED: &[u8] = b"HTTP/1.1 200 OK\r\n\r\n20 of 43 bytes of it";
 const FRAMED: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+const TOO_LARGE: &[u8] = b"HTTP/1.1 413 Large\r\nContent-Length: 2\r\n\r\nno";
+
+/// A server that responses a long request at once without a length, and has stopped reading it, may have
+/// sent only a part of its response, which counted as whole.
+#[rstest]
+#[case::soon(Duration::from_millis(50))]
+#[case::late(Duration::from_secs(1))]
+fn a_part_of_a_response_to_an_unread_request_counted_as_whole(#[case] pause: Duration) {
+    let body = vec![b'x'; LONG_REQUEST_BYTES];
+    for call in [
+        |address, body: &[u8]| {
+            call_pooled(address, body).map_err(|error| error.to_string()).map(|_| ())
+        },
+        |address, body: &[u8]| {
+            call_client(address, body).map_err(|error| error.to_string()).map(|_| ())
+        },
+        |address, body: &[u8]| stream_client(address, body).map(|_| ()),
+    ] {
+        let (address, thread) = serve(UNFRAMED, ServerEnd::CloseThenReset(pause), false);
+        assert!(call(address, &body).is_err());
+        thread.join().unwrap();
+    }
+}
+
+/// The request fits into the buffer of its sender, so that its writing ends, but the server takes only a
+/// part of it.
+#[test]
+fn a_part_of_a_response_to_an_unsent_request_counted_as_whole() {
+    let body = vec![b'x'; 1 << 20];
+    let end = ServerEnd::CloseThenReset(Duration::from_millis(700));
+    let (address, thread) = serve(UNFRAMED, end, false);
+    assert!(call_pooled(address, &body).is_err());
+    thread.join().unwrap();
+}
+
+/// A write finds the reset first and takes the error of the connection with it, so that a read finds
+/// only its end.
+#[test]
+fn a_reset_that_a_write_has_seen_looked_like_an_end() {
+    let (address, thread) = serve(UNFRAMED, ServerEnd::CloseThenReset(Duration::ZERO), false);
+    let clock = ProcessClock::new();
+    let pool = ConnectionPool::new(clock);
+    let mut stream = pool.acquire(address, TIMEOUT).unwrap();
+    stream.write_request(b"POST / HTTP/1.1\r\n", clock.now() + TIMEOUT).unwrap();
+    thread.join().unwrap();
+    std::thread::sleep(Duration::from_millis(50));
+    let deadline = clock.now() + TIMEOUT;
+    while stream.write_request(b"more of the request", deadline).unwrap() > 0 {}
+    let error = loop {
+        match stream.fill(deadline) {
+            Ok(0) => panic!("the reset looked like an end"),
+            Ok(_) => {}
+            Err(error) => break error,
+        }
+    };
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+}
 
 #[rstest]
 #[case::unframed(UNFRAMED)]
@@ -467,6 +538,34 @@
     thread.join().unwrap();
 }
 
+/// A response without a length that ends well, also one that comes before its request was read.
+#[rstest]
+#[case::after_the_request(ServerEnd::Close, true)]
+#[case::before_the_request(ServerEnd::CloseThenRead, false)]
+fn an_unframed_response_that_ends_well_is_whole(
+    #[case] end: ServerEnd,
+    #[case] reads_request: bool,
+) {
+    let body = vec![b'x'; LONG_REQUEST_BYTES];
+    let (address, thread) = serve(UNFRAMED, end, reads_request);
+    assert_eq!(call_pooled(address, &body).unwrap(), (200, b"20 of 43 bytes of it".to_vec()));
+    thread.join().unwrap();
+}
+
+/// A server may refuse a long request before it has read it.
+#[rstest]
+#[case::still_reading(ServerEnd::CloseThenRead)]
+#[case::reset_later(ServerEnd::CloseThenReset(Duration::from_millis(300)))]
+fn an_early_refusal_is_a_response(#[case] end: ServerEnd) {
+    let body = vec![b'x'; LONG_REQUEST_BYTES];
+    let (address, thread) = serve(TOO_LARGE, end, false);
+    assert_eq!(call_pooled(address, &body).unwrap(), (413, b"no".to_vec()));
+    thread.join().unwrap();
+    let (address, thread) = serve(TOO_LARGE, end, false);
+    assert_eq!(call_client(address, &body).unwrap(), (413, b"no".to_vec()));
+    thread.join().unwrap();
+}
+
 /// A text without a length, as an operator's call may get it.
 #[test]
 fn an_unframed_body_is_read_to_its_end_but_not_taken_for_a_value() {
--- a/crates/gentian-soak/src/loopback_proxy.rs
+++ b/crates/gentian-soak/src/loopback_proxy.rs
@@ -12,6 +12,9 @@
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 const READ_STEP: Duration = Duration::from_millis(50);
+/// Size of the buffers between a caller and the server, so that a server which stops reading stops its
+/// caller soon.
+const BUFFER_BYTES: usize = 64 << 10;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const DELAY: Duration = Duration::from_millis(120);
 
@@ -73,6 +76,7 @@
     pub(crate) fn start(address: SocketAddr, server: SocketAddr) -> eyre::Result<Self> {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
+        SockRef::from(&listener).set_recv_buffer_size(BUFFER_BYTES)?;
         let state = Arc::new(LinkState {
             mode: AtomicU8::new(0),
             fault_count: AtomicU64::new(0),
@@ -118,6 +122,9 @@
     let Ok(upstream) = TcpStream::connect_timeout(&server, CONNECT_TIMEOUT) else {
         return reset(&client);
     };
+    if SockRef::from(&upstream).set_send_buffer_size(BUFFER_BYTES).is_err() {
+        return reset(&client);
+    }
     let copies = (client.try_clone(), upstream.try_clone());
     let (Ok(client_copy), Ok(upstream_copy)) = copies else { return reset(&client) };
     let shared = Arc::clone(state);
--- a/crates/gentian-soak/src/main.rs
+++ b/crates/gentian-soak/src/main.rs
@@ -38,6 +38,9 @@
     /// percentage of calls that repeat one request on which replicas crash (default 1)
     #[argh(option, default = "1")]
     crash_request_percent: u32,
+    /// percentage of calls with a body that have a long one (default 4)
+    #[argh(option, default = "4")]
+    long_upload_percent: u32,
     /// models that callers use (default all)
     #[argh(option)]
     models: Option<usize>,
@@ -63,7 +66,8 @@
             .with_size(arguments.entries, arguments.callers)
             .with_idle_callers(arguments.idle_callers)
             .with_crash_percent(arguments.crash_percent)
-            .with_crash_request_percent(arguments.crash_request_percent);
+            .with_crash_request_percent(arguments.crash_request_percent)
+            .with_long_upload_percent(arguments.long_upload_percent);
         if let Some(models) = arguments.models {
             settings = settings.with_models(models);
         }
--- a/crates/gentian-soak/src/soak_caller.rs
+++ b/crates/gentian-soak/src/soak_caller.rs
@@ -1,5 +1,6 @@
 //! Callers, each on its own thread with a persistent connection.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -7,8 +8,9 @@
 use gentian_core::{MonoTime, TimeSpan};
 use gentian_http::ProcessClock;
 use gentian_http::forward::{
-    BufferedStream, HeaderList, RequestHead, ResponseError, ResponseFault, ResponseHead,
-    ResponseReader, check_end, read_response_head, read_response_piece,
+    BufferedStream, HeaderList, RequestHead, RequestUpload, ResponseError, ResponseFault,
+    ResponseHead, ResponseReader, check_end, complete_request, read_response_head,
+    read_response_piece,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -32,6 +34,10 @@
 const SHARED_PARTS: [&str; 4] = ["a0", "b1", "b2", "b3"];
 /// Last part of the prompt of the request on which engines crash.
 const CRASH_REQUEST_PART: &str = "c0ffee";
+/// Length of the bodies of most calls, and of long ones, which replicas may answer before they have read
+/// them.
+const UPLOAD_BYTES: Range<usize> = 1..20_000;
+const LONG_UPLOAD_BYTES: Range<usize> = 600_000..950_000;
 /// Length of the body of the requests on which replicas crash.
 const CRASH_REQUEST_BYTES: usize = 700;
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
@@ -65,6 +71,7 @@
     number: u64,
     crash_percent: u32,
     crash_request_percent: u32,
+    long_upload_percent: u32,
     clock: ProcessClock,
     max_pause: Duration,
     kept_connection: Option<KeptConnection>,
@@ -89,6 +96,7 @@
             number,
             crash_percent: 0,
             crash_request_percent: 0,
+            long_upload_percent: 0,
             clock: ProcessClock::new(),
             max_pause: CALL_PAUSE,
             kept_connection: None,
@@ -116,6 +124,11 @@
         Self { crash_request_percent, ..self }
     }
 
+    /// Sets the percentage of calls with a body that have a long one.
+    pub(crate) fn with_long_upload_percent(self, long_upload_percent: u32) -> Self {
+        Self { long_upload_percent, ..self }
+    }
+
     /// Sets the longest pause between two calls, in which the connection stays open; the shortest is
     /// half of it.
     pub(crate) fn with_max_pause(self, max_pause: Duration) -> Self {
@@ -246,7 +259,7 @@
             CallKind::Look => ("GET", format!("/look/{count}")),
             CallKind::Book => ("POST", format!("/book/{count}")),
         };
-        let body_bytes = if method == "GET" { 0 } else { self.random.random_range(1..20_000) };
+        let body_bytes = if method == "GET" { 0 } else { self.draw_body_bytes() };
         let mut headers = call_headers(key, &id);
         let mut is_crashing = false;
         if kind == CallKind::Advice {
@@ -274,6 +287,12 @@
         self.begin(call, method, headers)
     }
 
+    fn draw_body_bytes(&mut self) -> usize {
+        let is_long = self.long_upload_percent > 0
+            && self.random.random_range(0..100) < self.long_upload_percent;
+        self.random.random_range(if is_long { LONG_UPLOAD_BYTES } else { UPLOAD_BYTES })
+    }
+
     /// Makes a call on which replicas crash. All such calls of a kind are the same but for their ids.
     fn repeat_crash_request(&mut self, kind: CallKind, count: u64) -> CallRecord {
         let (organisation, key) = KEYS[0];
@@ -377,11 +396,10 @@
         let deadline = self.clock.now() + timeout;
         let mut bytes = head.to_bytes();
         bytes.resize(bytes.len() + body_bytes, b'x');
-        if stream.write_all(&bytes, deadline).is_err() {
-            return CallOutcome::ConnectionLost;
-        }
+        let mut upload = RequestUpload::new(bytes, 0);
         let mut reader = ResponseReader::new(head.method.clone());
         let wait = |stream: &mut BufferedStream| -> Result<(), ResponseError> {
+            upload.write(stream, std::iter::empty(), deadline)?;
             stream.fill(deadline)?;
             Ok(())
         };
@@ -391,7 +409,7 @@
             Err(error) => return unread_outcome(error),
         };
         let mut body = Vec::new();
-        if let Err(error) = read_body(&mut reader, &mut stream, deadline, &mut body) {
+        if let Err(error) = read_body(&mut reader, &mut stream, &upload, deadline, &mut body) {
             let is_text = kind == CallKind::Advice && (200..300).contains(&response.status);
             let result = if is_text { self.text.add(id, &body) } else { Ok(()) };
             if let Err(fault) = result {
@@ -413,6 +431,7 @@
 fn read_body(
     reader: &mut ResponseReader,
     stream: &mut BufferedStream,
+    upload: &RequestUpload,
     deadline: MonoTime,
     body: &mut Vec<u8>,
 ) -> Result<(), ResponseError> {
@@ -425,7 +444,7 @@
         }
         stream.fill(deadline)?;
     };
-    Ok(check_end(end)?)
+    Ok(check_end(complete_request(end, stream, upload.rest(std::iter::empty()), deadline))?)
 }
 
 /// Returns the outcome of a call without a whole response. An entry may close the connection before the
--- a/crates/gentian-soak/src/soak_fault.rs
+++ b/crates/gentian-soak/src/soak_fault.rs
@@ -13,7 +13,7 @@
 pub(crate) const PLAIN_REPLICAS: usize = 2;
 
 /// Faults of answers that the stand-in of a replica knows.
-const ANSWER_FAULTS: [&str; 23] = [
+const ANSWER_FAULTS: [&str; 24] = [
     "unframed-answer",
     "unframed-cut",
     "endless-head",
@@ -33,6 +33,7 @@
     "bad-trailer",
     "chunked-event-cut",
     "length-event-cut",
+    "early-cut",
     "failed-resume",
     "repeated-refusal",
     "repeated-bare-refusal",
--- a/crates/gentian-soak/src/soak_run.rs
+++ b/crates/gentian-soak/src/soak_run.rs
@@ -141,6 +141,7 @@
         SoakCaller::new(layout, settings.entries, settings.seed, number as u64)
             .with_crash_percent(settings.crash_percent)
             .with_crash_request_percent(settings.crash_request_percent)
+            .with_long_upload_percent(settings.long_upload_percent)
             .with_models(settings.models)
     };
     let prober = new_caller(settings.callers);
--- a/crates/gentian-soak/src/soak_settings.rs
+++ b/crates/gentian-soak/src/soak_settings.rs
@@ -29,6 +29,8 @@
     pub crash_percent: u32,
     /// Percentage of calls that are repeats of one request of their kind, on which replicas crash.
     pub crash_request_percent: u32,
+    /// Percentage of calls with a body that have a long one.
+    pub long_upload_percent: u32,
     /// Number of models that streams need; all engines hold them if these are few.
     pub models: usize,
     /// Time between two events of a stream.
@@ -64,6 +66,7 @@
             idle_callers: 2,
             crash_percent: 0,
             crash_request_percent: 0,
+            long_upload_percent: 0,
             models: MODELS.len(),
             event_time: None,
             answer_fault: None,
@@ -108,6 +111,11 @@
         Self { crash_request_percent, ..self }
     }
 
+    /// Sets the percentage of calls with a body that have a long one.
+    pub fn with_long_upload_percent(self, long_upload_percent: u32) -> Self {
+        Self { long_upload_percent, ..self }
+    }
+
     /// Sets the number of models that streams need.
     pub fn with_models(self, models: usize) -> Self {
         Self { models, ..self }
--- a/crates/gentian-soak/tests/faulty_answers.rs
+++ b/crates/gentian-soak/tests/faulty_answers.rs
@@ -102,3 +102,10 @@
 fn an_answer_that_is_none_or_not_whole_was_passed_on(#[case] fault: &str, #[case] seed: u64) {
     run_clean(&settings(seed).with_size(2, 8).with_answer_fault(fault));
 }
+
+/// Long uploads, to which replicas answer with a part before they have read them.
+#[test]
+fn a_part_of_an_answer_to_an_upload_counted_as_whole() {
+    let settings = settings(191).with_size(2, 8).with_answer_fault("early-cut");
+    run_clean(&settings.with_long_upload_percent(60));
+}
--- a/crates/gentian-soak/tests/invalid_responses.rs
+++ b/crates/gentian-soak/tests/invalid_responses.rs
@@ -15,6 +15,8 @@
 
 /// More than the buffers of two sockets hold.
 const LONG_BODY_BYTES: usize = 7_900_000;
+/// Fits into the buffer of the sender, but not into that of the receiver.
+const MEDIUM_BODY_BYTES: usize = 700_000;
 const SHORT: Duration = Duration::from_millis(50);
 const LONG: Duration = Duration::from_secs(1);
 
@@ -114,6 +116,33 @@
     assert_eq!(fleet.metric(CRASHES), 0, "no upstream has crashed");
 }
 
+/// Guards against a part of a response that counted as whole: the upstream responses a long upload at once
+/// without a length, and resets the connection while it is still being written.
+#[rstest]
+#[case::soon(LONG_BODY_BYTES, SHORT)]
+#[case::late(LONG_BODY_BYTES, LONG)]
+#[case::at_once(LONG_BODY_BYTES, Duration::ZERO)]
+#[case::body_within_the_send_buffer(MEDIUM_BODY_BYTES, LONG)]
+fn a_client_got_a_part_of_the_response_to_an_upload(#[case] bytes: usize, #[case] pause: Duration) {
+    let steps = [WriteHead(""), Write("20 of 43 bytes of it"), EndSending, Pause(pause), Reset];
+    let fleet = ResponseFleet::start();
+    for _ in 0..5 {
+        assert_goes_on(&fleet, &RawCall::post("/look/1", bytes), &steps);
+        let response = assert_ends(&fleet, &RawCall::post("/book/1", bytes), &steps);
+        assert_eq!(response.status, 502, "{response:?}");
+    }
+    let steps = [WriteHead(""), Write(EVENT), EndSending, Pause(pause), Reset];
+    let response = assert_ends(&fleet, &RawCall::post("/season/1", bytes), &steps);
+    assert!(!response.is_whole, "{response:?}");
+    fleet.script(&steps);
+    let response = fleet.call(&RawCall::post("/chat/1", bytes));
+    assert!(
+        response.is_whole && response.body.ends_with("id: 4\ndata: sound 4\n\n"),
+        "{response:?}"
+    );
+    assert_eq!(fleet.metric(CRASHES), 0, "no upstream has crashed");
+}
+
 /// Guards against parts that count as whole when the connection is reset in other ways.
 #[test]
 fn a_response_that_is_reset_is_not_whole() {
@@ -255,6 +284,24 @@
     assert_eq!(fleet.metric(INVALID), 0);
 }
 
+/// Guards against an upload that an interim response stopped, so that its request was never answered.
+#[test]
+fn an_upload_goes_on_after_an_interim_response() {
+    let steps = [
+        Write("HTTP/1.1 100 Continue\r\n\r\n"),
+        Pause(SHORT),
+        Write("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"),
+        ReadRequest,
+        WriteHead("Content-Length: 4\r\n"),
+        Write("good"),
+    ];
+    let fleet = ResponseFleet::start();
+    for path in ["/look/1", "/book/1"] {
+        let response = assert_ends(&fleet, &RawCall::post(path, LONG_BODY_BYTES), &steps);
+        assert_eq!((response.status, response.body.as_str()), (200, "good"), "{response:?}");
+    }
+}
+
 /// An upstream may refuse or response an upload before it has read it.
 #[test]
 fn early_responses_to_an_upload_are_passed_on() {
--- a/crates/gentian-standin/src/commands/fleet_replica.rs
+++ b/crates/gentian-standin/src/commands/fleet_replica.rs
@@ -9,7 +9,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use gentian_core::{EventCode, FastSet, TimeSpan};
-use gentian_http::forward::{BufferedStream, ResponseHead};
+use gentian_http::forward::{BufferedStream, RequestHead, ResponseHead};
 use gentian_http::{HttpClient, ProcessClock, join_threads};
 use gentian_process::StopSignal;
 use serde_json::{Value, json};
@@ -28,6 +28,8 @@
 const STORE_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
 const WRITE_TIMEOUT: TimeSpan = TimeSpan::from_secs(5);
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
+/// Length of a body that its sender can't have sent whole before some of it is read.
+const LONG_BODY_BYTES: usize = 500_000;
 /// Exit code of a replica that was ordered to load more than fits, or that began to respond to a
 /// request on which it crashes.
 const CRASH_EXIT_CODE: i32 = 9;
@@ -66,9 +68,14 @@
     let shared = Arc::clone(&replica);
     let server_must_end = Arc::new(AtomicBool::new(false));
     let end = Arc::clone(&server_must_end);
-    let thread = serve_requests(address, end, clock, move |request, stream| {
-        shared.handle_request(request, stream)
-    })?;
+    let early = Arc::clone(&replica);
+    let thread = serve_requests(
+        address,
+        end,
+        clock,
+        move |head, length, stream| early.handle_early(head, length, stream),
+        move |request, stream| shared.handle_request(request, stream),
+    )?;
     log::info!("{} address={address} id={}", EventCode::PROCESS_STARTED, replica.id);
     while !signal.flag().load(Ordering::Acquire) {
         replica.register();
@@ -147,7 +154,7 @@
         if self.settings.memory > 0 && !self.state().can_run(target, Instant::now()) {
             return self.send(stream, 421, &[("X-Gentianwheel-Not-Executed", "1"), named], b"");
         }
-        self.record("arrival", id, &format!("at={}", unix_millis()));
+        self.record_arrival(id);
         let is_refused = self.refused().contains(id);
         if !is_refused
             && let Some(is_kept) = self.send_faulty(&FaultyResponse::REFUSALS, request, stream)
@@ -155,19 +162,7 @@
             return is_kept;
         }
         let after = request.header("Last-Event-Id");
-        let fields = [
-            ("method", request.head.method.as_str()),
-            ("target", request.head.target.as_str()),
-            ("tenant", request.header("X-Gentianwheel-Tenant")),
-            ("left", request.header("X-Gentianwheel-Deadline-Ms")),
-            ("after", after),
-            ("key", request.header("Authorization")),
-            ("pin", request.header("X-Gentianwheel-Pin-Ms")),
-            ("body", &request.body.len().to_string()),
-        ];
-        let fields: Vec<String> =
-            fields.iter().map(|(name, value)| format!("{name}={value}")).collect();
-        self.record("run", id, &fields.join(" "));
+        self.record_run(&request.head, request.body.len());
         if self.faults.consume(FaultName::LostResponse) {
             std::thread::sleep(self.settings.event_time.into());
             return false;
@@ -198,15 +193,52 @@
         if fault == FaultName::TurnedAway {
             self.record("turned-away", id, &format!("at={}", unix_millis()));
         }
-        let response = FaultyResponse {
-            request: id,
+        Some(self.faulty_response(&request.head).send(fault, stream))
+    }
+
+    fn faulty_response<'a>(&'a self, head: &'a RequestHead) -> FaultyResponse<'a> {
+        FaultyResponse {
+            request: header(head, "X-Gentianwheel-Request-Id"),
             replica: &self.id,
             version: &self.settings.version,
             events: (self.settings.memory > 0).then_some(self.settings.events),
-            after: request.header("Last-Event-Id").parse().unwrap_or(0),
+            after: header(head, "Last-Event-Id").parse().unwrap_or(0),
             clock: self.clock,
-        };
-        Some(response.send(fault, stream))
+        }
+    }
+
+    /// Answers a long request before its body was read, if a fault says so.
+    fn handle_early(&self, head: &RequestHead, length: usize, stream: &mut BufferedStream) -> bool {
+        let is_call = !head.path().starts_with("/-/") && !head.path().starts_with("/control/");
+        let is_long = length >= LONG_BODY_BYTES;
+        if !is_call || !is_long || !self.faults.consume(FaultName::EarlyTruncation) {
+            return false;
+        }
+        self.record_arrival(header(head, "X-Gentianwheel-Request-Id"));
+        self.record_run(head, length);
+        self.faulty_response(head).send_early_truncation(stream);
+        true
+    }
+
+    fn record_arrival(&self, id: &str) {
+        self.record("arrival", id, &format!("at={}", unix_millis()));
+    }
+
+    /// Records that a request with a body of this length is run.
+    fn record_run(&self, head: &RequestHead, body_bytes: usize) {
+        let fields = [
+            ("method", head.method.as_str()),
+            ("target", head.target.as_str()),
+            ("tenant", header(head, "X-Gentianwheel-Tenant")),
+            ("left", header(head, "X-Gentianwheel-Deadline-Ms")),
+            ("after", header(head, "Last-Event-Id")),
+            ("key", header(head, "Authorization")),
+            ("pin", header(head, "X-Gentianwheel-Pin-Ms")),
+            ("body", &body_bytes.to_string()),
+        ];
+        let fields: Vec<String> =
+            fields.iter().map(|(name, value)| format!("{name}={value}")).collect();
+        self.record("run", header(head, "X-Gentianwheel-Request-Id"), &fields.join(" "));
     }
 
     /// Records that a request has begun to run, with its organisation.
@@ -420,6 +452,11 @@
     }
 }
 
+/// Returns a header, or an empty string if it is missing.
+fn header<'a>(head: &'a RequestHead, name: &str) -> &'a str {
+    head.headers.text(name).unwrap_or("")
+}
+
 fn unix_millis() -> u128 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_millis())
 }
--- a/crates/gentian-standin/src/fleet/faulty_response.rs
+++ b/crates/gentian-standin/src/fleet/faulty_response.rs
@@ -24,6 +24,8 @@
 const EVENTS_BEFORE_BREAK: u64 = 2;
 /// How long a refusal waits to be repeated with the next request on its connection.
 const REPETITION_WAIT: TimeSpan = TimeSpan::from_secs(2);
+/// Time from the end of a part of a response until its connection is reset.
+const RESET_PAUSE: Duration = Duration::from_millis(50);
 /// Seconds for which a replica that turns a request away wants no other one.
 const RETRY_AFTER_SECONDS: u64 = 2;
 
@@ -219,6 +221,20 @@
         self.write(stream, format!("{start}{fields}{body}").as_bytes())
     }
 
+    /// Sends a part of the body without a length, ends the sending side and resets the connection a while
+    /// later. The request hasn't been read.
+    pub(crate) fn send_early_truncation(&self, stream: &mut BufferedStream) {
+        let body = self.body();
+        let mut bytes = self.head().to_bytes();
+        bytes.extend_from_slice(&body.as_bytes()[..body.len() / 2]);
+        self.write(stream, &bytes);
+        if let Err(error) = stream.end_sending() {
+            log::debug!("the connection had ended: {error}");
+        }
+        std::thread::sleep(RESET_PAUSE);
+        stream.set_abortive(true);
+    }
+
     /// Returns whether the id of the request ends with an even digit.
     fn is_even(&self) -> bool {
         self.request.ends_with(['0', '2', '4', '6', '8', 'a', 'c', 'e'])
--- a/crates/gentian-standin/src/fleet/replica_server.rs
+++ b/crates/gentian-standin/src/fleet/replica_server.rs
@@ -34,15 +34,17 @@
 }
 
 /// Serves each connection on a thread. `handle` responds to one request and returns whether the
-/// connection stays open.
+/// connection stays open. `handle_early` may respond to a request whose body wasn't read, with this length,
+/// and end its connection; it returns whether it did.
 pub(crate) fn serve_requests(
     address: SocketAddr,
     stop: Arc<AtomicBool>,
     clock: ProcessClock,
+    handle_early: impl Fn(&RequestHead, usize, &mut BufferedStream) -> bool + Send + Sync + 'static,
     handle: impl Fn(&ReplicaRequest, &mut BufferedStream) -> bool + Send + Sync + 'static,
 ) -> eyre::Result<JoinHandle<()>> {
     serve_connections("wire", address, MAX_THREADS, stop, clock, move |mut stream| {
-        while let Some(request) = read_request(&mut stream, clock) {
+        while let Some(request) = read_request(&mut stream, clock, &handle_early) {
             if !handle(&request, &mut stream) {
                 return;
             }
@@ -50,7 +52,11 @@
     })
 }
 
-fn read_request(stream: &mut BufferedStream, clock: ProcessClock) -> Option<ReplicaRequest> {
+fn read_request(
+    stream: &mut BufferedStream,
+    clock: ProcessClock,
+    handle_early: impl Fn(&RequestHead, usize, &mut BufferedStream) -> bool,
+) -> Option<ReplicaRequest> {
     let deadline = clock.now() + IDLE_TIMEOUT;
     let head = loop {
         match RequestHead::parse(stream.buffered(), MAX_HEAD_BYTES).ok()? {
@@ -63,6 +69,11 @@
         }
     };
     let framing = BodyFraming::of_request(&head.headers).ok()?;
+    if let BodyFraming::Length(length) = framing
+        && handle_early(&head, usize::try_from(length).ok()?, stream)
+    {
+        return None;
+    }
     let body = read_request_body(stream, framing, MAX_BODY_BYTES, deadline).ok()?;
     Some(ReplicaRequest { head, body })
 }
--- a/crates/gentian-standin/src/shared/fault_switch.rs
+++ b/crates/gentian-standin/src/shared/fault_switch.rs
@@ -57,6 +57,9 @@
     ChunkedEventCut,
     /// The length of a body ends inside an event.
     LengthEventCut,
+    /// A response without a length begins before a long request was read, ends after a part of its body,
+    /// and the connection is reset while the request is still being sent.
+    EarlyTruncation,
     /// A stream breaks off, and the request that resumes it gets an error.
     FailedResume,
     /// A request is refused, and the refusal is sent once more with the next request on the
@@ -100,6 +103,7 @@
             Self::BadTrailer => "bad-trailer",
             Self::ChunkedEventCut => "chunked-event-cut",
             Self::LengthEventCut => "length-event-cut",
+            Self::EarlyTruncation => "early-cut",
             Self::FailedResume => "failed-resume",
             Self::RepeatedRefusal => "repeated-refusal",
             Self::RepeatedBareRefusal => "repeated-bare-refusal",
@@ -139,6 +143,7 @@
             Self::BadTrailer,
             Self::ChunkedEventCut,
             Self::LengthEventCut,
+            Self::EarlyTruncation,
             Self::FailedResume,
             Self::RepeatedRefusal,
             Self::RepeatedBareRefusal,
@@ -156,7 +161,7 @@
                  endless-head, endless-body, endless-trailer, endless-status-line, \
                  endless-field, endless-chunk-size, endless-length, endless-unframed, \
                  endless-report, stalled-head, stalled-body, cut-head, zero-status, bad-field, \
-                 bad-trailer, chunked-event-cut, length-event-cut, failed-resume, \
+                 bad-trailer, chunked-event-cut, length-event-cut, early-cut, failed-resume, \
                  repeated-refusal, repeated-bare-refusal, turned-away, leaving, crossed-answer, \
                  failed-load",
             )
