Share the processes of the tests with fleets

body_fleet and response_fleet started, awaited and ended their processes by the same lines; both use TestProcesses now. No test has changed.

--- a/crates/gentian-soak/tests/body_fleet/mod.rs
+++ b/crates/gentian-soak/tests/body_fleet/mod.rs
@@ -2,13 +2,14 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::fs::File;
+#[path = "../test_processes/mod.rs"]
+mod test_processes;
+
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -18,6 +19,8 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
+use test_processes::{POLL_INTERVAL, START_TIMEOUT, TestProcesses};
+
 /// Memory of the entry's VM in the settings.
 pub(crate) const MEMORY_MB: u64 = 64;
 /// Descriptors of the entry's VM in the settings.
@@ -27,10 +30,8 @@
 
 const HOST: &str = "bodies.example";
 const KEY: &str = "key-of-the-club";
-const START_TIMEOUT: Duration = Duration::from_secs(20);
 const CALL_TIMEOUT: TimeSpan = TimeSpan::from_secs(10);
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_secs(2);
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Lets only one fleet run at a time.
 static FLEET_LOCK: Mutex<()> = Mutex::new(());
@@ -39,9 +40,8 @@
 
 pub(crate) struct BodyFleet {
     _guard: MutexGuard<'static, ()>,
-    folder: PathBuf,
     /// The entry is the last one.
-    processes: Vec<Child>,
+    processes: TestProcesses,
     subnet: u8,
 }
 
@@ -55,14 +55,12 @@
     pub(crate) fn start_with(memory_mb: u64, body_bytes: usize) -> Self {
         let guard = FLEET_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
         let subnet = NEXT_SUBNET.fetch_add(1, Ordering::Relaxed);
-        let folder =
-            std::env::temp_dir().join(format!("gentian-bodies-{}-{subnet}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
-        let mut fleet = Self { _guard: guard, folder, processes: Vec::new(), subnet };
+        let processes = TestProcesses::new("gentian-bodies", subnet);
+        let mut fleet = Self { _guard: guard, processes, subnet };
         let (store, replica) = (fleet.store().to_string(), fleet.address(100, 7_200).to_string());
-        let journal = fleet.folder.join("replica.journal").display().to_string();
-        fleet.spawn("gentian-standin", &["fleet-store", "--address", &store]);
-        fleet.spawn(
+        let journal = fleet.processes.path("replica.journal").display().to_string();
+        fleet.processes.spawn("gentian-standin", &["fleet-store", "--address", &store]);
+        fleet.processes.spawn(
             "gentian-standin",
             &[
                 "fleet-replica",
@@ -80,10 +78,12 @@
                 &journal,
             ],
         );
-        fleet.wait_until("the store takes the configuration", |it| it.publish(body_bytes));
+        fleet
+            .processes
+            .wait_until("the store takes the configuration", || fleet.publish(body_bytes));
         let settings = fleet.write_settings(memory_mb).display().to_string();
-        fleet.spawn("gentianwheel", &["--settings", &settings]);
-        fleet.wait_until("the entry is ready", Self::is_ready);
+        fleet.processes.spawn("gentianwheel", &["--settings", &settings]);
+        fleet.processes.wait_until("the entry is ready", || fleet.is_ready());
         fleet
     }
 
@@ -103,7 +103,7 @@
 
     /// Returns the id of the entry's process.
     pub(crate) fn entry_id(&self) -> u32 {
-        self.processes.last().unwrap().id()
+        self.processes.last_id()
     }
 
     /// Returns the head of a request without its framing and the empty line.
@@ -116,7 +116,7 @@
 
     /// Sends the entry a stop signal and returns whether it ended with success in time.
     pub(crate) fn stop_entry(&mut self) -> bool {
-        let entry = self.processes.last_mut().unwrap();
+        let entry = self.processes.last();
         kill_process(Pid::from_child(entry), Signal::TERM).unwrap();
         let end = Instant::now() + START_TIMEOUT;
         while Instant::now() < end {
@@ -130,7 +130,7 @@
 
     /// Returns whether the entry's process has not ended.
     pub(crate) fn is_entry_alive(&mut self) -> bool {
-        self.processes.last_mut().unwrap().try_wait().unwrap().is_none()
+        self.processes.last().try_wait().unwrap().is_none()
     }
 
     /// Returns the status of the response to a request with a body of `body_bytes`; zero without one.
@@ -189,45 +189,10 @@
              [bounds]\nbudget_extra_attempts = 60\nquota_slack = 100000\ngrace_s = 8\n\
              [platform]\naddress = \"{store}\"\n"
         );
-        let path = self.folder.join("entry.toml");
+        let path = self.processes.path("entry.toml");
         std::fs::write(&path, text).unwrap();
         path
     }
-
-    fn wait_until(&self, what: &str, condition: impl Fn(&Self) -> bool) {
-        let end = Instant::now() + START_TIMEOUT;
-        while !condition(self) {
-            assert!(Instant::now() < end, "timed out: {what}; logs in {}", self.folder.display());
-            std::thread::sleep(POLL_INTERVAL);
-        }
-    }
-
-    fn spawn(&mut self, program: &str, arguments: &[&str]) {
-        let test = std::env::current_exe().unwrap();
-        let programs = test.parent().and_then(Path::parent).unwrap();
-        let log = self.folder.join(format!("{}-{program}.log", self.processes.len()));
-        let log = File::options().create(true).append(true).open(log).unwrap();
-        let child = Command::new(programs.join(program))
-            .args(arguments)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().unwrap())
-            .stderr(log)
-            .spawn()
-            .unwrap();
-        self.processes.push(child);
-    }
-}
-
-impl Drop for BodyFleet {
-    fn drop(&mut self) {
-        for process in &mut self.processes {
-            let _ = process.kill();
-            let _ = process.wait();
-        }
-        if !std::thread::panicking() {
-            let _ = std::fs::remove_dir_all(&self.folder);
-        }
-    }
 }
 
 fn config(body_bytes: usize) -> Value {
--- a/crates/gentian-soak/tests/response_fleet/mod.rs
+++ b/crates/gentian-soak/tests/response_fleet/mod.rs
@@ -5,14 +5,13 @@
 
 mod raw_client;
 mod scripted_upstream;
+#[path = "../test_processes/mod.rs"]
+mod test_processes;
 
-use std::fs::File;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -20,6 +19,8 @@
 use gentian_http::HttpClient;
 use serde_json::{Value, json};
 
+use test_processes::TestProcesses;
+
 pub(crate) use raw_client::{RawCall, RawResponse};
 pub(crate) use scripted_upstream::{Arrival, ResponseStep, ScriptedUpstreams};
 
@@ -31,9 +32,7 @@
 
 const UPSTREAMS: u8 = 3;
 const BODY_BYTES: usize = 8_000_000;
-const START_TIMEOUT: Duration = Duration::from_secs(20);
 const CALL_TIMEOUT: TimeSpan = TimeSpan::from_secs(5);
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
 
 /// Lets only one fleet run at a time.
@@ -45,8 +44,7 @@
 /// `/chat/` (resumable streams) and `/season/` (other streams) lead to them.
 pub(crate) struct ResponseFleet {
     _guard: MutexGuard<'static, ()>,
-    folder: PathBuf,
-    processes: Vec<Child>,
+    processes: TestProcesses,
     subnet: u8,
     upstreams: ScriptedUpstreams,
 }
@@ -56,23 +54,24 @@
     pub(crate) fn start() -> Self {
         let guard = FLEET_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
         let subnet = NEXT_SUBNET.fetch_add(1, Ordering::Relaxed);
-        let folder =
-            std::env::temp_dir().join(format!("gentian-answers-{}-{subnet}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
+        let processes = TestProcesses::new("gentian-responses", subnet);
         let addresses = (0..UPSTREAMS).map(|number| upstream_address(subnet, number));
         let upstreams = ScriptedUpstreams::start(addresses.collect());
-        let mut fleet = Self { _guard: guard, folder, processes: Vec::new(), subnet, upstreams };
+        let mut fleet = Self { _guard: guard, processes, subnet, upstreams };
         let store = fleet.store().to_string();
-        fleet.spawn("gentian-standin", &["fleet-store", "--address", &store]);
-        fleet.wait_until("the store takes the configuration", |it| it.put("op/config", &config()));
+        fleet.processes.spawn("gentian-standin", &["fleet-store", "--address", &store]);
+        fleet
+            .processes
+            .wait_until("the store takes the configuration", || fleet.put("op/config", &config()));
         for number in 0..UPSTREAMS {
             let record = registration(upstream_address(subnet, number));
             assert!(fleet.put(&format!("servers/up-{number}"), &record));
         }
         let settings = fleet.write_settings().display().to_string();
-        fleet.spawn("gentianwheel", &["--settings", &settings]);
-        fleet.wait_until("the entry is ready", Self::is_ready);
-        fleet.wait_until("the entry serves", |it| it.call(&RawCall::get("/look/0")).status == 200);
+        fleet.processes.spawn("gentianwheel", &["--settings", &settings]);
+        fleet.processes.wait_until("the entry is ready", || fleet.is_ready());
+        let first = RawCall::get("/look/0");
+        fleet.processes.wait_until("the entry serves", || fleet.call(&first).status == 200);
         fleet.upstreams.take_arrivals();
         fleet
     }
@@ -110,8 +109,8 @@
 
     /// Waits until the entry has logged this many lines with this text.
     pub(crate) fn wait_for_log_lines(&self, text: &str, count: usize) {
-        let log = self.folder.join("1-gentianwheel.log");
-        self.wait_until(&format!("{count} lines with {text}"), |_| {
+        let log = self.processes.path("1-gentianwheel.log");
+        self.processes.wait_until(&format!("{count} lines with {text}"), || {
             let log = std::fs::read_to_string(&log).unwrap();
             log.lines().filter(|line| line.contains(text)).count() == count
         });
@@ -152,45 +151,10 @@
              [bounds]\nbudget_extra_attempts = 600\nquota_slack = 100000\ngrace_s = 8\n\
              [platform]\naddress = \"{store}\"\n"
         );
-        let path = self.folder.join("entry.toml");
+        let path = self.processes.path("entry.toml");
         std::fs::write(&path, text).unwrap();
         path
     }
-
-    fn wait_until(&self, what: &str, condition: impl Fn(&Self) -> bool) {
-        let end = Instant::now() + START_TIMEOUT;
-        while !condition(self) {
-            assert!(Instant::now() < end, "timed out: {what}; logs in {}", self.folder.display());
-            std::thread::sleep(POLL_INTERVAL);
-        }
-    }
-
-    fn spawn(&mut self, program: &str, arguments: &[&str]) {
-        let test = std::env::current_exe().unwrap();
-        let programs = test.parent().and_then(Path::parent).unwrap();
-        let log = self.folder.join(format!("{}-{program}.log", self.processes.len()));
-        let log = File::options().create(true).append(true).open(log).unwrap();
-        let child = Command::new(programs.join(program))
-            .args(arguments)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().unwrap())
-            .stderr(log)
-            .spawn()
-            .unwrap();
-        self.processes.push(child);
-    }
-}
-
-impl Drop for ResponseFleet {
-    fn drop(&mut self) {
-        for process in &mut self.processes {
-            let _ = process.kill();
-            let _ = process.wait();
-        }
-        if !std::thread::panicking() {
-            let _ = std::fs::remove_dir_all(&self.folder);
-        }
-    }
 }
 
 fn upstream_address(subnet: u8, number: u8) -> SocketAddr {
