Record invalid responses through one log a client

Both clients held the kind of their calls and an optional counter, and chose between two ways to log. ResponseLog does it once; HttpClient returns its response where it reads the head. No behaviour has changed: the tests of responses, invalid_responses and store_client pass.

--- a/crates/gentian-entry/src/chain/send_call.rs
+++ b/crates/gentian-entry/src/chain/send_call.rs
@@ -8,6 +8,7 @@
 use gentian_core::{EventCode, MonoTime, TimeSpan};
 use gentian_decide::entry::{CallOutcome, WaitingCall};
 use gentian_decide::request::{FilterOutcome, Refusal, RefusalCode};
+use gentian_http::forward::ResponseLog;
 use gentian_http::{CallError, CallResponse, HttpClient, HttpRequest};
 use gentian_wire::{IDEMPOTENCY_KEY, REQUEST_ID};
 
@@ -122,8 +123,9 @@
     let forwarded = [("Content-Type", "Content-Type"), ("Accept", "Accept")];
     let forwarded = forwarded.into_iter().chain([(IDEMPOTENCY_KEY, IDEMPOTENCY_KEY)]);
     headers.extend(forwarded.filter_map(|(name, sent)| Some((sent, http.header(name)?))));
-    let client = HttpClient::new(address, time_left)
-        .with_invalid_responses(CALL_NAME, handles.metrics.invalid_responses.clone());
+    let response_log = ResponseLog::new(CALL_NAME);
+    let response_log = response_log.with_counter(handles.metrics.invalid_responses.clone());
+    let client = HttpClient::new(address, time_left).with_response_log(response_log);
     client.call_with_buffer(HttpRequest::method(http), &call.upstream_path(), &headers, &call.body)
 }
 
--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -215,7 +215,7 @@
         Ok(read) => read,
         Err(error) => return error.into(),
     };
-    if let Err(fault) = check_end(handles, call, pick, &mut stream, &upload, end) {
+    if let Err(fault) = confirm_end(handles, call, pick, &mut stream, &upload, end) {
         return fault.into();
     }
     // A faulty upstream may write a refusal once more with the next request on the connection.
@@ -280,7 +280,7 @@
         match step {
             Ok(Some(end)) => {
                 let end = end.with_position(event_position(call));
-                if let Err(fault) = check_end(handles, call, pick, &mut stream, &upload, end) {
+                if let Err(fault) = confirm_end(handles, call, pick, &mut stream, &upload, end) {
                     return fault.into();
                 }
                 call.progress = AttemptProgress::Complete;
@@ -311,7 +311,7 @@
 
 /// Checks that a response which has ended is whole. Where only the end of the connection ends the body, it
 /// may have been the end of the upstream, or the upstream may have stopped reading the request.
-fn check_end(
+fn confirm_end(
     handles: &CallHandles,
     call: &CallContext,
     pick: &UpstreamPick,
--- a/crates/gentian-gateway/src/chain/forward_call.rs
+++ b/crates/gentian-gateway/src/chain/forward_call.rs
@@ -71,7 +71,7 @@
                 }
             }
             AttemptResult::Invalid(fault) => {
-                handles.metrics.invalid_responses.record(CALL_NAME, &pick.upstream, fault);
+                handles.metrics.response_log(CALL_NAME).record(&pick.upstream, fault);
                 let cause = ResponseError::Invalid(fault).to_string();
                 if let Some(outcome) = handle_failure(handles, call, &pick, &end, &cause) {
                     return outcome;
--- a/crates/gentian-gateway/src/chain/start_probe.rs
+++ b/crates/gentian-gateway/src/chain/start_probe.rs
@@ -126,7 +126,7 @@
 ) -> Result<(ReportedStart, bool), ResponseError> {
     let read = exchange_start(handles, pick, stream);
     if let Err(ResponseError::Invalid(fault)) = read {
-        handles.metrics.invalid_responses.record(CALL_NAME, &pick.upstream, fault);
+        handles.metrics.response_log(CALL_NAME).record(&pick.upstream, fault);
     }
     read
 }
--- a/crates/gentian-gateway/src/gateway_metrics.rs
+++ b/crates/gentian-gateway/src/gateway_metrics.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics of a gateway.
 
 use gentian_decide::orders::PlacementFigures;
-use gentian_http::forward::InvalidResponses;
+use gentian_http::forward::{InvalidResponses, ResponseLog};
 use prometheus::{
     Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
@@ -18,7 +18,7 @@
     /// Number of attempts by outcome.
     pub(crate) attempts: IntCounterVec,
     /// Number of invalid responses by kind of call and check.
-    pub(crate) invalid_responses: InvalidResponses,
+    invalid_responses: InvalidResponses,
     /// Number of checks of the start of an upstream by moment and result.
     pub(crate) start_checks: IntCounterVec,
     /// Number of orders to engines by action and reply.
@@ -218,6 +218,11 @@
         Ok(metrics)
     }
 
+    /// Returns a log of the invalid responses to calls of this kind, which counts them here.
+    pub(crate) fn response_log(&self, call_name: &'static str) -> ResponseLog {
+        ResponseLog::new(call_name).with_counter(self.invalid_responses.clone())
+    }
+
     /// Sets the figures of the placement; those of an entry that is not the hub are zero.
     pub(crate) fn record_placement(&self, figures: PlacementFigures) {
         let set = |gauge: &IntGauge, count: usize| gauge.set(i64::try_from(count).unwrap_or(0));
--- a/crates/gentian-gateway/src/io/duty_worker.rs
+++ b/crates/gentian-gateway/src/io/duty_worker.rs
@@ -118,7 +118,7 @@
 
     fn run_calls(&self, calls: &Receiver<UsageCall>) {
         let client = PooledClient::new(self.connections.clone(), self.clock)
-            .with_invalid_responses(CALL_NAME, self.metrics.invalid_responses.clone())
+            .with_response_log(self.metrics.response_log(CALL_NAME))
             .with_close_after_refusal()
             .with_max_response_bytes(MAX_RESPONSE_BYTES);
         while let Ok(call) = calls.recv() {
--- a/crates/gentian-gateway/src/io/engine_calls.rs
+++ b/crates/gentian-gateway/src/io/engine_calls.rs
@@ -62,7 +62,7 @@
         metrics: GatewayMetrics,
     ) -> Self {
         let http_client = PooledClient::new(connections, clock)
-            .with_invalid_responses(CALL_NAME, metrics.invalid_responses.clone())
+            .with_response_log(metrics.response_log(CALL_NAME))
             .with_close_after_refusal()
             .with_max_response_bytes(MAX_RESPONSE_BYTES);
         let client = EngineClient { codec, http_client, events, holder, clock, metrics };
--- a/crates/gentian-http/src/forward/invalid_responses.rs
+++ b/crates/gentian-http/src/forward/invalid_responses.rs
@@ -1,8 +1,5 @@
-//! Record of invalid responses.
+//! Counter of invalid responses.
 
-use std::fmt;
-
-use gentian_core::EventCode;
 use prometheus::{IntCounterVec, Opts};
 
 use super::ResponseFault;
@@ -32,14 +29,8 @@
         self.counts.clone()
     }
 
-    /// Logs and counts an invalid response of `server` to a call of this kind.
-    pub fn record(&self, call: &str, server: impl fmt::Display, fault: ResponseFault) {
-        self.counts.with_label_values(&[call, &fault.to_string()]).inc();
-        log_invalid_response(call, server, fault);
+    /// Counts an invalid response to a call of this kind.
+    pub(crate) fn count(&self, call_name: &str, fault: ResponseFault) {
+        self.counts.with_label_values(&[call_name, &fault.to_string()]).inc();
     }
 }
-
-/// Logs an invalid response of `server` to a call of this kind.
-pub(crate) fn log_invalid_response(call: &str, server: impl fmt::Display, fault: ResponseFault) {
-    log::info!("{} call={call} server={server} check={fault}", EventCode::RESPONSE_INVALID);
-}
--- a/crates/gentian-http/src/forward/mod.rs
+++ b/crates/gentian-http/src/forward/mod.rs
@@ -24,6 +24,7 @@
 mod response_error;
 mod response_fault;
 mod response_head;
+mod response_log;
 mod response_reader;
 
 pub use body_admission::{BodyAdmission, admit_body};
@@ -43,7 +44,6 @@
 pub use head_parser::HeadParser;
 pub use header_list::HeaderList;
 pub use invalid_responses::InvalidResponses;
-pub(crate) use invalid_responses::log_invalid_response;
 pub use pooled_client::{CallLimits, PooledCallError, PooledClient};
 pub use read_response::{
     check_end, complete_request, read_response_body, read_response_head, read_response_piece,
@@ -53,4 +53,5 @@
 pub use response_error::ResponseError;
 pub use response_fault::ResponseFault;
 pub use response_head::ResponseHead;
+pub use response_log::ResponseLog;
 pub use response_reader::ResponseReader;
--- a/crates/gentian-http/src/forward/pooled_client.rs
+++ b/crates/gentian-http/src/forward/pooled_client.rs
@@ -6,9 +6,9 @@
 use gentian_core::{MonoTime, TimeSpan};
 
 use super::{
-    BufferedStream, ConnectionPool, InvalidResponses, RequestHead, RequestUpload, ResponseError,
-    ResponseHead, ResponseReader, check_end, complete_request, log_invalid_response,
-    read_response_body, read_response_head,
+    BufferedStream, ConnectionPool, RequestHead, RequestUpload, ResponseError, ResponseHead,
+    ResponseLog, ResponseReader, check_end, complete_request, read_response_body,
+    read_response_head,
 };
 use crate::ProcessClock;
 
@@ -57,9 +57,7 @@
     connections: ConnectionPool,
     closes_after_refusal: bool,
     max_response_bytes: usize,
-    /// Kind of the calls in logs and metrics.
-    call_name: &'static str,
-    invalid_responses: Option<InvalidResponses>,
+    response_log: ResponseLog,
     clock: ProcessClock,
 }
 
@@ -70,19 +68,14 @@
             connections,
             closes_after_refusal: false,
             max_response_bytes: MAX_RESPONSE_BYTES,
-            call_name: "call",
-            invalid_responses: None,
+            response_log: ResponseLog::new("call"),
             clock,
         }
     }
 
-    /// Counts invalid responses as those to calls of this kind.
-    pub fn with_invalid_responses(
-        self,
-        call_name: &'static str,
-        invalid_responses: InvalidResponses,
-    ) -> Self {
-        Self { call_name, invalid_responses: Some(invalid_responses), ..self }
+    /// Sets where invalid responses are recorded.
+    pub fn with_response_log(self, response_log: ResponseLog) -> Self {
+        Self { response_log, ..self }
     }
 
     /// Sets the largest accepted response body.
@@ -136,7 +129,8 @@
         let mut bytes = head.to_bytes();
         bytes.extend_from_slice(body);
         let response = self.exchange(&mut stream, &head.method, bytes, limits, is_wanted);
-        let response = response.inspect_err(|error| self.record_error(address, *error));
+        let response =
+            response.inspect_err(|error| self.response_log.record_error(address, *error));
         let (head, body, is_request_sent) = response.map_err(|error| unknown(&error))?;
         let is_refusal = !(200..300).contains(&head.status);
         let is_reusable = is_request_sent && head.keeps_connection();
@@ -197,12 +191,4 @@
             }
         }
     }
-
-    fn record_error(&self, address: SocketAddr, error: ResponseError) {
-        let ResponseError::Invalid(fault) = error else { return };
-        match &self.invalid_responses {
-            Some(invalid_responses) => invalid_responses.record(self.call_name, address, fault),
-            None => log_invalid_response(self.call_name, address, fault),
-        }
-    }
 }
--- a/crates/gentian-http/src/http_client.rs
+++ b/crates/gentian-http/src/http_client.rs
@@ -6,15 +6,11 @@
 use gentian_core::{MonoTime, TimeSpan};
 
 use crate::forward::{
-    BodyBuffer, BufferedStream, HeaderList, InvalidResponses, RequestHead, RequestUpload,
-    ResponseError, ResponseHead, ResponseReader, is_field_value, is_token, log_invalid_response,
-    read_response_head,
+    BodyBuffer, BufferedStream, HeaderList, RequestHead, RequestUpload, ResponseError, ResponseLog,
+    ResponseReader, is_field_value, is_token, read_response_head,
 };
 use crate::{CallResponse, ProcessClock};
 
-/// Kind of the calls in logs and metrics, unless it is set.
-const CALL_NAME: &str = "call";
-
 /// Why a call failed.
 #[derive(Debug)]
 pub enum CallError {
@@ -40,8 +36,7 @@
 pub struct HttpClient {
     address: SocketAddr,
     timeout: TimeSpan,
-    call_name: &'static str,
-    invalid_responses: Option<InvalidResponses>,
+    response_log: ResponseLog,
     clock: ProcessClock,
 }
 
@@ -50,16 +45,12 @@
     /// and for each read of a response.
     pub fn new(address: SocketAddr, timeout: TimeSpan) -> Self {
         let clock = ProcessClock::new();
-        Self { address, timeout, call_name: CALL_NAME, invalid_responses: None, clock }
+        Self { address, timeout, response_log: ResponseLog::new("call"), clock }
     }
 
-    /// Counts invalid responses as those to calls of this kind.
-    pub fn with_invalid_responses(
-        self,
-        call_name: &'static str,
-        invalid_responses: InvalidResponses,
-    ) -> Self {
-        Self { call_name, invalid_responses: Some(invalid_responses), ..self }
+    /// Sets where invalid responses are recorded.
+    pub fn with_response_log(self, response_log: ResponseLog) -> Self {
+        Self { response_log, ..self }
     }
 
     /// Calls the server and returns the response with its body still to be read.
@@ -160,34 +151,29 @@
         body: impl Iterator<Item = &'a [u8]> + Clone,
     ) -> Result<CallResponse, CallError> {
         let connected = BufferedStream::connect(self.address, self.timeout, self.clock);
-        let mut stream = connected.map_err(|error| CallError::NotSent(error.to_string()))?;
-        let response = self.exchange(&mut stream, &head, body);
-        let (response_head, reader, is_request_sent) =
-            response.map_err(|error| self.record_error(error))?;
-        let client = self.clone();
-        Ok(CallResponse::new(client, stream, response_head, reader)
-            .with_request_sent(is_request_sent))
+        let stream = connected.map_err(|error| CallError::NotSent(error.to_string()))?;
+        self.exchange(stream, &head, body).map_err(|error| self.record_error(error))
     }
 
-    /// Sends a request and reads the head of its response; returns also whether the whole request was sent
-    /// before it came.
+    /// Sends a request and reads the head of its response.
     fn exchange<'a>(
         &self,
-        stream: &mut BufferedStream,
+        mut stream: BufferedStream,
         head: &RequestHead,
         body: impl Iterator<Item = &'a [u8]> + Clone,
-    ) -> Result<(ResponseHead, ResponseReader, bool), ResponseError> {
+    ) -> Result<CallResponse, ResponseError> {
         // One write takes the head and what most bodies need.
         let mut start = head.to_bytes();
         start.extend_from_slice(body.clone().next().unwrap_or_default());
         let further = body.skip(1);
         let mut upload = RequestUpload::new(start, further.clone().map(<[u8]>::len).sum());
         let mut reader = ResponseReader::new(head.method.clone());
-        let response_head = read_response_head(&mut reader, stream, |stream| {
+        let response_head = read_response_head(&mut reader, &mut stream, |stream| {
             upload.write(stream, further.clone(), self.deadline())?;
             self.wait(stream)
         })?;
-        Ok((response_head, reader, upload.is_complete()))
+        let response = CallResponse::new(self.clone(), stream, response_head, reader);
+        Ok(response.with_request_sent(upload.is_complete()))
     }
 
     /// Waits for further bytes of a response.
@@ -203,14 +189,7 @@
 
     /// Records an invalid response and returns the error of its call.
     pub(crate) fn record_error(&self, error: ResponseError) -> CallError {
-        if let ResponseError::Invalid(fault) = error {
-            match &self.invalid_responses {
-                Some(invalid_responses) => {
-                    invalid_responses.record(self.call_name, self.address, fault);
-                }
-                None => log_invalid_response(self.call_name, self.address, fault),
-            }
-        }
+        self.response_log.record_error(self.address, error);
         CallError::Unknown(error.to_string())
     }
 }
