Return a piece of a body when it comes

What callers saw: streams of `gentian-entry` came one event late, and so did changes of its key-value service: an entry that was cut from the service served a withdrawn key again after it was back.

`a_piece_of_a_body_is_read_when_it_comes` fails without the change.

--- a/crates/gentian-http/src/call_response.rs
+++ b/crates/gentian-http/src/call_response.rs
@@ -104,9 +104,10 @@
         }
     }
 
-    /// Appends the body bytes that have arrived to `output`, or waits for some; returns whether the body
-    /// has ended.
+    /// Appends the body bytes that have arrived to `output`, or waits for some if there are none; returns
+    /// whether the body has ended.
     fn read_piece(&mut self, output: &mut Vec<u8>) -> Result<bool, ResponseError> {
+        let length = output.len();
         if let Some(end) = read_response_piece(&mut self.reader, &mut self.stream, output)? {
             // The body of the request isn't kept, so that what is unsent of it can't be sent any more.
             let deadline = self.client.deadline();
@@ -114,7 +115,9 @@
             check_end(end.with_request_sent(end.is_request_sent && self.is_request_sent))?;
             return Ok(true);
         }
-        self.client.wait(&mut self.stream)?;
+        if output.len() == length {
+            self.client.wait(&mut self.stream)?;
+        }
         Ok(false)
     }
 
--- a/crates/gentian-http/tests/responses.rs
+++ b/crates/gentian-http/tests/responses.rs
@@ -576,3 +576,26 @@
     assert!(matches!(call_client(address, b"x"), Err(CallError::Unknown(_))));
     thread.join().unwrap();
 }
+
+/// Guards against a stream whose pieces are returned only once the next one has come.
+#[test]
+fn a_piece_of_a_body_is_read_when_it_comes() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (was_read, wait) = std::sync::mpsc::channel();
+    let thread = std::thread::spawn(move || {
+        let (mut peer, _) = listener.accept().unwrap();
+        assert!(peer.read(&mut [0; 1_000]).unwrap() > 0);
+        peer.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n").unwrap();
+        wait.recv().unwrap();
+        peer.write_all(b"1\r\nb\r\n0\r\n\r\n").unwrap();
+    });
+    let mut response = HttpClient::new(address, TIMEOUT).call("GET", "/", &[], b"").unwrap();
+    let mut buffer = [0; 10];
+    assert_eq!(response.read(&mut buffer).unwrap(), 1);
+    was_read.send(()).unwrap();
+    let mut rest = Vec::new();
+    response.read_to_end(&mut rest).unwrap();
+    assert_eq!(rest, b"b");
+    thread.join().unwrap();
+}
