--- a/crates/gentian-entry/src/chain/send_call.rs
+++ b/crates/gentian-entry/src/chain/send_call.rs
@@ -8,7 +8,6 @@
 use gentian_core::{EventCode, MonoTime, TimeSpan};
 use gentian_decide::entry::{CallOutcome, WaitingCall};
 use gentian_decide::request::{FilterOutcome, Refusal, RefusalCode};
-use gentian_http::forward::ResponseLog;
 use gentian_http::{CallError, CallResponse, HttpClient, HttpRequest};
 use gentian_wire::{IDEMPOTENCY_KEY, REQUEST_ID};
 
@@ -123,9 +122,8 @@
     let forwarded = [("Content-Type", "Content-Type"), ("Accept", "Accept")];
     let forwarded = forwarded.into_iter().chain([(IDEMPOTENCY_KEY, IDEMPOTENCY_KEY)]);
     headers.extend(forwarded.filter_map(|(name, sent)| Some((sent, http.header(name)?))));
-    let response_log = ResponseLog::new(CALL_NAME);
-    let response_log = response_log.with_counter(handles.metrics.invalid_responses.clone());
-    let client = HttpClient::new(address, time_left).with_response_log(response_log);
+    let client = HttpClient::new(address, time_left)
+        .with_response_log(handles.metrics.response_log(CALL_NAME));
     client.call_with_buffer(HttpRequest::method(http), &call.upstream_path(), &headers, &call.body)
 }
 
--- a/crates/gentian-entry/src/entry_metrics.rs
+++ b/crates/gentian-entry/src/entry_metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of an entry.
 
 use eyre::WrapErr;
-use gentian_http::forward::InvalidResponses;
+use gentian_http::forward::{InvalidResponses, ResponseLog};
 use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
 
 const LATENCY_BUCKETS_SECS: [f64; 12] =
@@ -17,7 +17,7 @@
     /// Request bodies that were not read to their end, by cause.
     pub(crate) refused_bodies: IntCounterVec,
     /// Invalid responses of upstreams by check.
-    pub(crate) invalid_responses: InvalidResponses,
+    invalid_responses: InvalidResponses,
     /// Requests that are open.
     pub(crate) open: IntGauge,
     /// Time from the arrival of a request to the first byte of its response.
@@ -70,4 +70,9 @@
             config_version,
         })
     }
+
+    /// Returns a log of the invalid responses to calls of this kind, which counts them here.
+    pub(crate) fn response_log(&self, call_name: &'static str) -> ResponseLog {
+        ResponseLog::new(call_name).with_counter(self.invalid_responses.clone())
+    }
 }
--- a/crates/gentian-gateway/src/chain/attempt.rs
+++ b/crates/gentian-gateway/src/chain/attempt.rs
@@ -106,10 +106,10 @@
     }
     let mut start = encode_head(handles, call, pick);
     start.extend_from_slice(call.body.pieces().next().unwrap_or_default());
-    let further_bytes = further_pieces(call).map(<[u8]>::len).sum();
+    let further_bytes = call.further_pieces().map(<[u8]>::len).sum();
     let mut upload = RequestUpload::new(start, further_bytes);
     call.progress = AttemptProgress::Sent;
-    if let Err(error) = upload.write(&mut stream, further_pieces(call), call.deadline) {
+    if let Err(error) = upload.write(&mut stream, call.further_pieces(), call.deadline) {
         let cause = format!("not sent whole: {error}");
         return AttemptResult::Failed(AttemptOutcome::Broken, cause);
     }
@@ -133,11 +133,6 @@
     handle_response(handles, call, pick, stream, upstream_response)
 }
 
-/// Returns the pieces of the body that follow the first one.
-pub(super) fn further_pieces(call: &CallContext) -> impl Iterator<Item = &[u8]> {
-    call.body.pieces().skip(1)
-}
-
 /// Returns whether the request goes on with a stream that only upstreams of one version may go on with.
 fn is_take_up(call: &CallContext, pick: &UpstreamPick) -> bool {
     call.is_resuming() && pick.version.is_some()
@@ -319,7 +314,7 @@
     upload: &RequestUpload,
     end: ResponseEnd,
 ) -> Result<(), ResponseFault> {
-    let end = complete_request(end, stream, upload.rest(further_pieces(call)), call.deadline);
+    let end = complete_request(end, stream, upload.rest(call.further_pieces()), call.deadline);
     match end.judge() {
         EndVerdict::Whole => Ok(()),
         EndVerdict::Broken(fault) => Err(fault.into()),
--- a/crates/gentian-gateway/src/chain/call_context.rs
+++ b/crates/gentian-gateway/src/chain/call_context.rs
@@ -153,6 +153,11 @@
         }
     }
 
+    /// Returns the pieces of the body that follow the first one.
+    pub(crate) fn further_pieces(&self) -> impl Iterator<Item = &[u8]> {
+        self.body.pieces().skip(1)
+    }
+
     /// Returns what the control thread needs to choose an upstream; `None` if the request has no
     /// route, or its route no service.
     pub(crate) fn serving_call(&self, now: MonoTime) -> Option<ServingCall> {
--- a/crates/gentian-gateway/src/chain/response_reader.rs
+++ b/crates/gentian-gateway/src/chain/response_reader.rs
@@ -9,7 +9,6 @@
     WaitOutcome, read_response_head, read_response_piece,
 };
 
-use super::attempt::further_pieces;
 use super::{CallContext, CallHandles};
 use crate::ResponseMetadata;
 
@@ -59,7 +58,7 @@
                 return Err(ResponseFault::HeadTooLarge.into());
             }
             // What has come so far may be an interim response, after which the upstream reads on.
-            if upload.write(stream, further_pieces(call), call.deadline).is_err() {
+            if upload.write(stream, call.further_pieces(), call.deadline).is_err() {
                 return Err(ReadError::TimedOut);
             }
             wait_for_bytes(stream, &call.caller_stream, call.deadline)
