--- a/crates/gentian-decide/src/responses/response_end.rs
+++ b/crates/gentian-decide/src/responses/response_end.rs
@@ -43,7 +43,7 @@
     }
 
     /// A mark that was reached is the end, however the connection ends and whether or not the request
-    /// was read: servers may response and close early.
+    /// was read: servers may respond and close early.
     fn judge_marked(self) -> EndVerdict {
         match (self.is_mark_reached, self.connection, self.position) {
             (true, _, EventPosition::InsideEvent) => EndVerdict::Broken(EndFault::UnfinishedEvent),
--- a/crates/gentian-proof/tests/response_proxy/mod.rs
+++ b/crates/gentian-proof/tests/response_proxy/mod.rs
@@ -21,7 +21,7 @@
     pub(crate) is_early: bool,
 }
 
-/// Proxy that counts the requests whose path begins with a prefix, and responses them while it has a
+/// Proxy that counts the requests whose path begins with a prefix, and answers them while it has a
 /// script.
 pub(crate) struct ResponseProxy {
     pub(crate) address: SocketAddr,
