--- a/crates/gentian-soak/tests/invalid_responses.rs
+++ b/crates/gentian-soak/tests/invalid_responses.rs
@@ -116,7 +116,7 @@
     assert_eq!(fleet.metric(CRASHES), 0, "no upstream has crashed");
 }
 
-/// Guards against a part of a response that counted as whole: the upstream responses a long upload at once
+/// Guards against a part of a response that counted as whole: the upstream answers a long upload at once
 /// without a length, and resets the connection while it is still being written.
 #[rstest]
 #[case::soon(LONG_BODY_BYTES, SHORT)]
@@ -143,6 +143,19 @@
     assert_eq!(fleet.metric(CRASHES), 0, "no upstream has crashed");
 }
 
+/// Guards against the same where the kernel of the upstream may take the whole upload, with the receive
+/// buffers of the system.
+#[test]
+fn a_client_got_a_part_of_the_response_to_an_upload_that_a_kernel_took() {
+    let steps = [WriteHead(""), Write("20 of 43 bytes of it"), EndSending, Pause(LONG), Reset];
+    let fleet = ResponseFleet::start_with(None);
+    for _ in 0..5 {
+        assert_goes_on(&fleet, &RawCall::post("/look/1", MEDIUM_BODY_BYTES), &steps);
+        let response = assert_ends(&fleet, &RawCall::post("/book/1", MEDIUM_BODY_BYTES), &steps);
+        assert_eq!(response.status, 502, "{response:?}");
+    }
+}
+
 /// Guards against parts that count as whole when the connection is reset in other ways.
 #[test]
 fn a_response_that_is_reset_is_not_whole() {
--- a/crates/gentian-soak/tests/response_fleet/mod.rs
+++ b/crates/gentian-soak/tests/response_fleet/mod.rs
@@ -31,6 +31,8 @@
 pub(crate) const ROUTE_TIMEOUT_MILLIS: u64 = 6_000;
 
 const UPSTREAMS: u8 = 3;
+/// Size of the receive buffers of the upstreams, so that connections don't take long requests unread.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 const BODY_BYTES: usize = 8_000_000;
 const CALL_TIMEOUT: TimeSpan = TimeSpan::from_secs(5);
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
@@ -52,11 +54,16 @@
 impl ResponseFleet {
     /// Starts the processes and waits until the entry is ready.
     pub(crate) fn start() -> Self {
+        Self::start_with(Some(RECEIVE_BUFFER_BYTES))
+    }
+
+    /// Starts the processes before upstreams with this receive buffer, or that of the system.
+    pub(crate) fn start_with(receive_buffer: Option<usize>) -> Self {
         let guard = FLEET_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
         let subnet = NEXT_SUBNET.fetch_add(1, Ordering::Relaxed);
         let processes = TestProcesses::new("gentian-responses", subnet);
         let addresses = (0..UPSTREAMS).map(|number| upstream_address(subnet, number));
-        let upstreams = ScriptedUpstreams::start(addresses.collect());
+        let upstreams = ScriptedUpstreams::start(addresses.collect(), receive_buffer);
         let mut fleet = Self { _guard: guard, processes, subnet, upstreams };
         let store = fleet.store().to_string();
         fleet.processes.spawn("gentian-standin", &["fleet-store", "--address", &store]);
--- a/crates/gentian-soak/tests/response_fleet/scripted_upstream.rs
+++ b/crates/gentian-soak/tests/response_fleet/scripted_upstream.rs
@@ -10,8 +10,6 @@
 
 /// Start that the registrations and reports of the upstreams name.
 pub(crate) const BORN: u64 = 1_000_000;
-/// Size of the receive buffers of the upstreams.
-const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 /// Events of a sound stream.
 const EVENTS: u64 = 4;
 
@@ -68,12 +66,14 @@
 
 impl ScriptedUpstreams {
     /// Listens on these addresses until the process of the test ends.
-    pub(crate) fn start(addresses: Vec<SocketAddr>) -> Self {
+    pub(crate) fn start(addresses: Vec<SocketAddr>, receive_buffer: Option<usize>) -> Self {
         let upstreams = Self { scripts: Arc::default() };
         for address in addresses {
             let listener = TcpListener::bind(address).unwrap();
-            // Connections inherit the size, so that they don't take long requests unread.
-            SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
+            // Connections inherit the size.
+            if let Some(bytes) = receive_buffer {
+                SockRef::from(&listener).set_recv_buffer_size(bytes).unwrap();
+            }
             let upstreams = upstreams.clone();
             std::thread::spawn(move || {
                 for peer in listener.incoming().flatten() {
