--- a/review/lib-3/base.rs
+++ b/review/lib-3/base.rs
@@ -486,7 +486,8 @@
 
     fn handle(&self, request: &Request, stream: &mut TcpStream) -> bool {
         let (status, body) = self.answer(request);
-        respond(stream, status, &[("Content-Type", "application/json")], body.as_bytes())
+        let headers = [("Content-Type", "application/json"), ("Store-Era", "1")];
+        respond(stream, status, &headers, body.as_bytes())
     }
 
     fn answer(&self, request: &Request) -> (u16, String) {
