--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,6 +4,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for name in rolling; do
+for name in rolling upload; do
     rustc --edition 2024 -O -o "target/review-3/$name" "review/lib-3/$name.rs"
 done
