--- a/review/lib-3/upload.rs
+++ b/review/lib-3/upload.rs
@@ -23,8 +23,12 @@
 const GARBLING: u8 = 2;
 /// One in so many of their answers is spoilt: `x` of the site's garble is 0.03.
 const SPOILT_EACH: u64 = 34;
+/// How long replicas are in trouble each time, and the time from one such beginning to the next: `for_s` of
+/// the site's garble is 5.5.
+const TROUBLE_TIME: Duration = Duration::from_millis(5_500);
+const TROUBLE_PERIOD: Duration = Duration::from_millis(11_000);
 const UPLOAD_BYTES: usize = 700_000;
-const RUN_TIME: f64 = 35.0;
+const RUN_TIME: f64 = 46.0;
 /// How long after the part the connection is reset.
 const RESET_DELAY: Duration = Duration::from_millis(1_000);
 const WHOLE: &str = "{\"booking\":\"the whole answer of a replica\"}";
@@ -37,6 +41,7 @@
     born: u64,
     is_garbling: bool,
     answers: AtomicU64,
+    started: Instant,
     /// Requests whose answer was spoilt.
     spoilt: Arc<Mutex<BTreeSet<String>>>,
     record: Record,
@@ -71,6 +76,7 @@
             let is_spoilt = self.is_garbling
                 && !is_report
                 && length > 0
+                && self.is_in_trouble()
                 && self.answers.fetch_add(1, Ordering::Relaxed) % SPOILT_EACH == SPOILT_EACH - 1;
             if is_spoilt {
                 lock(&self.spoilt).insert(id.to_owned());
@@ -113,6 +119,11 @@
         }
     }
 
+    fn is_in_trouble(&self) -> bool {
+        let elapsed = self.started.elapsed().as_millis() % TROUBLE_PERIOD.as_millis();
+        elapsed >= (TROUBLE_PERIOD - TROUBLE_TIME).as_millis()
+    }
+
     fn entry(&self, beats: u64) -> String {
         format!(
             "{{\"service\":\"prenota\",\"address\":{},\"zone\":\"palermo\",\"version\":\"1\",\"slots\":6,\
@@ -188,6 +199,7 @@
             born: unix_millis(),
             is_garbling: has_trouble && number <= GARBLING,
             answers: AtomicU64::new(0),
+            started: Instant::now(),
             spoilt: Arc::clone(&spoilt),
             record: record.clone(),
         });
